Read service documents and list every fault

A document is in force on the fleet within seconds, so a slip has to stop at the check, and whoever mends it has to see all faults at once.

Ruled out: mapping by struct tags (StrictMapTo stops at the first fault and takes unknown keys); inheritance between sections and continuation lines of the library are switched off, since both let a line mean something elsewhere.

A path that is not in its shortest form has no class: a backend server may shorten /lookup/../claim to /claim and run twice what must run once. Callers that overlap and classes that an earlier one hides are faults.

Conclusion: golden files hold the complete lists for a text with many faults, one that is no INI, and an empty one.

--- /dev/null
+++ b/internal/conf/docs/docs_test.go
@@ -0,0 +1,95 @@
+package docs
+
+import (
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+
+	"mangowinch/internal/conf/strict"
+)
+
+func read(t *testing.T, name string) []byte {
+	t.Helper()
+	text, err := os.ReadFile(filepath.Join("testdata", name))
+	assert.NilError(t, err)
+	return text
+}
+
+func TestParse(t *testing.T) {
+	s, err := Parse("good.ini", read(t, "good.ini"))
+	assert.NilError(t, err)
+	assert.Equal(t, s.Name, "tracing-core")
+	assert.DeepEqual(t, s.Former, []string{"k1", "k0"})
+	assert.Equal(t, s.Servers[0].Name, "s1") // by ID, not as declared
+	assert.Equal(t, s.Servers[0].State, Serving)
+	assert.Equal(t, s.Servers[0].Weight, 1)
+	assert.Equal(t, s.Servers[1].State, Leaving)
+	v, ok := s.Server(2)
+	assert.Assert(t, ok && v.Name == "s2" && v.Weight == 3)
+	_, ok = s.Server(3)
+	assert.Assert(t, !ok)
+}
+
+// A team mends a document and sends it again. If only the first fault were shown it
+// would take a try per fault; and a typing error in a key that is silently
+// ignored would put a default in force on the whole fleet.
+func TestParseListsEveryFault(t *testing.T) {
+	for _, name := range []string{"bad", "syntax", "empty"} {
+		s, err := Parse(name+".ini", read(t, name+".ini"))
+		assert.Assert(t, s == nil)
+		var faults strict.Faults
+		assert.Assert(t, errors.As(err, &faults), name)
+		golden.Assert(t, faults.Error()+"\n", name+".golden")
+	}
+}
+
+func TestParseRefusesLargeTextUnread(t *testing.T) {
+	_, err := Parse("large.ini", []byte(strings.Repeat("; comment\n", 200_000)))
+	assert.ErrorContains(t, err, "larger than a megabyte")
+}
+
+// A caller asks for /lookup/../claim. Classed by its first letters it is an
+// idempotent lookup, and is run again when the answer is lost; the backend server
+// shortens the path and opens two cases. So such a path has no class.
+func TestClassFor(t *testing.T) {
+	s, err := Parse("good.ini", read(t, "good.ini"))
+	assert.NilError(t, err)
+	for path, want := range map[string]string{
+		"/lookup": "lookup", "/lookup/7": "lookup", "/lookup/": "lookup", "/feed/1": "feed",
+		"/lookups": "", "/feed": "", "/": "", "": "", "lookup": "",
+		"/feed/../lookup": "", "//lookup": "", "/feed/./1": "", "/feed//1": "", `/feed/..\lookup`: "",
+	} {
+		got := ""
+		if c, ok := s.ClassFor(path); ok {
+			got = c.Name
+		}
+		assert.Equal(t, got, want, path)
+	}
+}
+
+func TestCallerFor(t *testing.T) {
+	s, err := Parse("good.ini", read(t, "good.ini"))
+	assert.NilError(t, err)
+	for address, want := range map[string]string{
+		"10.1.2.3":           "fund-a",
+		"::ffff:10.1.2.3":    "fund-a",
+		"2001:db8:1::1":      "fund-a",
+		"10.9.2.3":           "10.9.2.0/24",
+		"10.9.2.77":          "10.9.2.0/24",
+		"2001:db9:0:1ff::1":  "2001:db9:0:100::/56",
+		"fe80::1%lo":         "fe80::/56",
+		"2001:db9:0:100::42": "2001:db9:0:100::/56",
+	} {
+		name, weight := s.CallerFor(netip.MustParseAddr(address))
+		assert.Equal(t, name, want, address)
+		assert.Equal(t, weight == 2, name == "fund-a", address)
+	}
+	name, _ := s.CallerFor(netip.Addr{})
+	assert.Equal(t, name, "invalid Prefix")
+}
