--- /dev/null
+++ b/internal/flow/packet/packet.go
@@ -0,0 +1,92 @@
+// Package packet reads the part of a QUIC packet's header that all versions share
+// (RFC 8999): whether it is long or short, and the connection IDs.
+//
+// It is no QUIC implementation: nothing behind the connection IDs is looked at, so
+// a new version of QUIC needs no new balancer.
+//
+// # Usage
+//
+//	h, err := packet.Parse(datagram)
+//	if err != nil {
+//		return // counted by reason, dropped
+//	}
+package packet
+
+import (
+	"encoding/binary"
+
+	"github.com/cockroachdb/errors"
+
+	"mangowinch/internal/flow/ident"
+)
+
+// MinOpener is the smallest datagram, in bytes, that may open a flow. RFC 9000
+// section 14.1 makes callers pad them; a smaller one would let a forger have
+// more bytes sent to a third party than it spends.
+const MinOpener = 1200
+
+// MaxID is the longest connection ID of the QUIC versions in use, in bytes.
+const MaxID = 20
+
+// MinOpenerID is the shortest connection ID a caller may choose (RFC 9000
+// section 7.2), in bytes. It keeps flow keys apart.
+const MinOpenerID = 8
+
+// Errors of Parse.
+var (
+	ErrShort  = errors.New("datagram is too short for a QUIC header")
+	ErrID     = errors.New("connection ID is too long")
+	ErrOpener = errors.New("datagram is too small to open a flow")
+)
+
+// Header is the version-independent part of a packet's header. Its slice points
+// into the datagram.
+type Header struct {
+	Long        bool
+	Version     uint32 // long headers only
+	Destination []byte // destination connection ID
+}
+
+// Parse reads the header of a datagram's first packet. It returns ErrShort or ErrID.
+func Parse(b []byte) (h Header, err error) {
+	if len(b) < 1 {
+		return Header{}, ErrShort
+	}
+	if b[0]&0x80 == 0 {
+		return parseShort(b)
+	}
+	const fixed = 6 // first byte, version, length of the destination ID
+	if len(b) < fixed {
+		return Header{}, ErrShort
+	}
+	n := int(b[5])
+	if n > MaxID {
+		return Header{}, ErrID
+	}
+	if len(b) < fixed+n+1 {
+		return Header{}, ErrShort
+	}
+	return Header{
+		Long:        true,
+		Version:     binary.BigEndian.Uint32(b[1:]),
+		Destination: b[fixed : fixed+n],
+	}, nil
+}
+
+// parseShort takes the ID's length as known: short headers go only to IDs that an
+// agent made.
+func parseShort(b []byte) (h Header, err error) {
+	if len(b) < 1+ident.Length {
+		return Header{}, ErrShort
+	}
+	return Header{Destination: b[1 : 1+ident.Length]}, nil
+}
+
+// CheckOpener says whether a datagram with a caller-chosen ID may open a flow. It
+// returns ErrOpener if the datagram or its ID is too small.
+func CheckOpener(b []byte, h Header) error {
+	if !h.Long || len(b) < MinOpener || len(h.Destination) < MinOpenerID {
+		return ErrOpener
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/flow/paths/paths.go
@@ -0,0 +1,253 @@
+// Package paths chooses the entry by which an agent answers a caller.
+//
+// Pattern: a feed is one-way. The caller says nothing until it gets something, so
+// an agent that answers by an entry which died hears nothing to correct it, and its
+// QUIC backs off exponentially: in a trial the last of 100 feeds ended 56 s late. A
+// sign of life is therefore kept for each entry, not for each flow: any frame
+// from it counts, and an entry in use that falls quiet is probed.
+//
+// An entry may also work in one direction only. If agent to entry is cut, the
+// echo of a probe is missing, for a probe makes the round trip. If entry to
+// caller is cut, echoes come but the caller stays silent; so a caller that owes an
+// acknowledgement too long makes its flow alternate between entries until it is
+// heard again.
+//
+// An agent answers by a small active set of entries and probes only these. With 800
+// entries each one is heard too seldom for traffic alone to be its sign of life,
+// and probing all of them would cost 6,800 agents times 800 entries.
+//
+// It does no input or output; time is handed in.
+//
+// # Usage
+//
+//	b := paths.New(limit)
+//	b.Heard(now, entry, caller, leaving) // a Forward frame
+//	entry, ok := b.Choose(now, caller)
+//	for _, e := range b.Probes(now) { ... } // every ProbeEvery
+package paths
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+)
+
+// Thresholds.
+const (
+	// ProbeEvery is how often Probes is to be called.
+	ProbeEvery = 100 * time.Millisecond
+	// quietAfter is how long an active entry may be quiet before it is probed.
+	quietAfter = 150 * time.Millisecond
+	// LostAfter is how long an entry may be quiet before flows leave it: a quiet
+	// time, then two probes and a round trip of some milliseconds.
+	LostAfter = 400 * time.Millisecond
+	// activeSize is how many entries an agent answers by: enough that two may die
+	// at once and a caller's datagrams alternate between two others.
+	activeSize = 4
+	// owedAfter is how long a caller may leave datagrams without a word. QUIC
+	// acknowledges within 25 ms and a round trip of 2 to 8 ms; three times that
+	// is no accident.
+	owedAfter = 100 * time.Millisecond
+	// owedCount is how many datagrams must be owed, so that a last datagram that
+	// needs no acknowledgement starts nothing.
+	owedCount = 2
+	// forgetAfter is how long an entry or caller without any traffic is kept in
+	// mind. QUIC's idle timeout, by our settings, is shorter.
+	forgetAfter = 2 * time.Minute
+	// maxEntries bounds the entries kept in mind: the size to design for has 800.
+	maxEntries = 2048
+)
+
+// Book is what one agent knows of entries and callers. It is not safe for
+// concurrent use.
+type Book struct {
+	limit   int // of callers
+	entries map[netip.AddrPort]*entry
+	callers map[netip.AddrPort]*caller
+	active  []netip.AddrPort // at most activeSize keys of entries
+	turn    int              // alternates through active
+}
+
+type entry struct {
+	heard   time.Time
+	leaving bool
+}
+
+type caller struct {
+	heard time.Time
+	owed  time.Time // first datagram sent since heard
+	count int       // datagrams sent since heard
+	place int       // where in the active set its datagrams go
+}
+
+// New returns an empty Book that keeps at most limit callers in mind.
+func New(limit int) *Book {
+	return &Book{
+		limit:   limit,
+		entries: make(map[netip.AddrPort]*entry),
+		callers: make(map[netip.AddrPort]*caller),
+	}
+}
+
+// Heard notes a datagram of a caller that came by an entry. Leaving says that the
+// entry stops soon.
+func (b *Book) Heard(now time.Time, via, from netip.AddrPort, leaving bool) {
+	b.Sign(now, via, leaving)
+	c := b.callers[from]
+	if c == nil {
+		if len(b.callers) >= b.limit {
+			return // its answers go by any active entry
+		}
+		b.turn++
+		c = &caller{place: b.turn}
+		b.callers[from] = c
+	}
+	c.heard = now
+	c.count = 0
+}
+
+// Sign notes a sign of life of an entry.
+func (b *Book) Sign(now time.Time, via netip.AddrPort, leaving bool) {
+	e := b.entries[via]
+	if e == nil {
+		if len(b.entries) >= maxEntries {
+			return
+		}
+		e = &entry{}
+		b.entries[via] = e
+	}
+	e.heard = now
+	e.leaving = leaving
+	if !leaving && len(b.active) < activeSize && !slices.Contains(b.active, via) {
+		b.active = append(b.active, via)
+	}
+}
+
+// Choose names the entry by which a datagram goes to a caller, and notes the
+// sending. It reports false when no entry is known at all.
+func (b *Book) Choose(now time.Time, to netip.AddrPort) (via netip.AddrPort, ok bool) {
+	if len(b.active) == 0 {
+		return b.any()
+	}
+	c := b.callers[to]
+	if c == nil {
+		b.turn++
+		return b.from(now, b.turn), true
+	}
+	if c.count == 0 {
+		c.owed = now
+	}
+	c.count++
+	if c.count > owedCount && now.Sub(c.owed) > owedAfter {
+		c.place++
+	}
+	return b.from(now, c.place), true
+}
+
+// from names the first live entry of the active set from a place on. With none
+// live it keeps to the place: a datagram lost costs less than one not sent, and
+// the next call of Probes mends the set.
+func (b *Book) from(now time.Time, place int) netip.AddrPort {
+	n := len(b.active)
+	for i := range n {
+		a := b.active[(place+i)%n]
+		if b.entries[a].live(now) {
+			return a
+		}
+	}
+	return b.active[place%n]
+}
+
+// any is for the moment when no entry is active: all known ones are leaving.
+func (b *Book) any() (via netip.AddrPort, ok bool) {
+	for a := range b.entries {
+		return a, true
+	}
+	return netip.AddrPort{}, false
+}
+
+func (e *entry) live(now time.Time) bool {
+	return !e.leaving && now.Sub(e.heard) < LostAfter
+}
+
+// Probes mends the active set and names the entries to be probed now: the active
+// ones that are quiet. It also forgets what has had no traffic for long.
+func (b *Book) Probes(now time.Time) (quiet []netip.AddrPort) {
+	b.forget(now)
+	b.mend(now)
+	if len(b.callers) == 0 {
+		return nil
+	}
+	for _, a := range b.active {
+		if now.Sub(b.entries[a].heard) > quietAfter {
+			quiet = append(quiet, a)
+		}
+	}
+	return quiet
+}
+
+// mend replaces active entries that are lost or leaving by live ones heard most
+// lately. A lost one without a successor stays, and goes on being probed: after an
+// agent was paused, or cut off from all entries, every entry looks lost.
+func (b *Book) mend(now time.Time) {
+	var spare []netip.AddrPort
+	for a, e := range b.entries {
+		if e.live(now) && !slices.Contains(b.active, a) {
+			spare = append(spare, a)
+		}
+	}
+	slices.SortFunc(spare, func(x, y netip.AddrPort) int {
+		return b.entries[y].heard.Compare(b.entries[x].heard)
+	})
+	for i, a := range b.active {
+		if len(spare) == 0 {
+			return
+		}
+		if !b.entries[a].live(now) {
+			b.active[i] = spare[0]
+			spare = spare[1:]
+		}
+	}
+	room := min(activeSize-len(b.active), len(spare))
+	b.active = append(b.active, spare[:max(room, 0)]...)
+}
+
+func (b *Book) forget(now time.Time) {
+	for a, e := range b.entries {
+		if now.Sub(e.heard) > forgetAfter {
+			delete(b.entries, a)
+		}
+	}
+	b.active = slices.DeleteFunc(b.active, func(a netip.AddrPort) bool {
+		return b.entries[a] == nil
+	})
+	for a, c := range b.callers {
+		if now.Sub(c.heard) > forgetAfter {
+			delete(b.callers, a)
+		}
+	}
+}
+
+// Status is one entry as an operator sees it.
+type Status struct {
+	Entry   netip.AddrPort
+	Quiet   time.Duration // since its last sign of life
+	Live    bool
+	Leaving bool
+	Active  bool // answers go by it
+}
+
+// Status lists the entries known.
+func (b *Book) Status(now time.Time) (list []Status) {
+	for a, e := range b.entries {
+		list = append(list, Status{
+			Entry:   a,
+			Quiet:   now.Sub(e.heard),
+			Live:    e.live(now),
+			Leaving: e.leaving,
+			Active:  slices.Contains(b.active, a),
+		})
+	}
+	slices.SortFunc(list, func(x, y Status) int { return x.Entry.Compare(y.Entry) })
+	return list
+}
--- /dev/null
+++ b/internal/node/agent/chain.go
@@ -0,0 +1,41 @@
+package agent
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"mangowinch/internal/conf/docs"
+	"mangowinch/internal/work/result"
+)
+
+// Exchange is one request on its way through the filters.
+type Exchange struct {
+	ID       string // unique in the service
+	Service  *docs.Service
+	Class    *docs.Class
+	Caller   string // who shares the service fairly with others
+	Deadline time.Time
+	Request  *http.Request
+	Answer   *Answer
+}
+
+// Handler runs an exchange or a part of it. A result other than ran is answered
+// by serveHTTP, if nothing of an answer has left yet.
+type Handler func(ctx context.Context, x *Exchange) result.Result
+
+// Filter wraps a handler.
+type Filter func(next Handler) Handler
+
+// chain puts filters before a handler, the first outermost.
+func chain(h Handler, filters ...Filter) Handler {
+	for i := len(filters) - 1; i >= 0; i-- {
+		h = filters[i](h)
+	}
+	return h
+}
+
+// refuse is the result of a request that did not run.
+func refuse(r result.Reason, after time.Duration) result.Result {
+	return result.Result{Outcome: result.NotRun, Reason: r, After: after}
+}
--- /dev/null
+++ b/internal/node/entry/counts.go
@@ -0,0 +1,46 @@
+package entry
+
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// counters are one service's. Each dropped datagram is counted under one reason.
+type counters struct {
+	received, forwarded, named, ranked, returned, echoes *metrics.Counter
+
+	short, opener, foreign, size *metrics.Counter // unreadable, too small to open, ID of nobody, too large
+	unknown, nobody              *metrics.Counter // server not in the document, no server at all
+	unsent, forged               *metrics.Counter // the kernel refused it, frame not authentic
+	unusable, conflict           *metrics.Counter // document or address that cannot be used
+	silent                       *metrics.Counter // servers found silent
+}
+
+func newCounters(service string) counters {
+	event := func(name string) *metrics.Counter {
+		return metrics.GetOrCreateCounter(fmt.Sprintf(`mangowinch_entry_%s_total{service=%q}`, name, service))
+	}
+	dropped := func(reason string) *metrics.Counter {
+		return metrics.GetOrCreateCounter(fmt.Sprintf(`mangowinch_entry_dropped_total{service=%q,reason=%q}`, service, reason))
+	}
+	return counters{
+		received:  event("received"),
+		forwarded: event("forwarded"),
+		named:     event("named"),
+		ranked:    event("ranked"),
+		returned:  event("returned"),
+		echoes:    event("echoes"),
+		silent:    event("silent"),
+		short:     dropped("short"),
+		opener:    dropped("opener"),
+		foreign:   dropped("foreign"),
+		size:      dropped("size"),
+		unknown:   dropped("unknown"),
+		nobody:    dropped("nobody"),
+		unsent:    dropped("unsent"),
+		forged:    dropped("forged"),
+		unusable:  event("unusable"),
+		conflict:  event("conflict"),
+	}
+}
--- /dev/null
+++ b/internal/node/entry/entry.go
@@ -0,0 +1,143 @@
+// Package entry is the process that receives callers' datagrams and hands each to
+// the agent of the server it belongs to, and agents' datagrams back to callers.
+//
+// It decides nothing itself: package route says where a datagram belongs, package
+// ident reads the server out of a connection ID, package store holds the documents.
+// It keeps no state that a flow needs. Kill it, and every flow goes on by
+// another entry; what it knows of servers (leaving, silent) only orders candidates.
+//
+// It terminates nothing and reads nothing behind a QUIC header's connection IDs.
+//
+// # Usage
+//
+//	e, err := entry.New(settings, store, logger)
+//	if err != nil {
+//		return err
+//	}
+//	return e.Run(ctx) // until ctx ends; then Run goes on forwarding until callers stop
+package entry
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"mangowinch/internal/conf/prefs"
+	"mangowinch/internal/conf/store"
+)
+
+const (
+	// socketBuffer is asked of the kernel for each socket, in bytes, so that a
+	// burst outlasts a pause of some milliseconds.
+	socketBuffer = 4 << 20
+	// refreshEvery bounds how long a snapshot shows a belief that time has ended.
+	refreshEvery = 500 * time.Millisecond
+	// quietTime without a caller's datagram ends a planned stop. The fabric
+	// takes seconds to send no more; a flow that is only idle comes by another entry.
+	quietTime = 3 * time.Second
+	// stopTime bounds a planned stop when the fabric never stops sending.
+	stopTime = 60 * time.Second
+)
+
+// Entry is one running entry.
+type Entry struct {
+	settings *prefs.Settings
+	store    *store.Store
+	log      zerolog.Logger
+	link     *net.UDPConn
+	leaving  atomic.Bool
+	lastUsed atomic.Int64 // Unix nanoseconds of the last caller's datagram
+
+	// mu guards services and doors while the set of services changes. Datagrams
+	// are forwarded from tags and from a door's own pointer, without the lock.
+	mu       sync.Mutex
+	services map[string]*service
+	doors    map[netip.AddrPort]*door
+	tags     atomic.Pointer[map[uint64]*service]
+}
+
+// New opens the link and returns an entry that serves no address yet.
+func New(settings *prefs.Settings, documents *store.Store, log zerolog.Logger) (e *Entry, err error) {
+	defer func() { err = errors.Wrap(err, "start entry") }()
+	if settings.Entry == nil {
+		return nil, errors.New("the settings have no section entry")
+	}
+	link, err := listen(settings.Entry.Link)
+	if err != nil {
+		return nil, err
+	}
+	e = &Entry{
+		settings: settings,
+		store:    documents,
+		log:      log,
+		link:     link,
+		services: make(map[string]*service),
+		doors:    make(map[netip.AddrPort]*door),
+	}
+	e.tags.Store(&map[uint64]*service{})
+	return e, nil
+}
+
+func listen(address netip.AddrPort) (conn *net.UDPConn, err error) {
+	defer func() { err = errors.Wrapf(err, "open UDP %s", address) }()
+	conn, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
+	if err != nil {
+		return nil, err
+	}
+	// The kernel may grant less; that is no failure.
+	_ = conn.SetReadBuffer(socketBuffer)
+	_ = conn.SetWriteBuffer(socketBuffer)
+	return conn, nil
+}
+
+// Run forwards until ctx ends and then makes a planned stop: it tells agents that
+// it leaves, and goes on forwarding until the fabric sends nothing more.
+func (e *Entry) Run(ctx context.Context) (err error) {
+	defer func() { err = errors.Wrap(err, "run entry") }()
+	var g errgroup.Group
+	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	g.Go(func() error { return e.readLink(inner) })
+	g.Go(func() error {
+		e.keepServices(inner)
+		return nil
+	})
+	g.Go(func() error {
+		<-ctx.Done()
+		e.leave(inner)
+		stop()
+		e.link.Close()
+		return nil
+	})
+	return g.Wait()
+}
+
+// leave waits until callers' datagrams stop coming. A balancer that closed its
+// sockets at once would lose what the fabric still sends to it.
+func (e *Entry) leave(ctx context.Context) {
+	e.leaving.Store(true)
+	e.log.Info().Msg("leaving: forwarding goes on until the fabric sends nothing more")
+	started := time.Now()
+	for time.Since(started) < stopTime {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(quietTime / 10):
+		}
+		quiet := time.Since(time.Unix(0, e.lastUsed.Load()))
+		if quiet > quietTime && time.Since(started) > quietTime {
+			break
+		}
+	}
+	e.log.Info().Dur("after", time.Since(started)).Msg("left")
+}
+
+// Leaving says whether a planned stop has begun.
+func (e *Entry) Leaving() bool { return e.leaving.Load() }
--- /dev/null
+++ b/internal/node/entry/services.go
@@ -0,0 +1,199 @@
+package entry
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"mangowinch/internal/conf/docs"
+	"mangowinch/internal/conf/store"
+	"mangowinch/internal/flow/ident"
+	"mangowinch/internal/flow/route"
+	"mangowinch/internal/node/rings"
+)
+
+// beforeFor is how long the servers of the document before are asked about flows:
+// a handshake takes 10 s at most by our settings, and entries get a document
+// within 7 s of each other.
+const beforeFor = 17 * time.Second
+
+// service is what the entry knows of one service.
+type service struct {
+	name  string
+	tag   uint64
+	now   atomic.Pointer[snapshot]
+	door  atomic.Pointer[door]
+	count counters
+
+	// mu guards the beliefs that snapshots are made of.
+	mu      sync.Mutex
+	watch   *route.Watch
+	leaving map[uint32]bool // by the servers' own word
+	listed  map[uint32]bool // by the platform's list
+	before  []route.Server
+	changed time.Time // when the servers last changed by document
+}
+
+// snapshot is immutable.
+type snapshot struct {
+	document *docs.Service
+	revision uint64
+	ring     *ident.Ring
+	table    route.Table
+	agents   map[uint32]netip.AddrPort
+}
+
+// keepServices is the controller that makes services and doors what the documents say.
+func (e *Entry) keepServices(ctx context.Context) {
+	t := time.NewTicker(refreshEvery)
+	defer t.Stop()
+	for {
+		changed := e.store.Changed()
+		e.apply(e.store.View())
+		for waiting := true; waiting; {
+			select {
+			case <-ctx.Done():
+				e.closeDoors()
+				return
+			case <-changed:
+				waiting = false
+			case now := <-t.C:
+				e.refreshAll(now)
+			}
+		}
+	}
+}
+
+// apply takes a view of the documents into force.
+func (e *Entry) apply(v *store.View) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, d := range v.Entries {
+		s := e.services[d.Name]
+		if s == nil {
+			s = newService(d.Name)
+			e.services[d.Name] = s
+		}
+		if old := s.now.Load(); old == nil || old.revision != d.Revision {
+			e.take(s, d)
+		}
+	}
+	tags := make(map[uint64]*service, len(e.services))
+	for _, s := range e.services {
+		if s.now.Load() != nil {
+			tags[s.tag] = s
+		}
+	}
+	e.tags.Store(&tags)
+	e.openDoors()
+}
+
+func newService(name string) *service {
+	return &service{
+		name:    name,
+		tag:     ident.ServiceTag(name),
+		watch:   route.NewWatch(),
+		leaving: make(map[uint32]bool),
+		listed:  make(map[uint32]bool),
+		count:   newCounters(name),
+	}
+}
+
+// take makes a document the service's own. A document that names an unknown key
+// leaves the last good one in force.
+func (e *Entry) take(s *service, d *store.Entry) {
+	ring, err := rings.New(e.settings.Keys, d.Service)
+	if err != nil {
+		s.count.unusable.Inc()
+		e.log.Error().Err(err).Uint64("revision", d.Revision).Msg("document cannot be used here; the last good one stays")
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	if old := s.now.Load(); old != nil && !slices.Equal(ids(old.document), ids(d.Service)) {
+		s.before = old.table.Now
+		s.changed = now
+	}
+	s.watch.Keep(ids(d.Service))
+	next := &snapshot{document: d.Service, revision: d.Revision, ring: ring, agents: agents(d.Service)}
+	s.publish(now, next)
+	e.log.Info().Str("service", s.name).Uint64("revision", d.Revision).Str("source", d.Source).Msg("document in force")
+}
+
+func ids(d *docs.Service) (list []uint32) {
+	for i := range d.Servers {
+		list = append(list, d.Servers[i].ID)
+	}
+	return list
+}
+
+func agents(d *docs.Service) map[uint32]netip.AddrPort {
+	m := make(map[uint32]netip.AddrPort, len(d.Servers))
+	for i := range d.Servers {
+		m[d.Servers[i].ID] = d.Servers[i].Agent
+	}
+	return m
+}
+
+// publish fills in the beliefs of this moment and makes a snapshot current. The
+// caller holds s.mu.
+func (s *service) publish(now time.Time, next *snapshot) {
+	next.table.Now = nil
+	for i := range next.document.Servers {
+		d := &next.document.Servers[i]
+		next.table.Now = append(next.table.Now, route.Server{
+			ID:      d.ID,
+			Weight:  float64(d.Weight),
+			Leaving: d.State == docs.Leaving || s.leaving[d.ID] || s.listed[d.ID],
+			Silent:  s.watch.Silent(now, d.ID),
+		})
+	}
+	next.table.Before = nil
+	if now.Sub(s.changed) < beforeFor {
+		next.table.Before = s.before
+	}
+	s.now.Store(next)
+}
+
+// refreshAll lets beliefs that time has ended out of the snapshots.
+func (e *Entry) refreshAll(now time.Time) {
+	for _, s := range *e.tags.Load() {
+		s.mu.Lock()
+		s.refresh(now)
+		s.mu.Unlock()
+	}
+}
+
+// refresh makes a snapshot anew from the beliefs of now. The caller holds s.mu.
+func (s *service) refresh(now time.Time) {
+	next := *s.now.Load()
+	s.publish(now, &next)
+}
+
+// heard takes in what a server's frame says of the server.
+func (s *service) heard(now time.Time, server uint32, leaving bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	changed := s.watch.Heard(now, server)
+	if s.leaving[server] != leaving {
+		s.leaving[server] = leaving
+		changed = true
+	}
+	if changed {
+		s.refresh(now)
+	}
+}
+
+// opened notes that a flow was sent to a server.
+func (s *service) opened(now time.Time, server uint32) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.watch.Opened(now, server) {
+		s.count.silent.Inc()
+		s.refresh(now)
+	}
+}
