Decide what is let in, waits and is refused at one server; queue fairly by caller

Long waits at saturation and a heavy caller's backlog are what make a server work on answers that nobody waits for. Package admit refuses by a pessimistic estimate, bounds long work to half of the slots and counts a feed only until its first byte; package queue is start-time fair queueing in slot time.

Ruled out: first come first served with a longer queue (moves the wait), a share per connection or request key (a caller multiplies those at will), a feed that holds its slot while open (4 slots, 2,000 connections).

The thresholds (slack 1.2, two deviations, half of the slots) are starting points; the experiments are to support or change them.

--- /dev/null
+++ b/internal/load/admit/after.go
@@ -0,0 +1,89 @@
+package admit
+
+import (
+	"time"
+
+	"mangowinch/internal/load/queue"
+	"mangowinch/internal/work/result"
+)
+
+// Parameters of Retry-After.
+const (
+	leastAfter = time.Second      // the header's own unit
+	mostAfter  = 60 * time.Second // a caller that is told more gives up or ignores it
+	// calm is how long nothing has to be refused for a shortage to count as over.
+	calm = 5 * time.Second
+)
+
+// shortage follows since when requests have been refused.
+type shortage struct {
+	began, last time.Time
+}
+
+func (s *shortage) age(now time.Time) time.Duration {
+	if s.last.IsZero() || now.Sub(s.last) > calm {
+		s.began = now
+	}
+	s.last = now
+	return now.Sub(s.began)
+}
+
+// after is when a refused caller is to come back. A shortage is expected to last
+// about as long again as it has lasted, and no less than the queue takes to empty.
+// The answer is spread evenly over once to three times that: callers that were
+// refused together would otherwise come back together and make the next shortage.
+func (g *Gate) after(now time.Time) time.Duration {
+	base := max(g.shortage.age(now), g.backlog(), leastAfter)
+	spread := time.Duration(2 * g.random.Float64() * float64(base))
+	return min(base, mostAfter) + min(spread, 2*mostAfter)
+}
+
+// backlog is how long the slots take for all that waits.
+func (g *Gate) backlog() time.Duration {
+	cost := 0.0
+	for _, k := range kinds {
+		for _, i := range g.lanes[k].waiting.Items() {
+			cost += i.Cost
+		}
+	}
+	return seconds(cost / float64(max(g.limits.Slots, 1)))
+}
+
+func (g *Gate) refusal(now time.Time, r result.Reason) Decision {
+	return Decision{Verdict: Refuse, Reason: r, After: g.after(now)}
+}
+
+func (g *Gate) refused(now time.Time, id uint64, r result.Reason) Refused {
+	return Refused{ID: id, Reason: r, After: g.after(now)}
+}
+
+// Stats is the state of a gate for /status and for the load that peers are told of.
+type Stats struct {
+	Slots   int
+	Running int
+	Waiting int
+	Classes []ClassStats
+	Callers []queue.Backlog
+}
+
+// ClassStats is what is measured of one class.
+type ClassStats struct {
+	Class       string
+	Mean        time.Duration // of service
+	Pessimistic time.Duration
+	Runs        int
+}
+
+// Stats returns a copy of the gate's state.
+func (g *Gate) Stats() Stats {
+	s := Stats{Slots: g.limits.Slots, Running: len(g.running)}
+	for _, k := range kinds {
+		s.Waiting += g.lanes[k].waiting.Len()
+		s.Callers = append(s.Callers, g.lanes[k].waiting.Backlogs()...)
+	}
+	for _, c := range g.limits.Classes {
+		e := g.estimate(c.Name)
+		s.Classes = append(s.Classes, ClassStats{Class: c.Name, Mean: seconds(e.mean), Pessimistic: seconds(e.pessimistic()), Runs: e.runs})
+	}
+	return s
+}
--- /dev/null
+++ b/internal/load/admit/estimate.go
@@ -0,0 +1,104 @@
+package admit
+
+import (
+	"time"
+
+	"mangowinch/internal/conf/docs"
+	"mangowinch/internal/load/queue"
+)
+
+// Parameters of the estimate of service times.
+const (
+	// gain is the weight of the newest run, as in TCP's round-trip estimate: some
+	// ten runs make up the mean, so a server that turns slow is believed within three
+	// rounds of its slots.
+	gain = 0.125
+	// spread is how many mean deviations over the mean count as pessimistic.
+	spread = 2
+	// slack multiplies the expected wait (the name and the idea are Jockey's,
+	// EuroSys 2012, section 4.3: the prediction is inflated, since a missed deadline
+	// costs more than a refusal).
+	slack = 1.2
+)
+
+// estimate follows the service time of one class.
+type estimate struct {
+	mean, deviation float64 // seconds
+	runs            int
+}
+
+func (e *estimate) add(took time.Duration) {
+	s := took.Seconds()
+	if e.runs++; e.runs == 1 {
+		e.mean, e.deviation = s, s/2
+		return
+	}
+	miss := s - e.mean
+	e.mean += gain * miss
+	e.deviation += gain * (max(miss, -miss) - e.deviation)
+}
+
+func (e *estimate) pessimistic() float64 {
+	return e.mean + spread*e.deviation
+}
+
+func (g *Gate) estimate(class string) *estimate {
+	e := g.measured[class]
+	if e == nil {
+		e = &estimate{}
+		g.measured[class] = e
+	}
+	return e
+}
+
+// cost is what a run of a class is expected to take, in seconds of a slot; 0 as
+// long as none has ended, when only the bounds of the queue hold.
+func (g *Gate) cost(class string) float64 {
+	return g.estimate(class).mean
+}
+
+// finish is a pessimistic estimate of how long a request that has to wait takes
+// until its answer.
+func (g *Gate) finish(now time.Time, l *lane, r Request) time.Duration {
+	return seconds(slack*g.wait(now, l, r.Caller) + g.estimate(r.Class).pessimistic())
+}
+
+// wait is the expected wait of a new request of a caller, in seconds: the work
+// that starts before it, over the slots that its kind can count on.
+func (g *Gate) wait(now time.Time, l *lane, c queue.Caller) float64 {
+	work := l.waiting.Ahead(c)
+	for _, r := range g.running {
+		if r.kind == l.kind {
+			work += g.remaining(now, r)
+		}
+	}
+	return work / float64(g.turnover(l))
+}
+
+// remaining is what a run still takes. A run that is over its mean may be one of
+// a slow server; half of the mean more is assumed, so that it never counts as nothing.
+func (g *Gate) remaining(now time.Time, r run) float64 {
+	mean := g.cost(r.class)
+	return max(mean-now.Sub(r.since).Seconds(), mean/2)
+}
+
+// turnover is how many slots a kind can count on while all kinds wait.
+func (g *Gate) turnover(l *lane) int {
+	if l.kind != docs.Lookup {
+		return max(1, g.limits.longSlots()-g.long()+l.inflight)
+	}
+	long := g.long()
+	for _, k := range []docs.Kind{docs.Feed, docs.Upload} {
+		long += g.lanes[k].waiting.Len()
+	}
+	return max(1, g.limits.Slots-min(long, g.limits.longSlots()))
+}
+
+// latest is when a waiting request has to start at the latest.
+func (g *Gate) latest(i queue.Item) time.Time {
+	return i.Deadline.Add(-seconds(g.cost(i.Class)))
+}
+
+func seconds(s float64) time.Duration {
+	return time.Duration(s * float64(time.Second))
+}
