Add request keys that name their owner

Cause: a caller that repeats a request after "unknown" may reach any agent, so no agent can tell from its own memory whether the first try ran.

Ruled out: comparing incarnations by order. Ruled out: an expiry by wall clock; the key carries its age since the owner's start, which only the owner reads, so clocks apart between machines don't matter.

Two reasons more in package result: a key whose lifetime is over, and an answer that was too big to keep.

--- a/internal/work/result/result.go
+++ b/internal/work/result/result.go
@@ -25,7 +25,7 @@
 // never taken for a proof.
 const (
 	Unknown Outcome = iota // may or may not have run
-	Ran                    // ran, and the whole answer is at hand
+	Ran                    // ran, and the whole answer is at hand (but see AnswerGone)
 	NotRun                 // provably did not run
 )
 
@@ -64,6 +64,8 @@
 	MemoryFull    Reason = "memory"    // outcomes may not be forgotten, so no new request is taken
 	KeyBad        Reason = "key"       // the request key is damaged, forged or of another service
 	KeyReused     Reason = "reused"    // the request key came with another request
+	KeyOld        Reason = "old"       // the request key's lifetime is over, or it was given up unused
+	AnswerGone    Reason = "unkept"    // ran, but its answer was too big to keep for a repeat
 	Gone          Reason = "gone"      // the caller went away
 	StaleView     Reason = "stale"     // woken late: beliefs are refreshed first
 	Overloaded    Reason = "connlimit" // the agent holds as many connections as it may
--- /dev/null
+++ b/internal/work/token/owner.go
@@ -0,0 +1,104 @@
+package token
+
+import (
+	"net/netip"
+	"time"
+
+	"mangowinch/internal/conf/docs"
+	"mangowinch/internal/work/result"
+)
+
+// DefaultLifetime is how long a key may be used for the first time and how long
+// its outcome is remembered. It is a few times the longest deadline of a short
+// request, and short enough that a full day's keys need not be remembered.
+const DefaultLifetime = 10 * time.Minute
+
+// ComeBack is said when the owner's address is not known here. It is the time in
+// which a new document reaches every process: by then either the address is known,
+// or the owner is gone for good.
+const ComeBack = 7 * time.Second
+
+// Owner is one incarnation of an agent in its role as issuer of keys. It is immutable.
+type Owner struct {
+	Service     string
+	Server      uint32
+	Incarnation uint64        // never the same for two processes; see NewIncarnation
+	Start       time.Time     // with its monotonic reading: ages of keys are measured by it alone
+	Lifetime    time.Duration // the same for the whole life of the process
+}
+
+// NewIncarnation names a process: seconds of the clock, which let a person see the
+// order, and 32 random bits, since a clock that was set back may repeat itself.
+func NewIncarnation(now time.Time, random uint32) uint64 {
+	return uint64(now.Unix())<<32 | uint64(random)
+}
+
+// Issue gives a fresh key. Nonce comes from the process's random source; it need
+// not be secret, because a key is authenticated.
+func (o Owner) Issue(now time.Time, nonce uint64) Key {
+	return Key{
+		Service:     o.Service,
+		Server:      o.Server,
+		Incarnation: o.Incarnation,
+		Issued:      now.Sub(o.Start).Truncate(time.Millisecond),
+		Nonce:       nonce,
+	}
+}
+
+// Place says who decides about a request that carries a key.
+type Place uint8
+
+// The places. The zero value refuses.
+const (
+	Refuse Place = iota // nobody: Ruling.Result is the answer
+	Here                // this agent is the owner
+	Pass                // the owner is at Ruling.Agent
+)
+
+// Ruling is what is to be done with a request that carries a key.
+type Ruling struct {
+	Place  Place
+	Agent  netip.AddrPort // of the owner, for Pass
+	Issued time.Time      // by this process's clock, for Here
+	Until  time.Time      // the key's outcome is remembered at least so long, for Here
+	Result result.Result  // for Refuse
+}
+
+// Rule decides who decides. Servers are those that the service's documents in force
+// and just before name.
+//
+// An owner that was restarted has forgotten what its former process ran, so a key
+// of any other incarnation is unknown and never a run. Incarnations are compared
+// for equality only: an agent on an instance whose clock is behind may come after
+// one with a higher number.
+func (o Owner) Rule(now time.Time, k Key, servers []docs.Server) Ruling {
+	if k.Service != o.Service {
+		return refuse(result.NotRun, result.KeyBad, 0)
+	}
+	if k.Server != o.Server {
+		for _, s := range servers {
+			if s.ID == k.Server {
+				return Ruling{Place: Pass, Agent: s.Agent}
+			}
+		}
+		return refuse(result.Unknown, result.OwnerGone, ComeBack)
+	}
+	if k.Incarnation != o.Incarnation {
+		return refuse(result.Unknown, result.OwnerGone, 0)
+	}
+	issued := o.Start.Add(k.Issued)
+	until := issued.Add(o.Lifetime)
+	if issued.After(now) {
+		return refuse(result.NotRun, result.KeyBad, 0)
+	}
+	// The memory of outcomes may have dropped this key, so it can neither run
+	// nor be called not run. Both times are by this process's clock.
+	if !now.Before(until) {
+		return refuse(result.Unknown, result.KeyOld, 0)
+	}
+	return Ruling{Place: Here, Issued: issued, Until: until}
+}
+
+func refuse(o result.Outcome, r result.Reason, after time.Duration) Ruling {
+	return Ruling{Place: Refuse, Result: result.Result{Outcome: o, Reason: r, After: after}}
+}
