Add stand-ins for the platform, the fabric and backend servers

The whole path is to run as separate processes on one machine, so what surrounds it is stood in for by one program, standin: platform (documents with revisions, watch, lagging instance list, read only; faults on a second address), fabric (each datagram to a random entry, the caller's IP address kept by binding it), server (slots, short queue, shedding, drain, cold start, cancellation, deadlines, lagging or false reports, a history of executions).

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -1,4 +1,32 @@
 // Command standin stands in for the platform, the fabric and backend servers in tests and demos.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+	"github.com/rs/zerolog"
+)
+
+type command struct {
+	Platform platformCommand `cmd:"" help:"Serve a directory of service documents and an instance list, read only."`
+	Fabric   fabricCommand   `cmd:"" help:"Spray the datagrams of callers over entries."`
+	Server   serverCommand   `cmd:"" help:"Be a backend server."`
+}
+
+func main() {
+	var c command
+	parsed := kong.Parse(&c,
+		kong.Name("standin"),
+		kong.Description("Stands in for what surrounds mangowinch, in tests and demos."),
+		kong.UsageOnError(),
+	)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	log := zerolog.New(os.Stderr).With().Timestamp().Str("standin", parsed.Command()).Logger()
+	parsed.BindTo(ctx, (*context.Context)(nil))
+	parsed.FatalIfErrorf(parsed.Run(log))
+}
