Serve /metrics, /healthz and /status to operators

Readiness is a set of named conditions, each with its reason; a process that has named none yet is not ready. Sections of /status are registered by name and called per request.

A line is logged when a condition changes, not when only its reason does.

Conclusion: tests play a start without a document, a status with a section, a refused POST, a stop before the start and an address that cannot be bound.

--- /dev/null
+++ b/internal/oper/admin/admin_test.go
@@ -0,0 +1,77 @@
+package admin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+)
+
+func get(s *Server, path string) *httptest.ResponseRecorder {
+	w := httptest.NewRecorder()
+	s.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, path, nil))
+	return w
+}
+
+// An entry starts while the platform is down. Told to be ready it would be sent
+// packets that it can forward nowhere; so it stays unready and says which
+// condition it waits for, until the document arrives by a peer.
+func TestHealthz(t *testing.T) {
+	var lines bytes.Buffer
+	s := New(netip.AddrPort{}, zerolog.New(&lines))
+	assert.Equal(t, get(s, "/healthz").Code, http.StatusServiceUnavailable) // nothing said yet
+
+	documents := s.Condition("documents")
+	s.Condition("sockets").Set(true, "")
+	documents.Set(false, "platform does not answer")
+	w := get(s, "/healthz")
+	assert.Equal(t, w.Code, http.StatusServiceUnavailable)
+	assert.Equal(t, w.Body.String(), "not ready\ndocuments: platform does not answer\n")
+
+	s.Condition("documents").Set(true, "")
+	w = get(s, "/healthz")
+	assert.Equal(t, w.Code, http.StatusOK)
+	assert.Equal(t, w.Body.String(), "ready\n")
+	assert.Equal(t, strings.Count(lines.String(), "\n"), 2) // one line a change, none for the new reason
+}
+
+func TestStatus(t *testing.T) {
+	s := New(netip.AddrPort{}, zerolog.Nop())
+	s.Condition("documents").Set(true, "")
+	s.Section("documents", func() any { return []string{"tracing-core"} })
+	var r Report
+	assert.NilError(t, json.Unmarshal(get(s, "/status").Body.Bytes(), &r))
+	assert.Assert(t, r.Ready)
+	assert.Equal(t, r.Conditions[0].Name, "documents")
+	assert.DeepEqual(t, r.Sections["documents"], []any{"tracing-core"})
+}
+
+func TestMetrics(t *testing.T) {
+	metrics.GetOrCreateCounter(`mangowinch_refused_total{service="x",reason="queue"}`).Inc()
+	assert.Assert(t, strings.Contains(get(New(netip.AddrPort{}, zerolog.Nop()), "/metrics").Body.String(),
+		`mangowinch_refused_total{service="x",reason="queue"} 1`))
+}
+
+func TestNothingCanBeChanged(t *testing.T) {
+	w := httptest.NewRecorder()
+	New(netip.AddrPort{}, zerolog.Nop()).Handler().ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/status", nil))
+	assert.Equal(t, w.Code, http.StatusMethodNotAllowed)
+}
+
+func TestRun(t *testing.T) {
+	s := New(netip.MustParseAddrPort("127.0.0.1:0"), zerolog.Nop())
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	assert.NilError(t, s.Run(ctx))
+
+	s = New(netip.MustParseAddrPort("192.0.2.1:1"), zerolog.Nop()) // no address of this machine
+	assert.ErrorContains(t, s.Run(t.Context()), "operators' HTTP")
+}
--- /dev/null
+++ b/internal/oper/admin/ready.go
@@ -0,0 +1,87 @@
+package admin
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// State is what is known of one condition.
+type State struct {
+	Name   string    `json:"name"`
+	Met    bool      `json:"met"`
+	Reason string    `json:"reason,omitempty"` // why it is not met
+	Since  time.Time `json:"since"`
+}
+
+// Condition is one thing that must hold before the process is ready.
+type Condition struct {
+	logger zerolog.Logger
+
+	mu    sync.Mutex
+	state State
+}
+
+// Set says whether the condition is met, and if not, why. A line is logged when
+// met changes.
+func (c *Condition) Set(met bool, reason string) {
+	if met {
+		reason = ""
+	}
+	c.mu.Lock()
+	changed := c.state.Met != met
+	if changed {
+		c.state.Since = time.Now()
+	}
+	c.state.Met, c.state.Reason = met, reason
+	c.mu.Unlock()
+
+	if changed {
+		c.logger.Info().Str("condition", c.state.Name).Bool("met", met).Str("reason", reason).Msg("readiness")
+	}
+}
+
+// State returns a copy.
+func (c *Condition) State() State {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state
+}
+
+// Condition returns the condition with the given name. A new one is not met.
+func (s *Server) Condition(name string) *Condition {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.conditions {
+		if c.state.Name == name {
+			return c
+		}
+	}
+	c := &Condition{
+		logger: s.logger,
+		state:  State{Name: name, Reason: "not reached yet", Since: time.Now()},
+	}
+	s.conditions = append(s.conditions, c)
+	return c
+}
+
+// states returns the conditions by name, and whether all are met. A process
+// without any is not ready: one that has not got so far as to say what it needs
+// must get no work.
+func (s *Server) states() (states []State, ready bool) {
+	s.mu.Lock()
+	conditions := slices.Clone(s.conditions)
+	s.mu.Unlock()
+
+	ready = len(conditions) > 0
+	for _, c := range conditions {
+		state := c.State()
+		ready = ready && state.Met
+		states = append(states, state)
+	}
+	slices.SortFunc(states, func(a, b State) int { return cmp.Compare(a.Name, b.Name) })
+	return states, ready
+}
