Put processes together from their settings

Cause: the verbs entry and agent need one place that knows documents, process and operators' server; package start is it. Not run end to end yet.

--- /dev/null
+++ b/internal/node/agent/status.go
@@ -0,0 +1,40 @@
+package agent
+
+import (
+	"time"
+
+	"mangowinch/internal/flow/paths"
+)
+
+// Status is what an operator sees of an agent.
+type Status struct {
+	Service  string         `json:"service"`
+	Server   string         `json:"server"`
+	Revision uint64         `json:"revision"`
+	Leaving  string         `json:"leaving,omitempty"` // why, once it leaves
+	Requests int64          `json:"requests"`          // in progress
+	Opening  int            `json:"opening"`           // flows kept in mind while they open
+	Entries  []paths.Status `json:"entries"`
+}
+
+// Status tells what the agent knows.
+func (a *Agent) Status() Status {
+	s := Status{
+		Service:  a.settings.Agent.Service,
+		Server:   a.settings.Agent.Server,
+		Requests: a.requests.Load(),
+	}
+	if v := a.now.Load(); v != nil {
+		s.Revision = v.revision
+	}
+	if why := a.leaving.Load(); why != nil {
+		s.Leaving = *why
+	}
+	a.link.mu.Lock()
+	defer a.link.mu.Unlock()
+	if a.link.table != nil {
+		s.Opening = a.link.table.Size()
+	}
+	s.Entries = a.link.paths.Status(time.Now())
+	return s
+}
--- /dev/null
+++ b/internal/node/entry/status.go
@@ -0,0 +1,56 @@
+package entry
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+)
+
+// Service is one service as an operator sees it.
+type Service struct {
+	Name     string   `json:"name"`
+	Revision uint64   `json:"revision"`
+	Address  string   `json:"address"`
+	Servers  []Server `json:"servers"`
+}
+
+// Server is what the entry believes of a server.
+type Server struct {
+	ID     uint32         `json:"id"`
+	Name   string         `json:"name"`
+	Agent  netip.AddrPort `json:"agent"`
+	State  string         `json:"state"`  // serving, leaving or silent
+	Reason string         `json:"reason"` // where that belief comes from
+}
+
+// Status lists the services in force and what is believed of their servers.
+func (e *Entry) Status() (list []Service) {
+	for _, s := range *e.tags.Load() {
+		list = append(list, s.status())
+	}
+	slices.SortFunc(list, func(a, b Service) int { return cmp.Compare(a.Name, b.Name) })
+	return list
+}
+
+func (s *service) status() Service {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v := s.now.Load()
+	out := Service{Name: s.name, Revision: v.revision, Address: v.document.Address.String()}
+	for i, r := range v.table.Now {
+		d := &v.document.Servers[i]
+		server := Server{ID: d.ID, Name: d.Name, Agent: d.Agent, State: "serving"}
+		switch {
+		case s.leaving[d.ID]:
+			server.State, server.Reason = "leaving", "its own word"
+		case s.listed[d.ID]:
+			server.State, server.Reason = "leaving", "the platform's list"
+		case r.Leaving:
+			server.State, server.Reason = "leaving", "document"
+		case r.Silent:
+			server.State, server.Reason = "silent", "no frame after flows were opened"
+		}
+		out.Servers = append(out.Servers, server)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/node/start/start.go
@@ -0,0 +1,120 @@
+// Package start puts a process together from its settings: documents, the process
+// of its role, and the operators' server. It is the one place that knows all parts;
+// none of them knows it.
+//
+// # Usage
+//
+//	settings, err := prefs.Load("entry.ini")
+//	err = start.Entry(ctx, settings) // until ctx ends and the planned stop is done
+package start
+
+import (
+	"context"
+	"crypto/tls"
+	"os"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"mangowinch/internal/conf/docs"
+	"mangowinch/internal/conf/prefs"
+	"mangowinch/internal/conf/store"
+	"mangowinch/internal/ctrl/fetch"
+	"mangowinch/internal/node/agent"
+	"mangowinch/internal/node/entry"
+	"mangowinch/internal/oper/admin"
+	"mangowinch/internal/oper/logs"
+)
+
+// parts are what every process has.
+type parts struct {
+	settings *prefs.Settings
+	log      zerolog.Logger
+	store    *store.Store
+	admin    *admin.Server
+}
+
+// runner is a process of either role.
+type runner interface {
+	Run(ctx context.Context) error
+}
+
+func newParts(settings *prefs.Settings, role string) *parts {
+	p := &parts{
+		settings: settings,
+		log:      logs.New(os.Stderr, role, settings.Process.Name),
+		store:    store.New(docs.Parse),
+	}
+	p.admin = admin.New(settings.Process.Operator, p.log)
+	p.admin.Section("documents", func() any { return listDocuments(p.store.View()) })
+	return p
+}
+
+// Entry runs an entry until ctx ends and its planned stop is done.
+func Entry(ctx context.Context, settings *prefs.Settings) (err error) {
+	p := newParts(settings, "entry")
+	e, err := entry.New(settings, p.store, p.log)
+	if err != nil {
+		return err
+	}
+	p.admin.Section("services", func() any { return e.Status() })
+	return p.run(ctx, e, nil)
+}
+
+// Agent runs an agent until ctx ends and its planned stop is done.
+func Agent(ctx context.Context, settings *prefs.Settings) (err error) {
+	p := newParts(settings, "agent")
+	if settings.Agent == nil {
+		return errors.New("the settings have no section agent")
+	}
+	pair, err := tls.LoadX509KeyPair(settings.Agent.Certificate, settings.Agent.Private)
+	if err != nil {
+		return errors.Wrap(err, "load certificate")
+	}
+	a, err := agent.New(settings, p.store, &tls.Config{Certificates: []tls.Certificate{pair}}, p.log)
+	if err != nil {
+		return err
+	}
+	p.admin.Section("agent", func() any { return a.Status() })
+	own := settings.Agent.Service
+	return p.run(ctx, a, func(name string) bool { return name == own })
+}
+
+// run keeps documents and the operators' server going until the process has ended.
+func (p *parts) run(ctx context.Context, r runner, only func(name string) bool) error {
+	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var g errgroup.Group
+	g.Go(func() error {
+		fetch.Keep(inner, fetch.New(p.settings.Platform.Address.String()), p.store, only)
+		return nil
+	})
+	g.Go(func() error {
+		p.watchReady(inner)
+		return nil
+	})
+	g.Go(func() error { return p.admin.Run(inner) })
+	g.Go(func() error {
+		defer stop()
+		return r.Run(ctx)
+	})
+	return g.Wait()
+}
+
+// watchReady keeps the readiness condition: a process is ready once a document is in force.
+func (p *parts) watchReady(ctx context.Context) {
+	c := p.admin.Condition("document")
+	c.Set(false, "no document is in force yet")
+	for {
+		changed := p.store.Changed()
+		if len(p.store.View().Entries) > 0 {
+			c.Set(true, "")
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
