Test the data path's decisions; keep a datagram at its last hop

It is now kept there; a leaving server answers "not run". Cause 2 (found by reading): the former choice may be dead, and every attempt of a caller was asked about for 17 s. It is asked about for 100 ms a flow. Ruled out: a higher hop limit alone, since it only moves the case.

--- /dev/null
+++ b/internal/flow/paths/paths_test.go
@@ -0,0 +1,131 @@
+package paths
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var feed = netip.MustParseAddrPort("127.0.50.1:4000")
+
+func entryAt(i int) netip.AddrPort {
+	return netip.MustParseAddrPort(fmt.Sprintf("127.0.1.%d:7000", i))
+}
+
+// run sends a datagram each step and lets live entries echo probes; answers says
+// whether the caller's acknowledgements come, by an entry that brings them. It
+// returns how many datagrams went to each entry.
+func run(b *Book, now time.Time, steps int, echoes func(netip.AddrPort) bool, heardBy func(sent netip.AddrPort) (netip.AddrPort, bool)) (sent map[netip.AddrPort]int, end time.Time) {
+	sent = make(map[netip.AddrPort]int)
+	const step = 20 * time.Millisecond
+	for i := range steps {
+		now = now.Add(step)
+		if i%5 == 0 {
+			for _, e := range b.Probes(now) {
+				if echoes(e) {
+					b.Sign(now, e, false)
+				}
+			}
+		}
+		via, ok := b.Choose(now, feed)
+		if !ok {
+			continue
+		}
+		sent[via]++
+		if by, ok := heardBy(via); ok {
+			b.Heard(now, by, feed, false)
+		}
+	}
+	return sent, now
+}
+
+func book(now time.Time, entries int) *Book {
+	b := New(100)
+	for i := range entries {
+		b.Heard(now, entryAt(i+1), feed, false)
+	}
+	return b
+}
+
+func always(netip.AddrPort) bool { return true }
+
+// A caseworker has a feed open and says nothing. The balancer that the agent
+// answers by dies. The feed must go on by another within half a second, although
+// nobody tells the agent.
+func TestOneWayFeedLeavesDeadEntry(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := book(now, 4)
+	first, _ := b.Choose(now, feed)
+	alive := func(e netip.AddrPort) bool { return e != first }
+	acked := func(e netip.AddrPort) (netip.AddrPort, bool) { return entryAt(1), false }
+	_, now = run(b, now, 25, alive, acked)
+	sent, _ := run(b, now, 50, alive, acked)
+	assert.Equal(t, sent[first], 0)
+	total := 0
+	for _, n := range sent {
+		total += n
+	}
+	assert.Equal(t, total, 50)
+}
+
+// A balancer works towards agents but no longer towards callers: probes are echoed,
+// and nothing arrives. Half of the datagrams or fewer may be lost to it while the
+// caller is silent, so that the connection recovers within a retransmission or two.
+func TestHalfDeadEntryIsLeftByAlternating(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := book(now, 4)
+	dead, _ := b.Choose(now, feed)
+	sent, _ := run(b, now, 100, always, func(via netip.AddrPort) (netip.AddrPort, bool) {
+		return dead, false // nothing is ever heard
+	})
+	assert.Assert(t, sent[dead] <= 40, "%d of 100 by the half dead entry", sent[dead])
+	assert.Assert(t, len(sent) == 4)
+}
+
+// A balancer says that it stops. No datagram goes by it from then on, before it is gone.
+func TestLeavingEntryIsNotUsed(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := book(now, 3)
+	b.Sign(now, entryAt(1), true)
+	sent, _ := run(b, now, 60, func(e netip.AddrPort) bool { return e != entryAt(1) }, func(via netip.AddrPort) (netip.AddrPort, bool) { return entryAt(2), true })
+	assert.Equal(t, sent[entryAt(1)], 0)
+}
+
+// An agent is paused for a minute and wakes. Every balancer looks lost to it. It
+// must go on sending, and find the live ones by its probes.
+func TestPauseLosesNobody(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := book(now, 4)
+	now = now.Add(time.Minute)
+	via, ok := b.Choose(now, feed)
+	assert.Assert(t, ok && via.IsValid())
+	assert.Equal(t, len(b.Probes(now)), 4)
+	b.Sign(now, entryAt(3), false)
+	via, _ = b.Choose(now, feed)
+	assert.Equal(t, via, entryAt(3))
+}
+
+// With 800 entries heard, only a few may be probed, or 6,800 agents would drown them.
+func TestProbesAreBounded(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := New(100)
+	for i := range 800 {
+		e := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 1, byte(i / 250), byte(i % 250)}), 7000)
+		b.Heard(now, e, feed, false)
+	}
+	assert.Equal(t, len(b.Probes(now.Add(time.Second))), activeSize)
+}
+
+func TestBooksAreBounded(t *testing.T) {
+	b := New(10)
+	now := time.Unix(1000, 0)
+	for i := range 1000 {
+		b.Heard(now, netip.AddrPortFrom(entryAt(1).Addr(), uint16(i)), netip.AddrPortFrom(feed.Addr(), uint16(i)), false)
+	}
+	assert.Equal(t, len(b.callers), 10)
+	b.Probes(now.Add(forgetAfter + time.Second))
+	assert.Equal(t, len(b.callers)+len(b.entries), 0)
+}
--- a/internal/flow/table/table.go
+++ b/internal/flow/table/table.go
@@ -37,7 +37,7 @@
 
 // The reasons.
 const (
-	Hops  Reason = "hops"  // passed on too often: views differ too much
+	Hops  Reason = "hops"  // names a server and was passed on too often all the same
 	Owner Reason = "owner" // names a server that the document does not have
 )
 
@@ -55,6 +55,11 @@
 // 10 s at most by our settings, and after that the flow's datagrams name their server.
 const remember = 10 * time.Second
 
+// askFor is how long the other candidate is asked about a flow. It is more than
+// the milliseconds between the datagrams of one first flight, and less than a
+// caller's first timeout, 200 ms and over before it knows the round trip.
+const askFor = 100 * time.Millisecond
+
 // Datagram is what is known of a datagram.
 type Datagram struct {
 	Key        uint64   // of the caller-chosen ID; meaningless when Named
@@ -84,6 +89,7 @@
 	// the old one whole forgets flows without a timer each.
 	young, old map[uint64]struct{}
 	turned     time.Time
+	asked      map[uint64]time.Time // when the other candidate was first asked
 }
 
 // New returns an empty table of server own, which holds at most limit flows in
@@ -94,6 +100,7 @@
 		limit:   limit,
 		maxHops: maxHops,
 		young:   make(map[uint64]struct{}),
+		asked:   make(map[uint64]time.Time),
 	}
 }
 
@@ -107,13 +114,16 @@
 	if t.owns(d.Key) {
 		return Decision{Verdict: Keep}
 	}
-	if d.Hops >= t.maxHops {
-		return Decision{Verdict: Drop, Reason: Hops}
-	}
 	switch {
+	case d.Hops >= t.maxHops:
+		// Asked, handed back, and one leaving server after another: whoever has it
+		// now keeps it. A drop would leave the caller without a word, and a leaving
+		// server's answer "not run" is one.
+		t.take(d.Key)
+		return Decision{Verdict: Keep}
 	case d.Stage == Ask:
 		return t.handBack(d)
-	case d.Stage == Fresh && d.Asked && last(d.Candidates) != t.own:
+	case d.Stage == Fresh && d.Asked && last(d.Candidates) != t.own && !t.askedBefore(now, d.Key):
 		return Decision{Verdict: Pass, Server: last(d.Candidates), Stage: Ask}
 	case accepting:
 		t.take(d.Key)
@@ -187,9 +197,22 @@
 		t.old = nil // a pause: both generations are past
 	}
 	t.young = make(map[uint64]struct{})
+	t.asked = make(map[uint64]time.Time)
 	t.turned = now
 }
 
+// askedBefore says whether the other candidate has had its chance. It may be dead:
+// what it is asked is then lost, and the caller sends again after its first timeout.
+// Asking each time would lose every attempt until the document before is forgotten.
+// The two datagrams of one first flight arrive together and are both asked about.
+func (t *Table) askedBefore(now time.Time, key uint64) bool {
+	first, ok := t.asked[key]
+	if !ok && len(t.asked) < t.limit {
+		t.asked[key] = now
+	}
+	return ok && now.Sub(first) > askFor
+}
+
 func last(ids []uint32) uint32 {
 	if len(ids) == 0 {
 		return 0
--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -141,10 +141,7 @@
 		<-ctx.Done()
 		a.stop(inner)
 		stop()
-		a.server.Close()
-		a.transport.Close()
-		a.link.conn.Close()
-		return nil
+		return errors.CombineErrors(errors.CombineErrors(a.server.Close(), a.transport.Close()), a.link.conn.Close())
 	})
 	return g.Wait()
 }
