Add the command line: check, status, call, certify

check lists the faults of settings and documents and holds the files against each other: two documents that claim one address are each without fault, and only together show that packets of one service would reach the other's servers.

call tells apart by its exit code what ran, what did not run and what may have run. An answer that was cut is unknown, a handshake that never came about is not run. A test at first asked for the bytes before the cut; a reset stream may drop them, so only the exit code is asked for.

status prints any section, so that a new one needs no code here. certify makes a certificate for demonstrations and never overwrites a file.

--- a/cmd/mangowinch/main.go
+++ b/cmd/mangowinch/main.go
@@ -1,4 +1,12 @@
 // Command mangowinch is the load balancer's one program; see package verbs.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"mangowinch/internal/oper/verbs"
+)
+
+func main() {
+	os.Exit(verbs.Main(os.Args[1:], os.Stdin, os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/internal/oper/verbs/client.go
@@ -0,0 +1,81 @@
+package verbs
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"net"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+)
+
+// A feed may say nothing for long, so the connection is kept alive; one that is
+// silent for callIdle is given up.
+const (
+	callKeepAlive = 5 * time.Second
+	callIdle      = 60 * time.Second
+)
+
+// client is one HTTP/3 connection from a socket of its own.
+type client struct {
+	transport *http3.Transport
+	socket    *net.UDPConn
+	quic      *quic.Transport
+	connected atomic.Bool // the handshake was done, so a request may have been sent
+	answered  func()
+}
+
+func (c *callFlags) client() (made *client, err error) {
+	config := &tls.Config{NextProtos: []string{http3.NextProtoH3}, InsecureSkipVerify: c.Insecure}
+	if c.CA != "" {
+		if config.RootCAs, err = loadPool(c.CA); err != nil {
+			return nil, err
+		}
+	}
+	socket, err := net.ListenUDP("udp", &net.UDPAddr{IP: c.Local.AsSlice()})
+	if err != nil {
+		return nil, err
+	}
+	made = &client{socket: socket, quic: &quic.Transport{Conn: socket}, answered: func() {}}
+	made.transport = &http3.Transport{
+		TLSClientConfig: config,
+		QUICConfig:      &quic.Config{KeepAlivePeriod: callKeepAlive, MaxIdleTimeout: callIdle},
+		Dial:            made.dial,
+	}
+	return made, nil
+}
+
+func (c *client) dial(ctx context.Context, address string, config *tls.Config, settings *quic.Config) (*quic.Conn, error) {
+	to, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		return nil, err
+	}
+	conn, err := c.quic.Dial(ctx, to, config, settings)
+	if err == nil {
+		c.connected.Store(true)
+	}
+	return conn, err
+}
+
+func (c *client) close() {
+	_ = c.transport.Close() // the call is over; what it says now changes nothing
+	_ = c.quic.Close()
+	_ = c.socket.Close()
+}
+
+func loadPool(file string) (pool *x509.CertPool, err error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	pool = x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(text) {
+		return nil, errors.Newf("%s holds no certificate", file)
+	}
+	return pool, nil
+}
--- /dev/null
+++ b/internal/oper/verbs/verbs_test.go
@@ -0,0 +1,179 @@
+package verbs
+
+import (
+	"bytes"
+	"crypto/tls"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/quic-go/quic-go/http3"
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+
+	"mangowinch/internal/oper/admin"
+)
+
+// run runs one command line.
+func run(args ...string) (code int, out, err string) {
+	var o, e bytes.Buffer
+	code = Main(args, strings.NewReader("from standard input"), &o, &e)
+	return code, o.String(), e.String()
+}
+
+// certified returns a directory with a certificate for 127.0.0.1 and keys.
+func certified(t *testing.T) string {
+	t.Helper()
+	directory := t.TempDir()
+	code, _, errors := run("certify", "--directory", directory, "--address", "127.0.0.1", "--key", "k1", "--key", "k2")
+	assert.Equal(t, code, exitDone, errors)
+	return directory
+}
+
+func TestHelp(t *testing.T) {
+	for _, verb := range []string{"", "entry", "agent", "check", "status", "call", "call upload", "certify"} {
+		code, out, _ := run(append(strings.Fields(verb), "--help")...)
+		assert.Equal(t, code, exitDone)
+		golden.Assert(t, out, strings.ReplaceAll("help "+verb, " ", "-")+".golden")
+	}
+	code, _, err := run("serve")
+	assert.Equal(t, code, exitUse)
+	assert.Assert(t, strings.Contains(err, "serve"))
+}
+
+// Two documents name one address. Each is right by itself, so both are accepted;
+// then packets meant for one service reach the servers of the other. Only a check
+// of the files against each other can show it.
+func TestCheck(t *testing.T) {
+	directory := certified(t) // agent.ini names its files
+	assert.NilError(t, os.CopyFS(directory, os.DirFS("testdata/check")))
+	want := golden.Get(t, "check.golden")
+	t.Chdir(directory)
+	code, out, err := run("check", "tracing-core.ini", "agent.ini")
+	assert.Equal(t, code, exitDone, out+err)
+
+	code, out, _ = run("check", "tracing-core.ini", "doc-intake.ini", "agent.ini", "wrong.ini", "faulty.ini")
+	assert.Equal(t, code, exitFault)
+	assert.Equal(t, out, string(want))
+
+	code, _, err = run("check", "none.ini")
+	assert.Equal(t, code, exitUse)
+	assert.Assert(t, strings.Contains(err, "none.ini"))
+}
+
+func TestStatus(t *testing.T) {
+	s := admin.New(netip.AddrPort{}, zerolog.Nop())
+	s.Section("documents", func() any {
+		return []struct {
+			Name     string `json:"name"`
+			Revision int    `json:"revision"`
+			From     string `json:"from"`
+		}{{"tracing-core", 3, "platform"}, {"doc-intake", 12, ""}}
+	})
+	s.Section("refused", func() any { return map[string]any{"queue": 4, "peers": []string{"e1", "e2"}} })
+	server := httptest.NewServer(s.Handler())
+	defer server.Close()
+	address := strings.TrimPrefix(server.URL, "http://")
+
+	code, out, _ := run("status", address)
+	assert.Equal(t, code, exitFault) // it has named no condition yet
+	golden.Assert(t, out, "status.golden")
+
+	s.Condition("documents").Set(true, "")
+	code, out, _ = run("status", "--json", address)
+	assert.Equal(t, code, exitDone)
+	assert.Assert(t, strings.Contains(out, `"ready": true`))
+
+	code, _, err := run("status", address, "nothing")
+	assert.Equal(t, code, exitUse)
+	assert.Assert(t, strings.Contains(err, `no section "nothing"; there are [documents refused]`))
+
+	code, _, _ = run("status", "127.0.0.1:1")
+	assert.Equal(t, code, exitUse)
+}
+
+func TestCertifyKeepsWhatIsThere(t *testing.T) {
+	directory := certified(t)
+	before, err := os.ReadFile(filepath.Join(directory, "k1.key"))
+	assert.NilError(t, err)
+	code, _, _ := run("certify", "--directory", directory, "--address", "127.0.0.1")
+	assert.Equal(t, code, exitUse)
+	after, err := os.ReadFile(filepath.Join(directory, "k1.key"))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, before, after)
+}
+
+// serve answers calls as an agent does.
+func serve(t *testing.T, directory string) (url string) {
+	t.Helper()
+	pair, err := tls.LoadX509KeyPair(filepath.Join(directory, certificateFile), filepath.Join(directory, privateFile))
+	assert.NilError(t, err)
+	socket, err := net.ListenPacket("udp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	mux := http.NewServeMux()
+	mux.HandleFunc("/run", func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(headerOutcome, "ran")
+		w.Header().Set(headerKey, r.Header.Get(headerKey)+"k")
+		_, _ = io.Copy(w, r.Body)
+	})
+	mux.HandleFunc("/refuse", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(headerOutcome, "not-run")
+		w.Header().Set(headerReason, "queue")
+		w.Header().Set(headerAfter, "3")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	mux.HandleFunc("/cut", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(headerOutcome, "ran")
+		_, _ = w.Write([]byte("half"))
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	})
+	mux.HandleFunc("/silent", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+	server := &http3.Server{Handler: mux, TLSConfig: http3.ConfigureTLSConfig(&tls.Config{Certificates: []tls.Certificate{pair}})}
+	go func() { _ = server.Serve(socket) }() // ends with an error when the socket is closed
+	t.Cleanup(func() {
+		_ = server.Close()
+		socket.Close()
+	})
+	return "https://" + socket.LocalAddr().String()
+}
+
+// A person calls and has to decide whether to call again. The exit code tells
+// apart what ran, what did not, and what may have run; an answer that broke off
+// half way must not pass for a whole one.
+func TestCall(t *testing.T) {
+	directory := certified(t)
+	url := serve(t, directory)
+	ca := filepath.Join(directory, certificateFile)
+
+	code, out, err := run("call", "lookup", url+"/run", "--ca", ca, "--body", "hello", "--repeat-key", "a", "--local", "127.0.0.5")
+	assert.Equal(t, code, exitDone, err)
+	assert.Equal(t, out, "hello")
+	assert.Assert(t, strings.Contains(err, "request-key  ak\n"))
+
+	code, out, _ = run("call", "upload", url+"/run", "--insecure", "--file", "-")
+	assert.Equal(t, code, exitDone)
+	assert.Equal(t, out, "from standard input")
+
+	code, _, err = run("call", "lookup", url+"/refuse", "--ca", ca)
+	assert.Equal(t, code, exitFault)
+	assert.Assert(t, strings.Contains(err, "reason       queue\nretry-after  3 s\n"), err)
+
+	code, _, _ = run("call", "feed", url+"/cut", "--ca", ca)
+	assert.Equal(t, code, exitUnknown)
+
+	code, _, err = run("call", "lookup", url+"/silent", "--ca", ca)
+	assert.Equal(t, code, exitUnknown)
+	assert.Assert(t, strings.Contains(err, "outcome      unknown"), err)
+
+	code, _, err = run("call", "lookup", url+"/run") // a certificate that nobody vouches for
+	assert.Equal(t, code, exitUse)
+	assert.Assert(t, strings.Contains(err, "outcome      not-run"), err)
+}
