--- /dev/null
+++ b/internal/stand/fleet/fleet.go
@@ -0,0 +1,273 @@
+// Package fleet starts one deployment on loopback as separate processes, with the
+// stand-ins around it, and lets tests kill, freeze and restart each of them.
+//
+// It is scaffolding for the demo, the fault runs and benchmarks. Nothing of the
+// system uses it: a process of mangowinch starts no other.
+//
+// A deployment is a directory as in examples/: documents that the platform
+// serves, and one settings file for each process. A fleet works on a copy, with a
+// certificate and keys made for it alone. Several fleets may run at a time: each
+// takes a block of loopback addresses and writes it into its copy.
+//
+// # Usage
+//
+//	f, err := fleet.Start(ctx, fleet.Settings{Deployment: "examples/zagreb", Binaries: "out"})
+//	if err != nil {
+//		return err
+//	}
+//	defer f.Close()
+//	f.Process("e1").Kill()
+package fleet
+
+import (
+	"context"
+	"crypto/x509"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"mangowinch/internal/conf/docs"
+	"mangowinch/internal/conf/prefs"
+)
+
+const (
+	readyWithin  = 30 * time.Second // a process that is not ready by then has failed
+	readyEvery   = 20 * time.Millisecond
+	adminPort    = 8501 // of the platform's and the fabric's stand-in
+	drainedAfter = 5 * time.Second
+)
+
+// Settings say what to start.
+type Settings struct {
+	Deployment string // directory with documents/ and settings/
+	Binaries   string // directory with the programs mangowinch and standin
+	Directory  string // where the copy, keys and logs go; a temporary one if empty
+}
+
+// Fleet is a running deployment.
+type Fleet struct {
+	Directory string
+	Services  []*docs.Service
+	Roots     *x509.CertPool // that the agents' certificate is under
+	Nodes     []*prefs.Settings
+
+	settings  Settings
+	block     *block
+	temporary bool
+	processes map[string]*Process
+	order     []string // of starting
+}
+
+// Start starts every process of a deployment and returns once all are ready.
+func Start(ctx context.Context, s Settings) (f *Fleet, err error) {
+	defer func() { err = errors.Wrap(err, "start fleet") }()
+	f = &Fleet{settings: s, Directory: s.Directory, processes: map[string]*Process{}}
+	if f.Directory == "" {
+		f.temporary = true
+		if f.Directory, err = os.MkdirTemp("", "mangowinch-"); err != nil {
+			return nil, err
+		}
+	}
+	defer func() {
+		if err != nil {
+			f.Close()
+		}
+	}()
+	if f.block, err = claimBlock(); err != nil {
+		return nil, err
+	}
+	if err := f.layOut(); err != nil {
+		return nil, err
+	}
+	f.plan()
+	for _, name := range f.order {
+		if err := f.processes[name].Start(); err != nil {
+			return nil, err
+		}
+	}
+	return f, f.AwaitReady(ctx, f.order...)
+}
+
+// layOut copies the deployment, makes its keys and reads what was copied.
+func (f *Fleet) layOut() error {
+	if err := copyDeployment(f.settings.Deployment, f.Directory, f.block); err != nil {
+		return err
+	}
+	var err error
+	if f.Services, err = readDocuments(f.DocumentsDirectory()); err != nil {
+		return err
+	}
+	if f.Roots, err = makeKeys(f.settingsDirectory(), f.Services); err != nil {
+		return err
+	}
+	f.Nodes, err = readSettings(f.settingsDirectory())
+	return err
+}
+
+// plan lists the processes: the stand-ins, then the nodes.
+func (f *Fleet) plan() {
+	standin := filepath.Join(f.settings.Binaries, "standin")
+	program := filepath.Join(f.settings.Binaries, "mangowinch")
+	platform := netip.MustParseAddrPort(f.Nodes[0].Platform.Address.Host)
+	fabricAdmin := netip.AddrPortFrom(platform.Addr().Next(), adminPort)
+	platformAdmin := netip.AddrPortFrom(platform.Addr(), adminPort)
+
+	f.add("platform", platformAdmin, standin, "platform", f.DocumentsDirectory(),
+		"--address", platform.String(), "--admin", platformAdmin.String())
+	arguments := []string{"fabric", "--admin", fabricAdmin.String()}
+	for _, s := range f.Services {
+		arguments = append(arguments, "--service", s.Address.String())
+	}
+	for _, n := range f.Nodes {
+		if n.Entry != nil {
+			arguments = append(arguments, "--entry", n.Entry.Bind.String())
+		}
+	}
+	f.add("fabric", fabricAdmin, standin, arguments...)
+	for _, n := range f.Nodes {
+		if n.Agent != nil {
+			f.add(n.Process.Name+"-server", netip.MustParseAddrPort(n.Agent.Backend.Host),
+				standin, f.serverArguments(n)...)
+		}
+	}
+	for _, n := range f.Nodes {
+		role := "entry"
+		if n.Agent != nil {
+			role = "agent"
+		}
+		file := filepath.Join(f.settingsDirectory(), n.Process.Name+".ini")
+		f.add(n.Process.Name, n.Process.Operator, program, role, file)
+	}
+}
+
+func (f *Fleet) serverArguments(n *prefs.Settings) []string {
+	arguments := []string{"server", "--address", n.Agent.Backend.Host, "--cold", "0s"}
+	server, ok := f.Server(n.Agent.Service, n.Agent.Server)
+	if !ok {
+		return arguments
+	}
+	return append(arguments, "--slots", itoa(server.Slots), "--connections", itoa(server.Connections))
+}
+
+func (f *Fleet) add(name string, operator netip.AddrPort, program string, arguments ...string) {
+	f.order = append(f.order, name)
+	f.processes[name] = &Process{
+		Name:      name,
+		Operator:  operator,
+		program:   program,
+		arguments: arguments,
+		logFile:   filepath.Join(f.Directory, "logs", name+".log"),
+	}
+}
+
+// DocumentsDirectory is what the platform serves; a test changes documents there.
+func (f *Fleet) DocumentsDirectory() string { return filepath.Join(f.Directory, "documents") }
+
+func (f *Fleet) settingsDirectory() string { return filepath.Join(f.Directory, "settings") }
+
+// Process returns a process by name: platform, fabric, the name of a node, or
+// that of an agent with -server. It panics if there is none.
+func (f *Fleet) Process(name string) *Process {
+	p := f.processes[name]
+	if p == nil {
+		panic("no process " + name)
+	}
+	return p
+}
+
+// Names returns the names of all processes in the order of starting.
+func (f *Fleet) Names() []string { return slices.Clone(f.order) }
+
+// Service returns a document by name. It panics if there is none.
+func (f *Fleet) Service(name string) *docs.Service {
+	for _, s := range f.Services {
+		if s.Name == name {
+			return s
+		}
+	}
+	panic("no service " + name)
+}
+
+// Server returns a server of a service.
+func (f *Fleet) Server(service, name string) (server docs.Server, ok bool) {
+	for _, s := range f.Service(service).Servers {
+		if s.Name == name {
+			return s, true
+		}
+	}
+	return docs.Server{}, false
+}
+
+// Entries returns the nodes of role entry.
+func (f *Fleet) Entries() []*prefs.Settings {
+	return f.nodes(func(n *prefs.Settings) bool { return n.Entry != nil })
+}
+
+// Agents returns the agents of a service.
+func (f *Fleet) Agents(service string) []*prefs.Settings {
+	return f.nodes(func(n *prefs.Settings) bool { return n.Agent != nil && n.Agent.Service == service })
+}
+
+func (f *Fleet) nodes(wanted func(*prefs.Settings) bool) (nodes []*prefs.Settings) {
+	for _, n := range f.Nodes {
+		if wanted(n) {
+			nodes = append(nodes, n)
+		}
+	}
+	return nodes
+}
+
+// AwaitReady returns once each named process answers GET /healthz (a server: /health) with 200.
+func (f *Fleet) AwaitReady(ctx context.Context, names ...string) (err error) {
+	ctx, cancel := context.WithTimeout(ctx, readyWithin)
+	defer cancel()
+	for _, name := range names {
+		p := f.Process(name)
+		for !p.ready(ctx) {
+			select {
+			case <-p.Ended():
+				return errors.Newf("%s ended at once; see %s", name, p.logFile)
+			case <-ctx.Done():
+				return errors.Newf("%s is not ready after %s; see %s", name, readyWithin, p.logFile)
+			case <-time.After(readyEvery):
+			}
+		}
+	}
+	return nil
+}
+
+func (p *Process) ready(ctx context.Context) bool {
+	for _, path := range []string{"/healthz", "/health"} {
+		request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.Operator.String()+path, nil)
+		if err != nil {
+			return false
+		}
+		answer, err := http.DefaultClient.Do(request)
+		if err != nil {
+			return false
+		}
+		answer.Body.Close()
+		if answer.StatusCode == http.StatusOK {
+			return true
+		}
+	}
+	return false
+}
+
+// Close ends every process and removes the temporary directory.
+func (f *Fleet) Close() {
+	for _, name := range slices.Backward(f.order) {
+		f.processes[name].Kill()
+	}
+	if f.block != nil {
+		f.block.release()
+	}
+	if f.temporary {
+		_ = os.RemoveAll(f.Directory) // a rest in the temporary directory harms nobody
+	}
+}
--- /dev/null
+++ b/internal/stand/fleet/fleet_test.go
@@ -0,0 +1,82 @@
+package fleet
+
+import (
+	"net/netip"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// laidOut is a fleet that is planned and not started.
+func laidOut(t *testing.T, deployment string) *Fleet {
+	t.Helper()
+	b, err := claimBlock()
+	assert.NilError(t, err)
+	f := &Fleet{
+		settings:  Settings{Deployment: "../../../examples/" + deployment, Binaries: "out"},
+		Directory: t.TempDir(),
+		block:     b,
+		processes: map[string]*Process{},
+	}
+	t.Cleanup(f.Close)
+	assert.NilError(t, f.layOut())
+	f.plan()
+	return f
+}
+
+// The examples are the deployments of the brief, with their sizes.
+func TestExamplesHaveTheirRealSizes(t *testing.T) {
+	type size struct{ servers, slots, domains int }
+	want := map[string]map[string]size{
+		"zagreb": {"tracing-core": {7, 4, 3}, "doc-intake": {3, 4, 3}},
+		"rabat":  {"dossier-desk": {7, 5, 4}, "pieces-depot": {4, 5, 4}},
+	}
+	for deployment, services := range want {
+		f := laidOut(t, deployment)
+		assert.Equal(t, len(f.Services), len(services))
+		for name, size := range services {
+			s := f.Service(name)
+			assert.Equal(t, len(s.Servers), size.servers)
+			domains := map[string]bool{}
+			for _, server := range s.Servers {
+				assert.Equal(t, server.Slots, size.slots)
+				assert.Equal(t, server.Connections, 2000)
+				domains[server.Domain] = true
+			}
+			assert.Equal(t, len(domains), size.domains)
+			assert.Equal(t, len(f.Agents(name)), size.servers)
+		}
+	}
+}
+
+// Settings and documents are written apart; an agent that listens elsewhere than
+// its document says would never get a packet.
+func TestExamplesAgree(t *testing.T) {
+	for _, deployment := range []string{"zagreb", "rabat"} {
+		f := laidOut(t, deployment)
+		used := map[netip.AddrPort]string{}
+		for _, n := range f.Nodes {
+			other, taken := used[n.Process.Operator]
+			assert.Assert(t, !taken, "%s and %s", n.Process.Name, other)
+			used[n.Process.Operator] = n.Process.Name
+			if n.Agent == nil {
+				continue
+			}
+			server, ok := f.Server(n.Agent.Service, n.Agent.Server)
+			assert.Assert(t, ok, n.Process.Name)
+			assert.Equal(t, n.Agent.Listen, server.Agent)
+			assert.Equal(t, n.Process.Domain, server.Domain)
+		}
+		ports := map[uint16]bool{}
+		for _, s := range f.Services {
+			assert.Assert(t, !ports[s.Address.Port()], "an entry has one address for all services")
+			ports[s.Address.Port()] = true
+		}
+	}
+}
+
+func TestFleetsGetBlocksOfTheirOwn(t *testing.T) {
+	one, other := laidOut(t, "zagreb"), laidOut(t, "zagreb")
+	assert.Assert(t, one.block.octet != other.block.octet)
+	assert.Assert(t, one.Service("tracing-core").Address != other.Service("tracing-core").Address)
+}
