--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -24,6 +24,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -148,6 +149,11 @@
 
 // listenQUIC starts QUIC on the link's datagrams.
 func (a *Agent) listenQUIC() (listener *quic.EarlyListener, err error) {
+	// The buffers belong to the link's socket, which newLink has set; the library
+	// would look for them on its own connection and print a warning each start.
+	if err := os.Setenv("QUIC_GO_DISABLE_RECEIVE_BUFFER_WARNING", "true"); err != nil {
+		return nil, err
+	}
 	key := a.now.Load().ring.Current()
 	reset := quic.StatelessResetKey(key.Reset)
 	a.transport = &quic.Transport{
--- a/internal/oper/verbs/entry.go
+++ b/internal/oper/verbs/entry.go
@@ -1,9 +1,12 @@
 package verbs
 
 import (
+	"context"
+
 	"github.com/cockroachdb/errors"
 
 	"mangowinch/internal/conf/prefs"
+	"mangowinch/internal/node/start"
 )
 
 // EntryCmd runs an entry.
@@ -19,7 +22,7 @@
 Exit codes: 0 stopped as planned; 1 failed while it ran; 2 could not start: wrong use or faulty settings.`
 
 // Run runs the entry until it is told to stop.
-func (c *EntryCmd) Run() error {
+func (c *EntryCmd) Run(ctx context.Context) error {
 	s, err := prefs.Load(c.Settings)
 	if err == nil && s.Entry == nil {
 		err = errors.Newf("%s: [entry]: missing", c.Settings)
@@ -27,5 +30,5 @@
 	if err != nil {
 		return fail(exitUse, err)
 	}
-	return fail(exitFault, errors.New("the entry is not built yet")) // TODO(issue 3)
+	return fail(exitFault, start.Entry(ctx, s))
 }
