--- /dev/null
+++ b/internal/load/place/state.go
@@ -0,0 +1,210 @@
+package place
+
+import (
+	"time"
+)
+
+// Rules are the thresholds of placement.
+type Rules struct {
+	Fade    time.Duration // age at which a report no longer counts
+	Slow    time.Duration // length of the slow start of a server that joined
+	Slower  float64       // the own server counts as slow when it takes this many times a peer's service time
+	Even    float64       // difference in the share of slot time that counts as equal
+	Alike   float64       // relative difference in expected time that counts as equal
+	Shorter float64       // all being full, a peer must be expected to take less than this share of the own time
+	Failing float64       // share of failures from which a server is ejected
+	Ceiling float64       // share of the servers that may be ejected at a time
+}
+
+// Default are the thresholds in use; docs/design/load.md has the runs behind them.
+var Default = Rules{
+	Fade:    2 * time.Second,
+	Slow:    10 * time.Second,
+	Slower:  2,
+	Even:    0.02,
+	Alike:   0.25,
+	Shorter: 0.7,
+	Failing: 0.5,
+	Ceiling: 1.0 / 3,
+}
+
+const (
+	gain        = 0.2 // weight of the newest outcome
+	fewest      = 5   // outcomes before a server is judged by its failures
+	firstEject  = time.Second
+	longEject   = 30 * time.Second
+	firstFull   = 50 * time.Millisecond // after one refusal
+	longFull    = time.Second           // after several in a row
+	measuredFor = 5 * time.Second       // after which an own measurement gives way to reports
+	coldOpen    = 0.1                   // share of its slots that a cold server starts with
+)
+
+// state is what is known of one server.
+type state struct {
+	Server
+	inflight int // sent by this agent and not ended
+	since    int // of these, sent after the last report
+	hint     Hint
+	heard    time.Time // when the report came
+	measured float64   // seconds, by this agent
+	sampled  time.Time
+	cold     time.Time // when it joined; zero if it is not known to have
+	full     time.Time // counts as full until then, whatever it reports
+	refusals int       // in a row
+	failures float64   // share of failures
+	outcomes int
+	until    time.Time // ejected until then
+	ejects   int       // in a row
+}
+
+// End is how a request ended at a server.
+type End uint8
+
+// The ends.
+const (
+	Good   End = iota // answered
+	Failed            // failed, broke off or could not be reached
+	Shed              // refused as not run
+)
+
+// Sent says that a request was given to a server.
+func (p *Placer) Sent(id uint32) {
+	if s := p.state(id); s != nil {
+		s.inflight++
+		s.since++
+	}
+}
+
+// Report takes in what a peer says of itself.
+func (p *Placer) Report(now time.Time, id uint32, h Hint) {
+	if s := p.state(id); s != nil {
+		s.hint, s.heard, s.since = h, now, 0
+	}
+}
+
+// Ended says how a request that was given to a server ended, and after how long.
+func (p *Placer) Ended(now time.Time, id uint32, end End, took time.Duration) {
+	s := p.state(id)
+	if s == nil {
+		return
+	}
+	s.inflight = max(0, s.inflight-1)
+	if end == Shed {
+		s.shed(now)
+		return
+	}
+	s.refusals = 0
+	s.outcomes++
+	failed := 0.0
+	if end == Failed {
+		failed = 1
+	} else {
+		s.sample(now, took)
+	}
+	s.failures += gain * (failed - s.failures)
+	if end == Good && s.outcomes >= fewest {
+		s.ejects = 0
+	}
+	p.eject(now, s)
+}
+
+// shed notes a refusal. The server counts as full for a while even if it reports
+// idle slots: a report that lies would draw the next request at once otherwise.
+func (s *state) shed(now time.Time) {
+	s.full = now.Add(min(firstFull<<min(s.refusals, 10), longFull))
+	s.refusals++
+}
+
+// sample takes in a service time as seen from here. Only answers count: a server
+// that fails fast must not look quick.
+func (s *state) sample(now time.Time, took time.Duration) {
+	if s.measured == 0 || now.Sub(s.sampled) > measuredFor {
+		s.measured = took.Seconds()
+	}
+	s.measured += gain * (took.Seconds() - s.measured)
+	s.sampled = now
+}
+
+// eject takes a failing server out for a while, longer each time in a row. Not
+// beyond the ceiling: if most seem to fail, the fault is likely elsewhere, and the
+// few that are left would drown.
+func (p *Placer) eject(now time.Time, s *state) {
+	if s.outcomes < fewest || s.failures <= p.rules.Failing {
+		return
+	}
+	out := 0
+	for _, o := range p.states {
+		if o.ejected(now) {
+			out++
+		}
+	}
+	if len(p.states) < 2 || out >= max(1, int(p.rules.Ceiling*float64(len(p.states)))) {
+		return
+	}
+	length := min(firstEject<<min(s.ejects, 10), longEject)
+	s.until = now.Add(time.Duration(float64(length) * (0.8 + 0.4*p.random.Float64())))
+	s.ejects++
+	s.outcomes, s.failures = 0, 0
+	s.cold = s.until // comes back with a slow start, so that its first requests are a probe
+}
+
+func (s *state) ejected(now time.Time) bool { return now.Before(s.until) }
+
+// Ejected lists the servers that get no work now.
+func (p *Placer) Ejected(now time.Time) (ids []uint32) {
+	for _, s := range p.states {
+		if s.ejected(now) {
+			ids = append(ids, s.ID)
+		}
+	}
+	return ids
+}
+
+// fresh reports whether the server's own report still counts.
+func (s *state) fresh(now time.Time, r Rules) bool {
+	return !s.heard.IsZero() && now.Sub(s.heard) < r.Fade
+}
+
+// load is how many requests the server has, as far as this agent can tell.
+func (s *state) load(now time.Time, r Rules) float64 {
+	hinted := 0.0
+	if s.fresh(now, r) {
+		fade := 1 - float64(now.Sub(s.heard))/float64(r.Fade)
+		hinted = float64(s.hint.Running+s.hint.Waiting)*fade + float64(s.since)
+	}
+	return max(hinted, float64(s.inflight))
+}
+
+// open is how many slots may be counted on; few while the server is cold.
+func (s *state) open(now time.Time, r Rules) float64 {
+	share := 1.0
+	if age := now.Sub(s.cold); !s.cold.IsZero() && age < r.Slow {
+		share = coldOpen + (1-coldOpen)*float64(max(age, 0))/float64(r.Slow)
+	}
+	return max(1, share*float64(s.Slots))
+}
+
+// service is the expected service time in seconds: the worse of what this agent
+// measured lately and what the server reports.
+func (s *state) service(now time.Time, r Rules) float64 {
+	seconds := 0.0
+	if now.Sub(s.sampled) <= measuredFor {
+		seconds = s.measured
+	}
+	if s.fresh(now, r) {
+		seconds = max(seconds, s.hint.Service.Seconds())
+	}
+	return seconds
+}
+
+// expected is the expected time to an answer in seconds, for comparison only.
+func (s *state) expected(now time.Time, r Rules) float64 {
+	return s.service(now, r) * max(1, (s.load(now, r)+1)/s.open(now, r))
+}
+
+func (s *state) busy(now time.Time, r Rules) float64 {
+	if !s.fresh(now, r) {
+		return 1
+	}
+	return s.hint.Busy
+}
--- /dev/null
+++ b/internal/load/retry/retry.go
@@ -0,0 +1,158 @@
+// Package retry decides whether a request that was refused, or whose outcome is
+// unknown, is tried once more.
+//
+// The load pattern: after an outage, or when a server sheds, every layer that tries
+// again multiplies the load just when there is least to spare. Three layers with
+// three tries each make 27 requests of one, and the service stays down although its
+// cause is long gone. And a claim that is tried again without proof that it did not
+// run opens two cases for one widow.
+//
+// The rules:
+//
+//   - One layer only: the agent that holds the caller's connection. A request that was
+//     handed over by a peer, or that the caller marks as its own repeat, is not tried again.
+//   - By outcome and class: "not run" may be tried elsewhere; "unknown" only if the
+//     class is idempotent; "ran" never.
+//   - A budget: retries are a share of fresh work, with a small reserve so that a
+//     quiet service may retry at all.
+//   - Only while the deadline leaves room for a whole service time, and only twice.
+//
+// The package does not say where the next try goes (package place) nor wait: there
+// is no backoff inside the system, since what is given up on is answered at once.
+//
+// # Usage
+//
+//	budget := retry.New(retry.Default)
+//	budget.Fresh() // for each request that a caller sent
+//	switch v := budget.Decide(now, attempt); v.Retry {
+//	case true: // count v.Why as taken, place again without the servers already tried
+//	case false: // count v.Why as refused, answer the caller
+//	}
+package retry
+
+import (
+	"time"
+
+	"mangowinch/internal/work/result"
+)
+
+// Rules are the thresholds of retries.
+type Rules struct {
+	Share   float64 // retries for each fresh request
+	Reserve float64 // retries that may be saved up
+	Tries   int     // in all, the first one included
+}
+
+// Default are the thresholds in use; docs/design/load.md has the runs behind them.
+var Default = Rules{Share: 0.1, Reserve: 10, Tries: 3}
+
+// Why says why a retry was taken or not. Each has a counter.
+type Why string
+
+// Why a retry was taken.
+const (
+	ShedThere   Why = "shed"    // a server or a peer's queue refused it as not run
+	NeverSent   Why = "unsent"  // the server could not be reached
+	SafeToRerun Why = "repeat"  // outcome unknown, the class is idempotent
+	Left        Why = "leaving" // the server takes no new work
+)
+
+// Why a retry was not taken.
+const (
+	HasRun      Why = "ran"     // it ran, whatever the answer
+	NotSafe     Why = "unsafe"  // outcome unknown, and it must not run twice
+	OtherLayer  Why = "layer"   // another process or the caller decides on its retries
+	NoBudget    Why = "budget"  // retries are used up
+	NoTime      Why = "late"    // the deadline leaves no room
+	EnoughTries Why = "tries"   // tried often enough
+	NotHere     Why = "verdict" // no other server would decide otherwise
+)
+
+// Attempt is a try that ended without an answer for the caller.
+type Attempt struct {
+	Result     result.Result
+	Idempotent bool          // the class's
+	Tries      int           // so far, 1 after the first
+	Placed     bool          // another agent handed it over, or the caller repeats it by itself
+	Deadline   time.Time     // of the request
+	Service    time.Duration // expected time of one more try, the way there and back included
+}
+
+// Verdict answers an attempt.
+type Verdict struct {
+	Retry bool
+	Why   Why
+}
+
+// Budget holds the retries that may be taken. It is not safe for concurrent use.
+type Budget struct {
+	rules Rules
+	saved float64
+}
+
+// New returns a budget with its reserve full.
+func New(r Rules) *Budget {
+	return &Budget{rules: r, saved: r.Reserve}
+}
+
+// Fresh accounts for a request that is no retry.
+func (b *Budget) Fresh() {
+	b.saved = min(b.rules.Reserve, b.saved+b.rules.Share)
+}
+
+// Saved returns how many retries may be taken now.
+func (b *Budget) Saved() float64 { return b.saved }
+
+// Decide says whether to try once more, and takes it from the budget if so.
+func (b *Budget) Decide(now time.Time, a Attempt) Verdict {
+	if why := b.against(now, a); why != "" {
+		return Verdict{Why: why}
+	}
+	if b.saved < 1 {
+		return Verdict{Why: NoBudget}
+	}
+	b.saved--
+	return Verdict{Retry: true, Why: taken(a.Result)}
+}
+
+// against returns what speaks against one more try, budget apart.
+func (b *Budget) against(now time.Time, a Attempt) Why {
+	switch {
+	case a.Result.Outcome == result.Ran:
+		return HasRun
+	case a.Result.Outcome == result.Unknown && !a.Idempotent:
+		return NotSafe
+	case a.Placed:
+		return OtherLayer
+	case final(a.Result.Reason):
+		return NotHere
+	case a.Tries >= b.rules.Tries:
+		return EnoughTries
+	case now.Add(a.Service).After(a.Deadline):
+		return NoTime
+	}
+	return ""
+}
+
+// final reports whether the reason holds at every server of the service. A caller
+// that is over its share is refused for good: trying its excess elsewhere would
+// take the other servers' queues from its rivals.
+func final(r result.Reason) bool {
+	switch r {
+	case result.NoClass, result.Expired, result.Gone, result.KeyBad, result.KeyReused, result.OwnerGone, result.Budget, result.ShedCaller:
+		return true
+	}
+	return false
+}
+
+func taken(r result.Result) Why {
+	switch {
+	case r.Outcome == result.Unknown:
+		return SafeToRerun
+	case r.Reason == result.ServerDown:
+		return NeverSent
+	case r.Reason == result.LeavingServer:
+		return Left
+	}
+	return ShedThere
+}
