Let requests in by admission, know from the own server when to leave

Cause: the thin path sent every request to the backend server at once, believed nobody that the server leaves, and bounded neither connections nor handshakes. Package gate carries out what admit decides (tests: slots and queue bounded, a caller that goes away frees its place, waiting ends in time, drain gives waiting work back). An agent takes nothing new by document, signal, or its own server's word (asked every 250 ms); the causes are kept apart, so that one withdrawn does not undo another. Over 200 handshakes a second a caller must prove its address.

--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -33,12 +33,16 @@
 	"github.com/quic-go/quic-go/http3"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
 
 	"mangowinch/internal/conf/docs"
 	"mangowinch/internal/conf/prefs"
 	"mangowinch/internal/conf/store"
 	"mangowinch/internal/flow/ident"
+	"mangowinch/internal/load/admit"
+	"mangowinch/internal/node/gate"
 	"mangowinch/internal/node/rings"
+	"mangowinch/internal/work/result"
 )
 
 const (
@@ -53,6 +57,13 @@
 	// leaveTime is how long a stopping agent stays after its last stream, so that
 	// entries hear its word and late datagrams still find it.
 	leaveTime = time.Second
+	// handshakeRate and handshakeBurst are new connections a second without a
+	// proof of address. At the size to design for an agent gets 14 a second.
+	handshakeRate  = 200
+	handshakeBurst = 400
+	// comeBack is when a caller is to try again that met a server which leaves:
+	// other servers take its flows as soon as entries know, within 3 s.
+	comeBack = time.Second
 )
 
 // Agent is one running agent.
@@ -62,7 +73,10 @@
 	log         zerolog.Logger
 	incarnation uint64 // tells this run of the process from earlier ones
 	now         atomic.Pointer[snapshot]
-	leaving     atomic.Pointer[string] // why, once the server leaves
+	standing    standing
+	gate        *gate.Gate
+	opened      opened
+	handshakes  *rate.Limiter
 	link        *link
 	transport   *quic.Transport
 	server      *http3.Server
@@ -70,6 +84,7 @@
 	handler     Handler
 	requests    atomic.Int64 // in progress
 	nonce       atomic.Uint64
+	load        atomic.Uint32 // in thousandths of the slots, see measureLoad
 	count       counters
 }
 
@@ -94,13 +109,16 @@
 		incarnation: uint64(time.Now().UnixNano()),
 		count:       newCounters(settings.Agent.Service),
 		backend:     newBackend(settings.Agent.Backend),
+		gate:        gate.New(admit.Limits{}),
+		handshakes:  rate.NewLimiter(handshakeRate, handshakeBurst),
 	}
+	a.standing = standing{log: log, changed: a.standingChanged}
 	a.nonce.Store(rand.Uint64())
 	a.link, err = newLink(a)
 	if err != nil {
 		return nil, err
 	}
-	a.handler = chain(a.backend.run, a.classify, a.limitTime)
+	a.handler = chain(a.backend.run, a.classify, a.limitTime, a.enter)
 	a.server = &http3.Server{
 		Handler:   http.HandlerFunc(a.serveHTTP),
 		TLSConfig: http3.ConfigureTLSConfig(certificates),
@@ -132,12 +150,16 @@
 		return nil
 	})
 	g.Go(func() error {
-		err := a.server.ServeListener(listener)
-		if errors.Is(err, http.ErrServerClosed) || inner.Err() != nil {
+		err := a.accept(inner, listener)
+		if inner.Err() != nil {
 			return nil
 		}
 		return err
 	})
+	g.Go(func() error {
+		a.keepHealth(inner)
+		return nil
+	})
 	g.Go(func() error {
 		<-ctx.Done()
 		a.stop(inner)
@@ -148,7 +170,7 @@
 }
 
 // listenQUIC starts QUIC on the link's datagrams.
-func (a *Agent) listenQUIC() (listener *quic.EarlyListener, err error) {
+func (a *Agent) listenQUIC() (listener *quic.Listener, err error) {
 	// The buffers belong to the link's socket, which newLink has set; the library
 	// would look for them on its own connection and print a warning each start.
 	if err := os.Setenv("QUIC_GO_DISABLE_RECEIVE_BUFFER_WARNING", "true"); err != nil {
@@ -162,6 +184,10 @@
 		// A caller whose agent was replaced learns at its next datagram that the
 		// flow is gone, instead of waiting for its idle timeout.
 		StatelessResetKey: &reset,
+		// A flood of openers with forged addresses costs a handshake's memory each.
+		// Over a rate that ordinary callers stay far under, a caller has to show that
+		// it gets our datagrams first (RFC 9000 section 8.1.2).
+		VerifySourceAddress: func(net.Addr) bool { return !a.handshakes.Allow() },
 	}
 	config := &quic.Config{
 		HandshakeIdleTimeout: handshakeTime,
@@ -169,9 +195,8 @@
 		MaxIncomingStreams:   maxStreams,
 		// A larger datagram would not fit behind the link's header.
 		DisablePathMTUDiscovery: true,
-		GetConfigForClient:      a.admitConnection,
 	}
-	return a.transport.ListenEarly(a.server.TLSConfig, config)
+	return a.transport.Listen(a.server.TLSConfig, config)
 }
 
 // generator makes connection IDs that name this agent's server.
@@ -231,16 +256,13 @@
 	}
 	if next.own == nil {
 		// The server is no longer in the document: it leaves, under its last settings.
-		a.leave("document without this server")
+		a.standing.set(byDocument, true)
 		return
 	}
 	a.now.Store(next)
+	a.gate.SetLimits(admit.LimitsOf(d.Service, *next.own))
 	a.log.Info().Str("service", d.Name).Uint64("revision", d.Revision).Str("source", d.Source).Msg("document in force")
-	if next.own.State == docs.Leaving {
-		a.leave("document")
-	} else if old != nil && old.own.State == docs.Leaving {
-		a.stay()
-	}
+	a.standing.set(byDocument, next.own.State == docs.Leaving)
 }
 
 // snapshot reads what a document says of this agent. Its own is nil when the
@@ -267,25 +289,10 @@
 	return s, nil
 }
 
-// leave makes the server take nothing new from now on.
-func (a *Agent) leave(why string) {
-	if a.leaving.CompareAndSwap(nil, &why) {
-		a.log.Info().Str("why", why).Msg("leaving: nothing new is taken")
-	}
-}
-
-// stay takes a leaving back.
-func (a *Agent) stay() {
-	if a.leaving.Swap(nil) != nil {
-		a.log.Info().Msg("serving again")
-	}
-}
-
-func (a *Agent) accepting() bool { return a.leaving.Load() == nil }
-
 // stop waits until the requests in progress have ended.
 func (a *Agent) stop(ctx context.Context) {
-	a.leave("signal")
+	a.standing.set(bySignal, true)
+	go a.sayGoodbye(ctx)
 	started := time.Now()
 	for time.Since(started) < stopTime && ctx.Err() == nil {
 		if a.requests.Load() == 0 && time.Since(started) > leaveTime {
@@ -296,9 +303,39 @@
 	a.log.Info().Dur("after", time.Since(started)).Msg("left")
 }
 
-// admitConnection bounds the connections an agent holds open.
-func (a *Agent) admitConnection(info *quic.ClientInfo) (*quic.Config, error) {
-	return nil, nil
+// sayGoodbye asks callers to open their next requests elsewhere.
+func (a *Agent) sayGoodbye(ctx context.Context) {
+	if err := a.server.Shutdown(ctx); err != nil && ctx.Err() == nil {
+		a.log.Error().Err(err).Msg("goodbye to callers")
+	}
+}
+
+// standingChanged gives waiting work back when the server starts to leave, so that
+// it is placed elsewhere at once.
+func (a *Agent) standingChanged(accepting bool) {
+	if !accepting {
+		a.gate.Drain()
+	}
+}
+
+// accept serves connections until the listener is closed.
+func (a *Agent) accept(ctx context.Context, l *quic.Listener) error {
+	for {
+		c, err := l.Accept(ctx)
+		if err != nil {
+			return err
+		}
+		if !a.opened.enter(a.now.Load().own.Connections) {
+			a.count.connections.Inc()
+			_ = c.CloseWithError(quic.ApplicationErrorCode(http3.ErrCodeExcessiveLoad), string(result.Overloaded))
+			continue
+		}
+		go func() {
+			defer a.opened.leave()
+			// The error says how the connection ended, which is no fault here.
+			_ = a.server.ServeQUICConn(c)
+		}()
+	}
 }
 
 var _ net.PacketConn = (*wire)(nil)
--- a/internal/node/agent/backend.go
+++ b/internal/node/agent/backend.go
@@ -78,7 +78,8 @@
 		return refuse(result.ServerShed, retryAfter(answer))
 	}
 	if x.Class.Kind == docs.Feed {
-		late.Stop() // the deadline was for the first byte
+		late.Stop() // the deadline was for the first byte, and so was the slot
+		x.FirstByte()
 	}
 	return deliver(ctx, x, answer)
 }
--- a/internal/node/agent/chain.go
+++ b/internal/node/agent/chain.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"mangowinch/internal/conf/docs"
+	"mangowinch/internal/load/queue"
 	"mangowinch/internal/work/result"
 )
 
@@ -14,10 +16,14 @@
 	ID       string // unique in the service
 	Service  *docs.Service
 	Class    *docs.Class
-	Caller   string // who shares the service fairly with others
+	Source   netip.Addr   // where it comes from
+	Caller   queue.Caller // who shares the service fairly with others
 	Deadline time.Time
 	Request  *http.Request
 	Answer   *Answer
+	// FirstByte is called when the server's answer begins; a feed then gives its
+	// slot back. It is set by the filter enter.
+	FirstByte func()
 }
 
 // Handler runs an exchange or a part of it. A result other than ran is answered
--- a/internal/node/agent/counts.go
+++ b/internal/node/agent/counts.go
@@ -21,6 +21,7 @@
 	foreign, hops, owner       *metrics.Counter // ID of nobody, passed on too often, server not in the document
 	backlog, unsent, noPath    *metrics.Counter // QUIC is behind, the kernel refused it, no entry known
 	unusable, broken           *metrics.Counter // documents, answers broken off
+	connections                *metrics.Counter // refused over the document's limit
 }
 
 func newCounters(service string) counters {
@@ -48,6 +49,8 @@
 		noPath:   dropped("path"),
 		unusable: event("unusable"),
 		broken:   event("broken"),
+
+		connections: dropped("connections"),
 	}
 }
 
--- a/internal/node/agent/link.go
+++ b/internal/node/agent/link.go
@@ -120,7 +120,7 @@
 	}
 	l.mu.Lock()
 	l.paths.Heard(now, h.Entry, h.Caller, h.Flags&frame.Leaving != 0)
-	decision := l.table.Decide(now, d, a.accepting())
+	decision := l.table.Decide(now, d, a.standing.accepting())
 	l.mu.Unlock()
 	switch decision.Verdict {
 	case table.Keep:
@@ -203,8 +203,9 @@
 		Revision: v.revision,
 		Server:   v.own.ID,
 		Nonce:    l.agent.incarnation,
+		Load:     uint16(l.agent.load.Load()),
 	}
-	if !l.agent.accepting() {
+	if !l.agent.standing.accepting() {
 		h.Flags |= frame.Leaving
 	}
 	return h
@@ -219,6 +220,7 @@
 		case <-ctx.Done():
 			return
 		case now := <-t.C:
+			l.agent.measureLoad()
 			l.probe(now)
 		}
 	}
--- a/internal/node/agent/serve.go
+++ b/internal/node/agent/serve.go
@@ -62,8 +62,9 @@
 		Service: v.document,
 		Request: r,
 		Answer:  &Answer{ResponseWriter: w},
+		Source:  source(r.RemoteAddr),
 	}
-	x.Caller = callerOf(x, r.RemoteAddr)
+	x.Caller = callerOf(x)
 	res := a.handler(r.Context(), x)
 	a.count.end(res)
 	if x.Answer.Began() {
@@ -85,14 +86,14 @@
 	panic(http.ErrAbortHandler)
 }
 
-// callerOf names the party that a request counts for.
-func callerOf(x *Exchange, remote string) string {
+// source is the caller's address, which QUIC has validated; not valid if the
+// library gives none.
+func source(remote string) netip.Addr {
 	a, err := netip.ParseAddrPort(remote)
 	if err != nil {
-		return ""
+		return netip.Addr{}
 	}
-	name, _ := x.Service.CallerFor(a.Addr().Unmap())
-	return name
+	return a.Addr().Unmap()
 }
 
 // writeResult gives the final answer to a request without an answer of its server.
--- a/internal/node/agent/status.go
+++ b/internal/node/agent/status.go
@@ -4,17 +4,20 @@
 	"time"
 
 	"mangowinch/internal/flow/paths"
+	"mangowinch/internal/load/admit"
 )
 
 // Status is what an operator sees of an agent.
 type Status struct {
-	Service  string         `json:"service"`
-	Server   string         `json:"server"`
-	Revision uint64         `json:"revision"`
-	Leaving  string         `json:"leaving,omitempty"` // why, once it leaves
-	Requests int64          `json:"requests"`          // in progress
-	Opening  int            `json:"opening"`           // flows kept in mind while they open
-	Entries  []paths.Status `json:"entries"`
+	Service     string         `json:"service"`
+	Server      string         `json:"server"`
+	Revision    uint64         `json:"revision"`
+	Leaving     string         `json:"leaving,omitempty"` // why, once it leaves
+	Requests    int64          `json:"requests"`          // in progress
+	Connections int64          `json:"connections"`
+	Gate        admit.Stats    `json:"gate"`
+	Opening     int            `json:"opening"` // flows kept in mind while they open
+	Entries     []paths.Status `json:"entries"`
 }
 
 // Status tells what the agent knows.
@@ -27,9 +30,9 @@
 	if v := a.now.Load(); v != nil {
 		s.Revision = v.revision
 	}
-	if why := a.leaving.Load(); why != nil {
-		s.Leaving = *why
-	}
+	s.Leaving = a.standing.why()
+	s.Connections = a.opened.count.Load()
+	s.Gate = a.gate.Stats()
 	a.link.mu.Lock()
 	defer a.link.mu.Unlock()
 	if a.link.table != nil {
--- /dev/null
+++ b/internal/node/gate/gate_test.go
@@ -0,0 +1,118 @@
+package gate
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mangowinch/internal/conf/docs"
+	"mangowinch/internal/load/admit"
+	"mangowinch/internal/load/queue"
+	"mangowinch/internal/work/result"
+)
+
+func newGate() *Gate {
+	return New(admit.Limits{
+		Slots:   1,
+		Classes: []docs.Class{{Name: "lookup", Kind: docs.Lookup, Deadline: time.Second, Queue: 4}},
+	})
+}
+
+func lookup(deadline time.Duration) Request {
+	return Request{Class: "lookup", Caller: queue.Caller{Name: "fund"}, Deadline: time.Now().Add(deadline)}
+}
+
+// Ten lookups of 10 ms come at once before one slot and a queue of four. Five run,
+// never two at a time; five are refused the moment they come.
+func TestSlotsAndQueueAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGate()
+		var wg sync.WaitGroup
+		var mu sync.Mutex
+		running, ran, refused := 0, 0, 0
+		for range 10 {
+			wg.Go(func() {
+				began := time.Now()
+				pass, res := g.Enter(t.Context(), lookup(time.Second))
+				mu.Lock()
+				defer mu.Unlock()
+				if pass == nil {
+					refused++
+					assert.Equal(t, res.Outcome, result.NotRun)
+					assert.Equal(t, time.Since(began), time.Duration(0))
+					return
+				}
+				running++
+				ran++
+				assert.Equal(t, running, 1)
+				mu.Unlock()
+				time.Sleep(10 * time.Millisecond)
+				mu.Lock()
+				running--
+				pass.Leave()
+			})
+		}
+		wg.Wait()
+		assert.Equal(t, ran, 5)
+		assert.Equal(t, refused, 5)
+	})
+}
+
+// A caller goes away while its lookup waits. The lookup behind it must get the
+// slot, and the slot must not be lost with the one that left.
+func TestGoneCallerFreesItsPlace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGate()
+		first, _ := g.Enter(t.Context(), lookup(time.Second))
+		ctx, leave := context.WithCancel(t.Context())
+		gone := make(chan result.Result)
+		go func() {
+			_, res := g.Enter(ctx, lookup(time.Second))
+			gone <- res
+		}()
+		synctest.Wait()
+		leave()
+		assert.Equal(t, (<-gone).Reason, result.Gone)
+		first.Leave()
+		next, _ := g.Enter(t.Context(), lookup(time.Second))
+		assert.Assert(t, next != nil)
+		next.Leave()
+		assert.Equal(t, g.Stats().Running, 0)
+	})
+}
+
+// A lookup waits behind one that takes too long. It is answered when it can no
+// longer make its deadline, not when the slot is free.
+func TestWaitingEndsInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGate()
+		first, _ := g.Enter(t.Context(), lookup(time.Minute))
+		pass, res := g.Enter(t.Context(), lookup(100*time.Millisecond))
+		assert.Assert(t, pass == nil)
+		assert.Equal(t, res.Outcome, result.NotRun)
+		first.Leave()
+	})
+}
+
+// The server is told to leave while work waits. All of it comes back at once as not
+// run, to be placed elsewhere; what runs goes on.
+func TestDrainGivesWaitingBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGate()
+		first, _ := g.Enter(t.Context(), lookup(time.Minute))
+		back := make(chan result.Result)
+		go func() {
+			_, res := g.Enter(t.Context(), lookup(time.Minute))
+			back <- res
+		}()
+		synctest.Wait()
+		g.Drain()
+		assert.Equal(t, (<-back).Reason, result.LeavingServer)
+		assert.Equal(t, g.Stats().Running, 1)
+		first.Leave()
+	})
+}
