--- /dev/null
+++ b/internal/exper/policy/agents.go
@@ -0,0 +1,293 @@
+package policy
+
+import (
+	"slices"
+	"time"
+
+	"mangowinch/internal/exper/fakes"
+	"mangowinch/internal/load/admit"
+	"mangowinch/internal/load/place"
+	"mangowinch/internal/load/queue"
+	"mangowinch/internal/load/retry"
+	"mangowinch/internal/work/result"
+)
+
+// gate is what an agent asks whether a request may start.
+type gate interface {
+	Arrive(now time.Time, r admit.Request) admit.Decision
+	Done(now time.Time, id uint64, took time.Duration) admit.Change
+	Expire(now time.Time) admit.Change
+	NextExpiry() time.Time
+	Drain() []uint64
+	Stats() admit.Stats
+}
+
+// agents is one agent beside each server, each with the product's decision code.
+type agents struct {
+	world       *World
+	unlimited   bool
+	list        []*agent
+	handed, far int
+}
+
+type agent struct {
+	agents  *agents
+	server  *fakes.Server
+	gate    gate
+	placer  *place.Placer
+	budget  *retry.Budget
+	usage   place.Usage
+	leaving bool
+	waiting map[uint64]*visit
+	wake    time.Time // when the timer for expiry is set
+	id      uint64
+}
+
+// visit is one request at the agent that runs it.
+type visit struct {
+	job     *fakes.Job
+	started time.Time
+	reply   func(outcome)
+}
+
+// outcome is what the agent that ran or refused a request says of it.
+type outcome struct {
+	end    fakes.End
+	reason result.Reason
+	after  time.Duration
+	took   time.Duration // of service
+}
+
+func newAgents(n Name, w *World) *agents {
+	s := &agents{world: w, unlimited: n == Unlimited}
+	var servers []place.Server
+	for _, v := range w.Servers {
+		servers = append(servers, place.Server{ID: uint32(v.ID), Domain: string(rune('a' + v.Domain)), Slots: v.Slots})
+	}
+	for _, v := range w.Servers {
+		limits := w.Limits
+		limits.Slots = v.Slots
+		a := &agent{agents: s, server: v, waiting: map[uint64]*visit{}, budget: retry.New(w.Tuning.Retry), usage: place.Usage{Window: w.Tuning.Usage}}
+		a.placer = place.New(place.Self{ID: uint32(v.ID), Domain: string(rune('a' + v.Domain))}, w.Random)
+		a.placer.SetRules(w.Tuning.Place)
+		a.placer.SetServers(w.Loop.Now(), servers)
+		switch n {
+		case Own:
+			g := admit.New(limits, w.Random)
+			g.SetRules(w.Tuning.Admit)
+			a.gate = g
+		default:
+			a.gate = newLine(limits, s.unlimited)
+		}
+		s.list = append(s.list, a)
+	}
+	s.report()
+	return s
+}
+
+// report sends each agent's state to its peers, again and again.
+func (s *agents) report() {
+	for _, a := range s.list {
+		a.tell()
+	}
+	s.world.Loop.After(s.world.Tuning.Report, s.report)
+}
+
+func (a *agent) tell() {
+	h := a.hint()
+	if a.server.Lie {
+		h = place.Hint{Service: time.Millisecond}
+	}
+	for _, peer := range a.agents.list {
+		if peer != a && !a.server.Down {
+			a.send(peer, func() { peer.placer.Report(a.now(), uint32(a.server.ID), h) })
+		}
+	}
+}
+
+func (a *agent) now() time.Time { return a.agents.world.Loop.Now() }
+
+// send runs a function when a message has got from one agent to another.
+func (a *agent) send(to *agent, run func()) {
+	w := a.agents.world
+	switch {
+	case to == a:
+		run()
+	case to.server.Domain == a.server.Domain:
+		w.Loop.After(w.Near, run)
+	default:
+		w.Loop.After(w.Far, run)
+	}
+}
+
+func (a *agent) hint() place.Hint {
+	st := a.gate.Stats()
+	h := place.Hint{Running: st.Running, Waiting: st.Waiting, Busy: a.usage.Share(a.now()), Leaving: a.leaving}
+	for _, c := range st.Classes {
+		if c.Runs > 0 && (h.Service == 0 || c.Mean < h.Service) {
+			h.Service = c.Mean // of the shortest class, which every server has
+		}
+	}
+	return h
+}
+
+func (s *agents) Submit(j *fakes.Job, answer func(Answer)) {
+	a := s.list[j.Home]
+	j.NoDeadline = s.unlimited
+	a.budget.Fresh()
+	a.place(j, nil, answer)
+}
+
+// place sends a request to a server, and tries again or answers when it comes back.
+func (a *agent) place(j *fakes.Job, tried []uint32, answer func(Answer)) {
+	choice := a.placer.Choose(a.now(), a.hint(), tried)
+	if choice.Server == 0 {
+		answer(Answer{End: fakes.Shed, Reason: result.LeavingServer, After: time.Second})
+		return
+	}
+	to := a.agents.list[choice.Server-1]
+	if to != a {
+		a.agents.handed++
+		if to.server.Domain != a.server.Domain {
+			a.agents.far++
+		}
+	}
+	a.placer.Sent(choice.Server)
+	a.send(to, func() {
+		to.enter(j, func(o outcome) {
+			to.send(a, func() { a.back(j, to, append(slices.Clone(tried), choice.Server), o, answer) })
+		})
+	})
+}
+
+// back takes in what came of a try.
+func (a *agent) back(j *fakes.Job, from *agent, tried []uint32, o outcome, answer func(Answer)) {
+	ends := map[fakes.End]place.End{fakes.Good: place.Good, fakes.Late: place.Good, fakes.Shed: place.Shed}
+	end, known := ends[o.end]
+	if !known {
+		end = place.Failed
+	}
+	id := uint32(from.server.ID)
+	a.placer.Ended(a.now(), id, end, o.took)
+	if from != a && !from.server.Lie {
+		a.placer.Report(a.now(), id, from.hint()) // rides on the reply
+	}
+	if o.end != fakes.Shed && o.end != fakes.Unreached {
+		answer(Answer{End: o.end})
+		return
+	}
+	attempt := retry.Attempt{
+		Result:   result.Result{Outcome: result.NotRun, Reason: o.reason},
+		Tries:    len(tried),
+		Deadline: j.Deadline,
+		Service:  a.hint().Service,
+	}
+	if a.budget.Decide(a.now(), attempt).Retry {
+		a.place(j, tried, answer)
+		return
+	}
+	answer(Answer{End: fakes.Shed, Reason: o.reason, After: o.after})
+}
+
+// enter asks this agent's gate.
+func (a *agent) enter(j *fakes.Job, reply func(outcome)) {
+	if a.leaving || a.server.Down {
+		reason, end := result.LeavingServer, fakes.Shed
+		if a.server.Down {
+			reason, end = result.ServerDown, fakes.Unreached
+		}
+		reply(outcome{end: end, reason: reason, after: time.Second})
+		return
+	}
+	a.id++
+	id := a.id
+	a.waiting[id] = &visit{job: j, reply: reply}
+	d := a.gate.Arrive(a.now(), admit.Request{ID: id, Class: j.Class, Caller: queue.Caller{Name: j.Caller}, Deadline: j.Deadline})
+	switch d.Verdict {
+	case admit.Run:
+		a.start(id)
+	case admit.Refuse:
+		delete(a.waiting, id)
+		reply(outcome{end: fakes.Shed, reason: d.Reason, after: d.After})
+	}
+	a.apply(d.Change)
+}
+
+func (a *agent) start(id uint64) {
+	v := a.waiting[id]
+	v.started = a.now()
+	a.server.Run(v.job, func(end fakes.End) {
+		took, measured := a.now().Sub(v.started), time.Duration(0)
+		if end == fakes.Good || end == fakes.Late {
+			measured = took
+		}
+		delete(a.waiting, id)
+		c := a.gate.Done(a.now(), id, measured)
+		a.apply(c)
+		v.reply(outcome{end: end, reason: result.ServerDown, took: took, after: time.Second})
+	})
+	a.observe()
+}
+
+func (a *agent) apply(c admit.Change) {
+	for _, id := range c.Started {
+		a.start(id)
+	}
+	for _, r := range c.Refused {
+		v := a.waiting[r.ID]
+		delete(a.waiting, r.ID)
+		v.reply(outcome{end: fakes.Shed, reason: r.Reason, after: r.After})
+	}
+	a.observe()
+	a.timer()
+}
+
+func (a *agent) observe() {
+	a.usage.Set(a.now(), a.server.Running(), a.server.Slots)
+}
+
+// timer has the gate give up in time on what waits.
+func (a *agent) timer() {
+	next := a.gate.NextExpiry()
+	if next.IsZero() || (!a.wake.IsZero() && !a.wake.Before(a.now()) && !next.Before(a.wake)) {
+		return
+	}
+	a.wake = next
+	a.agents.world.Loop.After(next.Sub(a.now()), func() {
+		if a.wake.Equal(next) {
+			a.wake = time.Time{}
+			a.apply(a.gate.Expire(a.now()))
+		}
+	})
+}
+
+// Leaving has the server's agent tell its peers at once, and pass on what waits.
+func (s *agents) Leaving(server int) {
+	a := s.list[server]
+	a.leaving = true
+	a.tell()
+	for _, id := range a.gate.Drain() {
+		v := a.waiting[id]
+		delete(a.waiting, id)
+		v.reply(outcome{end: fakes.Shed, reason: result.LeavingServer, after: time.Second})
+	}
+}
+
+func (s *agents) Joined(server int) {
+	a := s.list[server]
+	a.leaving = false
+	for _, b := range s.list {
+		b.placer.Joined(b.now(), uint32(a.server.ID))
+	}
+	a.tell()
+}
+
+func (s *agents) Waiting() int {
+	n := 0
+	for _, a := range s.list {
+		n += a.gate.Stats().Waiting
+	}
+	return n
+}
+
+func (s *agents) Cross() (handed, far int) { return s.handed, s.far }
--- a/internal/load/admit/admit.go
+++ b/internal/load/admit/admit.go
@@ -86,6 +86,7 @@
 
 // Gate holds the slots and the queue of one backend server.
 type Gate struct {
+	rules    Rules
 	limits   Limits
 	random   *rand.Rand
 	lanes    map[docs.Kind]*lane
@@ -116,6 +117,7 @@
 // New returns a gate with nothing running.
 func New(l Limits, random *rand.Rand) *Gate {
 	g := &Gate{
+		rules:    Default,
 		limits:   l,
 		random:   random,
 		lanes:    make(map[docs.Kind]*lane, len(kinds)),
@@ -128,6 +130,9 @@
 	return g
 }
 
+// SetRules replaces the default thresholds.
+func (g *Gate) SetRules(r Rules) { g.rules = r }
+
 // Arrive decides on a new request.
 func (g *Gate) Arrive(now time.Time, r Request) Decision {
 	class, ok := g.limits.class(r.Class)
@@ -146,7 +151,9 @@
 		g.start(now, l, r.ID, r.Class)
 		return Decision{Verdict: Run}
 	}
-	if now.Add(g.finish(now, l, r)).After(r.Deadline) {
+	wait := g.wait(now, l, r.Caller)
+	left := r.Deadline.Sub(now)
+	if wait > time.Duration(g.rules.Wait*float64(left)) || g.finish(wait, r.Class) > left {
 		return g.refusal(now, result.TooLate)
 	}
 	change, reason := g.makeRoom(now, l, class, r)
@@ -297,7 +304,7 @@
 	if len(g.running) >= g.limits.Slots {
 		return false
 	}
-	return l.kind == docs.Lookup || g.long() < g.limits.longSlots()
+	return l.kind == docs.Lookup || g.long() < g.longSlots()
 }
 
 // long returns how many slots feeds and uploads hold.
--- a/internal/load/admit/admit_test.go
+++ b/internal/load/admit/admit_test.go
@@ -226,7 +226,7 @@
 				apply(b.Cancel(b.now, id))
 				running[id] = false
 			}
-			assert.Assert(t, len(b.Running()) <= limits.Slots && b.long() <= limits.longSlots())
+			assert.Assert(t, len(b.Running()) <= limits.Slots && b.long() <= b.longSlots())
 			assert.Assert(t, b.Stats().Waiting <= 8+4+4)
 		}
 		for _, id := range b.Drain() {
--- a/internal/load/admit/after.go
+++ b/internal/load/admit/after.go
@@ -83,7 +83,7 @@
 	}
 	for _, c := range g.limits.Classes {
 		e := g.estimate(c.Name)
-		s.Classes = append(s.Classes, ClassStats{Class: c.Name, Mean: seconds(e.mean), Pessimistic: seconds(e.pessimistic()), Runs: e.runs})
+		s.Classes = append(s.Classes, ClassStats{Class: c.Name, Mean: seconds(e.mean), Pessimistic: seconds(e.pessimistic(g.rules.Deviations)), Runs: e.runs})
 	}
 	return s
 }
--- a/internal/load/admit/estimate.go
+++ b/internal/load/admit/estimate.go
@@ -7,19 +7,10 @@
 	"mangowinch/internal/load/queue"
 )
 
-// Parameters of the estimate of service times.
-const (
-	// gain is the weight of the newest run, as in TCP's round-trip estimate: some
-	// ten runs make up the mean, so a server that turns slow is believed within three
-	// rounds of its slots.
-	gain = 0.125
-	// spread is how many mean deviations over the mean count as pessimistic.
-	spread = 2
-	// slack multiplies the expected wait (the name and the idea are Jockey's,
-	// EuroSys 2012, section 4.3: the prediction is inflated, since a missed deadline
-	// costs more than a refusal).
-	slack = 1.2
-)
+// gain is the weight of the newest run, as in TCP's round-trip estimate: some ten
+// runs make up the mean, so a server that turns slow is believed within three rounds
+// of its slots.
+const gain = 0.125
 
 // estimate follows the service time of one class.
 type estimate struct {
@@ -38,8 +29,8 @@
 	e.deviation += gain * (max(miss, -miss) - e.deviation)
 }
 
-func (e *estimate) pessimistic() float64 {
-	return e.mean + spread*e.deviation
+func (e *estimate) pessimistic(deviations float64) float64 {
+	return e.mean + deviations*e.deviation
 }
 
 func (g *Gate) estimate(class string) *estimate {
@@ -59,20 +50,20 @@
 
 // finish is a pessimistic estimate of how long a request that has to wait takes
 // until its answer.
-func (g *Gate) finish(now time.Time, l *lane, r Request) time.Duration {
-	return seconds(slack*g.wait(now, l, r.Caller) + g.estimate(r.Class).pessimistic())
+func (g *Gate) finish(wait time.Duration, class string) time.Duration {
+	return wait + seconds(g.estimate(class).pessimistic(g.rules.Deviations))
 }
 
-// wait is the expected wait of a new request of a caller, in seconds: the work
-// that starts before it, over the slots that its kind can count on.
-func (g *Gate) wait(now time.Time, l *lane, c queue.Caller) float64 {
+// wait is the expected wait of a new request of a caller, with slack: the work that
+// starts before it, over the slots that its kind can count on.
+func (g *Gate) wait(now time.Time, l *lane, c queue.Caller) time.Duration {
 	work := l.waiting.Ahead(c)
 	for _, r := range g.running {
 		if r.kind == l.kind {
 			work += g.remaining(now, r)
 		}
 	}
-	return work / float64(g.turnover(l))
+	return seconds(g.rules.Slack * work / float64(g.turnover(l)))
 }
 
 // remaining is what a run still takes. A run that is over its mean may be one of
@@ -85,13 +76,13 @@
 // turnover is how many slots a kind can count on while all kinds wait.
 func (g *Gate) turnover(l *lane) int {
 	if l.kind != docs.Lookup {
-		return max(1, g.limits.longSlots()-g.long()+l.inflight)
+		return max(1, g.longSlots()-g.long()+l.inflight)
 	}
 	long := g.long()
 	for _, k := range []docs.Kind{docs.Feed, docs.Upload} {
 		long += g.lanes[k].waiting.Len()
 	}
-	return max(1, g.limits.Slots-min(long, g.limits.longSlots()))
+	return max(1, g.limits.Slots-min(long, g.longSlots()))
 }
 
 // latest is when a waiting request has to start at the latest.
--- a/internal/load/admit/limits.go
+++ b/internal/load/admit/limits.go
@@ -31,10 +31,22 @@
 	return longWeight
 }
 
-// longSlots is how many slots feeds and uploads may hold together: half, so that
-// lookups always find the other half turning over quickly.
-func (l Limits) longSlots() int {
-	return max(1, l.Slots/2)
+// Rules are the thresholds of admission.
+type Rules struct {
+	Slack      float64 // the expected wait is multiplied by this
+	Deviations float64 // mean deviations over the mean service time that count as pessimistic
+	Wait       float64 // share of the time left to the deadline that may be spent waiting
+	Long       float64 // share of the slots that feeds and uploads may hold together
+}
+
+// Default are the thresholds in use; docs/design/load.md has the runs behind them.
+// Slack is Jockey's (EuroSys 2012, section 4.3): the prediction is inflated,
+// since a missed deadline costs more than a refusal.
+var Default = Rules{Slack: 1.2, Deviations: 2, Wait: 1, Long: 0.5}
+
+// longSlots is how many slots feeds and uploads may hold together.
+func (g *Gate) longSlots() int {
+	return max(1, int(g.rules.Long*float64(g.limits.Slots)))
 }
 
 func (l Limits) class(name string) (docs.Class, bool) {
