--- a/internal/work/token/owner.go
+++ b/internal/work/token/owner.go
@@ -8,10 +8,10 @@
 	"mangowinch/internal/work/result"
 )
 
-// DefaultLifetime is how long a key may be used for the first time and how long
-// its outcome is remembered. It is a few times the longest deadline of a short
-// request, and short enough that a full day's keys need not be remembered.
-const DefaultLifetime = 10 * time.Minute
+// DefaultLifetime is how long a key may be used, the first time and again: so long
+// its outcome is remembered. It is several times the deadline of a short request;
+// each minute more costs the owner's memory one record a request it ran in a minute.
+const DefaultLifetime = 2 * time.Minute
 
 // ComeBack is said when the owner's address is not known here. It is the time in
 // which a new document reaches every process: by then either the address is known,
