--- a/cmd/standin/serve.go
+++ b/cmd/standin/serve.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -74,11 +75,12 @@
 	Cold        time.Duration  `default:"2s" help:"Time after the start in which work is slow."`
 	Lag         time.Duration  `default:"0s" help:"Health and load are reported as they were this long ago."`
 	Lie         bool           `help:"Report a load of none."`
+	Journal     string         `type:"path" help:"File that gets a line at the start and the end of each execution."`
 }
 
 // Run serves until the context ends, then drains.
 func (c *serverCommand) Run(ctx context.Context, log zerolog.Logger) error {
-	s := server.New(server.Settings{
+	settings := server.Settings{
 		Slots:   c.Slots,
 		Queue:   c.Queue,
 		Service: c.Service,
@@ -86,7 +88,16 @@
 		Lag:     c.Lag,
 		Lie:     c.Lie,
 		Log:     log,
-	})
+	}
+	if c.Journal != "" {
+		file, err := os.OpenFile(c.Journal, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+		if err != nil {
+			return errors.Wrap(err, "open journal")
+		}
+		defer file.Close()
+		settings.Journal = file
+	}
+	s := server.New(settings)
 	stop := context.AfterFunc(ctx, s.Drain)
 	defer stop()
 	return serve(ctx, c.Address, s.Handler(), c.Connections, drainTimeout)
--- a/internal/stand/fleet/fleet.go
+++ b/internal/stand/fleet/fleet.go
@@ -36,10 +36,9 @@
 )
 
 const (
-	readyWithin  = 30 * time.Second // a process that is not ready by then has failed
-	readyEvery   = 20 * time.Millisecond
-	adminPort    = 8501 // of the platform's and the fabric's stand-in
-	drainedAfter = 5 * time.Second
+	readyWithin = 30 * time.Second // a process that is not ready by then has failed
+	readyEvery  = 20 * time.Millisecond
+	adminPort   = 8501 // of the platform's and the fabric's stand-in
 )
 
 // Settings say what to start.
@@ -146,7 +145,8 @@
 }
 
 func (f *Fleet) serverArguments(n *prefs.Settings) []string {
-	arguments := []string{"server", "--address", n.Agent.Backend.Host, "--cold", "0s"}
+	arguments := []string{"server", "--address", n.Agent.Backend.Host, "--cold", "0s",
+		"--journal", f.journal(n.Process.Name)}
 	server, ok := f.Server(n.Agent.Service, n.Agent.Server)
 	if !ok {
 		return arguments
--- /dev/null
+++ b/internal/stand/fleet/history.go
@@ -0,0 +1,75 @@
+package fleet
+
+import (
+	"bufio"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"mangowinch/internal/stand/check"
+	"mangowinch/internal/stand/server"
+)
+
+func (f *Fleet) journal(agent string) string {
+	return filepath.Join(f.Directory, "logs", agent+".journal")
+}
+
+// Executions returns what ran at all servers since the fleet was started, also at
+// servers that have been killed.
+func (f *Fleet) Executions() (executions []check.Execution, err error) {
+	defer func() { err = errors.Wrap(err, "read journals") }()
+	for _, n := range f.Nodes {
+		if n.Agent == nil {
+			continue
+		}
+		ran, err := readJournal(f.journal(n.Process.Name))
+		if err != nil {
+			return nil, err
+		}
+		for _, e := range ran {
+			executions = append(executions, check.Execution{
+				Service: n.Agent.Service,
+				Server:  n.Agent.Server,
+				Token:   Token(e.Path),
+				At:      e.At,
+			})
+		}
+	}
+	return executions, nil
+}
+
+// readJournal returns the executions that began.
+func readJournal(path string) (executions []server.Execution, err error) {
+	file, err := os.Open(path)
+	if os.IsNotExist(err) {
+		return nil, nil // the server never started
+	}
+	if err != nil {
+		return nil, err
+	}
+	defer file.Close()
+	lines := bufio.NewScanner(file)
+	for lines.Scan() {
+		var e server.Execution
+		if err := json.Unmarshal(lines.Bytes(), &e); err != nil {
+			return nil, errors.Wrapf(err, "%s", path)
+		}
+		if e.End == "" {
+			executions = append(executions, e)
+		}
+	}
+	return executions, lines.Err()
+}
+
+// Token returns the part of a request's path that names the request: the second.
+func Token(path string) string {
+	path, _, _ = strings.Cut(path, "?")
+	parts := strings.SplitN(path, "/", 4)
+	if len(parts) < 3 {
+		return path
+	}
+	return parts[2]
+}
--- a/internal/stand/server/server.go
+++ b/internal/stand/server/server.go
@@ -18,6 +18,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -33,6 +35,7 @@
 	Cold    time.Duration // time after the start in which work is slow
 	Lag     time.Duration // health and load are reported as they were this long ago
 	Lie     bool          // load is reported as none
+	Journal io.Writer     // gets a line of JSON at the start and the end of each execution, if not nil
 	Log     zerolog.Logger
 }
 
@@ -196,6 +199,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.counts.Ran++
+	s.journal(e)
 	if len(s.history) >= historyKept {
 		s.dropped++
 		return e
@@ -204,10 +208,26 @@
 	return e
 }
 
+// journal writes an execution down, where a kill of the process does not lose it.
+// The mutex is held.
+func (s *Server) journal(e *Execution) {
+	if s.settings.Journal == nil {
+		return
+	}
+	line, err := json.Marshal(e)
+	if err == nil {
+		_, err = s.settings.Journal.Write(append(line, '\n'))
+	}
+	if err != nil {
+		s.settings.Log.Error().Err(err).Msg("journal not written")
+	}
+}
+
 func (s *Server) end(e *Execution, how string) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	e.End = how
+	s.journal(e)
 	switch how {
 	case "cancelled":
 		s.counts.Cancelled++
