--- a/internal/oper/verbs/agent.go
+++ b/internal/oper/verbs/agent.go
@@ -1,9 +1,12 @@
 package verbs
 
 import (
+	"context"
+
 	"github.com/cockroachdb/errors"
 
 	"mangowinch/internal/conf/prefs"
+	"mangowinch/internal/node/start"
 )
 
 // AgentCmd runs an agent.
@@ -15,7 +18,7 @@
 func (*AgentCmd) Help() string { return roleHelp }
 
 // Run runs the agent until it is told to stop.
-func (c *AgentCmd) Run() error {
+func (c *AgentCmd) Run(ctx context.Context) error {
 	s, err := prefs.Load(c.Settings)
 	if err == nil && s.Agent == nil {
 		err = errors.Newf("%s: [agent]: missing", c.Settings)
@@ -23,5 +26,5 @@
 	if err != nil {
 		return fail(exitUse, err)
 	}
-	return fail(exitFault, errors.New("the agent is not built yet")) // TODO(issue 3)
+	return fail(exitFault, start.Agent(ctx, s))
 }
--- a/internal/oper/verbs/verbs_test.go
+++ b/internal/oper/verbs/verbs_test.go
@@ -177,3 +177,16 @@
 	assert.Equal(t, code, exitUse)
 	assert.Assert(t, strings.Contains(err, "outcome      not-run"), err)
 }
+
+// An instance's start script mixes up two settings files. The process must end at
+// once and say what it misses, rather than run in the wrong role.
+func TestRolesWantTheirSettings(t *testing.T) {
+	directory := certified(t)
+	assert.NilError(t, os.CopyFS(directory, os.DirFS("testdata/check")))
+	code, _, err := run("entry", "--settings", filepath.Join(directory, "agent.ini"))
+	assert.Equal(t, code, exitUse)
+	assert.Assert(t, strings.Contains(err, "[entry]: missing"), err)
+	code, _, err = run("agent", "--settings", filepath.Join(directory, "faulty.ini"))
+	assert.Equal(t, code, exitUse)
+	assert.Assert(t, strings.Contains(err, "[process]: missing"), err)
+}
