--- a/internal/oper/verbs/entry.go
+++ b/internal/oper/verbs/entry.go
@@ -9,6 +9,11 @@
 	"mangowinch/internal/node/start"
 )
 
+const roleHelp = `SIGTERM asks for a planned stop: what is in progress ends first. A second signal ends the process at once.
+
+Exit codes: 0 stopped as planned; 1 failed: a socket could not be opened, or it broke off; 2 wrong use or faulty
+settings.`
+
 // EntryCmd runs an entry.
 type EntryCmd struct {
 	Settings string `required:"" type:"path" help:"Settings file with an [entry] section."`
@@ -17,10 +22,6 @@
 // Help is shown under the verb's own --help.
 func (*EntryCmd) Help() string { return roleHelp }
 
-const roleHelp = `SIGTERM asks for a planned stop: what is in progress ends first. A second signal ends the process at once.
-
-Exit codes: 0 stopped as planned; 1 failed while it ran; 2 could not start: wrong use or faulty settings.`
-
 // Run runs the entry until it is told to stop.
 func (c *EntryCmd) Run(ctx context.Context) error {
 	s, err := prefs.Load(c.Settings)
