Take a renewed certificate into use without cutting flows

Cause: the agent read its certificate once, so a renewal needed a restart, which either cuts feeds or waits hours for them.

A certificate is looked at in handshakes only.

Package start hands GetCertificate to the agent.

--- a/internal/node/start/start.go
+++ b/internal/node/start/start.go
@@ -17,6 +17,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"mangowinch/internal/conf/certs"
 	"mangowinch/internal/conf/docs"
 	"mangowinch/internal/conf/prefs"
 	"mangowinch/internal/conf/store"
@@ -68,11 +69,14 @@
 	if settings.Agent == nil {
 		return errors.New("the settings have no section agent")
 	}
-	pair, err := tls.LoadX509KeyPair(settings.Agent.Certificate, settings.Agent.Private)
+	pair, err := certs.Open(settings.Agent.Certificate, settings.Agent.Private, p.log)
 	if err != nil {
-		return errors.Wrap(err, "load certificate")
+		return err
 	}
-	a, err := agent.New(settings, p.store, &tls.Config{Certificates: []tls.Certificate{pair}}, p.log)
+	watching, stop := context.WithCancel(context.WithoutCancel(ctx)) // a planned stop may take hours
+	defer stop()
+	go pair.Watch(watching)
+	a, err := agent.New(settings, p.store, &tls.Config{GetCertificate: pair.GetCertificate}, p.log)
 	if err != nil {
 		return err
 	}
--- a/internal/oper/verbs/certify.go
+++ b/internal/oper/verbs/certify.go
@@ -1,15 +1,9 @@
 package verbs
 
 import (
-	"crypto/ecdsa"
-	"crypto/elliptic"
 	"crypto/rand"
-	"crypto/x509"
-	"crypto/x509/pkix"
 	"encoding/hex"
-	"encoding/pem"
 	"fmt"
-	"math/big"
 	"net"
 	"os"
 	"path/filepath"
@@ -17,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"mangowinch/internal/conf/certs"
 	"mangowinch/internal/conf/prefs"
 )
 
@@ -48,7 +43,7 @@
 func (c *CertifyCmd) Run(o *console) (err error) {
 	defer func() { err = fail(exitUse, errors.Wrap(err, "certify")) }()
 
-	certificate, private, err := selfSigned(c.Addresses, c.Names, time.Now(), c.Valid)
+	certificate, private, err := certs.SelfSigned(c.Addresses, c.Names, time.Now(), c.Valid)
 	if err != nil {
 		return err
 	}
@@ -72,37 +67,6 @@
 	text []byte
 }
 
-// selfSigned returns a certificate that vouches for itself, and its private key, in PEM.
-func selfSigned(addresses []net.IP, names []string, now time.Time, valid time.Duration) (certificate, private []byte, err error) {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		return nil, nil, err
-	}
-	template := &x509.Certificate{
-		SerialNumber:          big.NewInt(now.UnixNano()),
-		Subject:               pkix.Name{CommonName: "mangowinch demonstration"},
-		NotBefore:             now.Add(-time.Hour), // for clocks that lag
-		NotAfter:              now.Add(valid),
-		KeyUsage:              x509.KeyUsageDigitalSignature | x509.KeyUsageCertSign,
-		ExtKeyUsage:           []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth},
-		BasicConstraintsValid: true,
-		IsCA:                  true,
-		IPAddresses:           addresses,
-		DNSNames:              names,
-	}
-	raw, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
-	if err != nil {
-		return nil, nil, err
-	}
-	rawKey, err := x509.MarshalPKCS8PrivateKey(key)
-	if err != nil {
-		return nil, nil, err
-	}
-	certificate = pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: raw})
-	private = pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: rawKey})
-	return certificate, private, nil
-}
-
 // writeNew writes a file that only its owner may read and that is not there yet.
 func writeNew(path string, text []byte) (err error) {
 	f, err := os.OpenFile(path, os.O_CREATE|os.O_EXCL|os.O_WRONLY, 0o600)
