Add the demo: one deployment as separate processes, an entry killed under a feed

Ruled out on the way: launchers on 127.0.0.0/16. Another set of processes started by hand there answered in place of ours, whose own had ended with the address in use. Fleets now take blocks from 127.1.0.0/16 on, and a process that has ended is never taken for ready.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -15,6 +15,7 @@
 	Platform platformCommand `cmd:"" help:"Serve a directory of service documents and an instance list, read only."`
 	Fabric   fabricCommand   `cmd:"" help:"Spray the datagrams of callers over entries."`
 	Server   serverCommand   `cmd:"" help:"Be a backend server."`
+	Demo     demoCommand     `cmd:"" help:"Start a deployment, call it, kill an entry under a feed, say what happened."`
 }
 
 func main() {
--- /dev/null
+++ b/internal/stand/demo/demo.go
@@ -0,0 +1,130 @@
+// Package demo shows the whole path at work: one deployment as separate processes
+// on loopback, a lookup, a feed and an upload through sprayed packets, and an
+// entry that is killed under an open feed.
+//
+// It is for people who see the project for the first time. It proves little: that
+// is the work of package faults.
+//
+// # Usage
+//
+//	whole, err := demo.Run(ctx, os.Stdout, fleet.Settings{Deployment: "examples/zagreb", Binaries: "out"})
+package demo
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"mangowinch/internal/stand/client"
+	"mangowinch/internal/stand/fleet"
+	"mangowinch/internal/work/result"
+)
+
+const (
+	feedLines  = 150
+	feedEvery  = 20 * time.Millisecond
+	killAfter  = time.Second
+	uploadSize = 4 << 20
+	limit      = time.Minute
+)
+
+// step is one line of the table.
+type step struct {
+	what   string
+	answer client.Answer
+	want   string
+	took   time.Duration
+}
+
+func (s step) whole() bool { return s.answer.Outcome == result.Ran && s.answer.Body == s.want }
+
+// Run starts the deployment, shows it and stops it. It reports whether every
+// answer came whole.
+func Run(ctx context.Context, out io.Writer, settings fleet.Settings) (whole bool, err error) {
+	defer func() { err = errors.Wrap(err, "demo") }()
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	begun := time.Now()
+	f, err := fleet.Start(ctx, settings)
+	if err != nil {
+		return false, err
+	}
+	defer f.Close()
+	fmt.Fprintf(out, "%d processes ready after %s\n\n", len(f.Names()), time.Since(begun).Round(time.Millisecond))
+
+	caller, err := dial(ctx, f)
+	if err != nil {
+		return false, err
+	}
+	defer caller.Close()
+	body := bytes.Repeat([]byte("document"), uploadSize/8)
+	steps := []step{
+		lookup(ctx, caller, "before"),
+		upload(ctx, caller, "scan", body),
+		feedUnderKill(ctx, f, caller),
+		lookup(ctx, caller, "after"),
+	}
+	return report(out, steps), nil
+}
+
+func dial(ctx context.Context, f *fleet.Fleet) (*client.Caller, error) {
+	s := f.Services[len(f.Services)-1]
+	local := s.Callers[0].Networks[0].Addr().Next()
+	return client.Dial(ctx, client.Settings{Local: local, Service: s.Address, Name: s.Name, Roots: f.Roots})
+}
+
+func lookup(ctx context.Context, c *client.Caller, name string) step {
+	path := "/lookup/" + name
+	return run(ctx, c, "lookup "+name+" the kill", path+" claim\n",
+		client.Request{Method: "POST", Path: path, Body: strings.NewReader("claim")})
+}
+
+func upload(ctx context.Context, c *client.Caller, name string, body []byte) step {
+	path := "/upload/" + name
+	want := fmt.Sprintf("%s %d %x\n", path, len(body), sha256.Sum256(body))
+	return run(ctx, c, fmt.Sprintf("upload of %d MiB", len(body)>>20), want,
+		client.Request{Method: "POST", Path: path, Body: bytes.NewReader(body)})
+}
+
+// feedUnderKill kills an entry while a feed is open.
+func feedUnderKill(ctx context.Context, f *fleet.Fleet, c *client.Caller) step {
+	path := fmt.Sprintf("/feed/trace?n=%d&every=%s", feedLines, feedEvery)
+	var want strings.Builder
+	for i := 1; i <= feedLines; i++ {
+		fmt.Fprintf(&want, "%d %s\n", i, path)
+	}
+	victim := f.Entries()[0].Process.Name
+	timer := time.AfterFunc(killAfter, func() { f.Process(victim).Kill() })
+	defer timer.Stop()
+	what := fmt.Sprintf("feed of %s, entry %s killed after %s", feedLines*feedEvery, victim, killAfter)
+	return run(ctx, c, what, want.String(), client.Request{Method: "GET", Path: path})
+}
+
+func run(ctx context.Context, c *client.Caller, what, want string, r client.Request) step {
+	begun := time.Now()
+	answer := c.Do(ctx, r)
+	return step{what: what, answer: answer, want: want, took: time.Since(begun)}
+}
+
+func report(out io.Writer, steps []step) (whole bool) {
+	whole = true
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "request\toutcome\tanswer\ttook")
+	for _, s := range steps {
+		answer := "whole"
+		if !s.whole() {
+			whole = false
+			answer = fmt.Sprintf("%d of %d bytes: %v %s", len(s.answer.Body), len(s.want), s.answer.Err, s.answer.Reason)
+		}
+		fmt.Fprintf(table, "%s\t%s\t%s\t%s\n", s.what, s.answer.Outcome, answer, s.took.Round(time.Millisecond))
+	}
+	_ = table.Flush() // the writer is a terminal or a test's buffer
+	return whole
+}
--- a/internal/stand/fleet/copy.go
+++ b/internal/stand/fleet/copy.go
@@ -15,7 +15,9 @@
 )
 
 const (
-	blocks    = 200 // 127.0.0.0/16 to 127.199.0.0/16
+	// Blocks are 127.1.0.0/16 to 127.199.0.0/16. The examples' own 127.0.0.0/16 is
+	// left to people who start an example's processes by hand.
+	blocks    = 200
 	claimPort = 65000
 )
 
@@ -30,7 +32,7 @@
 // claimBlock takes the first free block. A socket that only one process can open
 // marks it as taken, and closes with its owner, however that ends.
 func claimBlock() (*block, error) {
-	for octet := range blocks {
+	for octet := 1; octet < blocks; octet++ {
 		claim, err := net.Listen("tcp", fmt.Sprintf("127.%d.255.254:%d", octet, claimPort))
 		if err == nil {
 			return &block{octet: octet, claim: claim}, nil
--- a/internal/stand/fleet/fleet.go
+++ b/internal/stand/fleet/fleet.go
@@ -66,30 +66,33 @@
 func Start(ctx context.Context, s Settings) (f *Fleet, err error) {
 	defer func() { err = errors.Wrap(err, "start fleet") }()
 	f = &Fleet{settings: s, Directory: s.Directory, processes: map[string]*Process{}}
+	if err := f.start(ctx); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *Fleet) start(ctx context.Context) (err error) {
 	if f.Directory == "" {
 		f.temporary = true
 		if f.Directory, err = os.MkdirTemp("", "mangowinch-"); err != nil {
-			return nil, err
+			return err
 		}
 	}
-	defer func() {
-		if err != nil {
-			f.Close()
-		}
-	}()
 	if f.block, err = claimBlock(); err != nil {
-		return nil, err
+		return err
 	}
 	if err := f.layOut(); err != nil {
-		return nil, err
+		return err
 	}
 	f.plan()
 	for _, name := range f.order {
 		if err := f.processes[name].Start(); err != nil {
-			return nil, err
+			return err
 		}
 	}
-	return f, f.AwaitReady(ctx, f.order...)
+	return f.AwaitReady(ctx, f.order...)
 }
 
 // layOut copies the deployment, makes its keys and reads what was copied.
@@ -140,7 +143,7 @@
 			role = "agent"
 		}
 		file := filepath.Join(f.settingsDirectory(), n.Process.Name+".ini")
-		f.add(n.Process.Name, n.Process.Operator, program, role, file)
+		f.add(n.Process.Name, n.Process.Operator, program, role, "--settings", file)
 	}
 }
 
@@ -231,13 +234,27 @@
 		for !p.ready(ctx) {
 			select {
 			case <-p.Ended():
-				return errors.Newf("%s ended at once; see %s", name, p.logFile)
+				return errors.Newf("%s ended at once: %s", name, p.lastLine())
 			case <-ctx.Done():
-				return errors.Newf("%s is not ready after %s; see %s", name, readyWithin, p.logFile)
+				return errors.Newf("%s is not ready after %s: %s", name, readyWithin, p.lastLine())
 			case <-time.After(readyEvery):
 			}
 		}
 	}
+	return f.noneEnded(names)
+}
+
+// noneEnded guards against a process that found its address taken and ended, while
+// whoever took the address answered in its place.
+func (f *Fleet) noneEnded(names []string) error {
+	for _, name := range names {
+		p := f.Process(name)
+		select {
+		case <-p.Ended():
+			return errors.Newf("%s ended at once: %s", name, p.lastLine())
+		default:
+		}
+	}
 	return nil
 }
 
--- a/internal/stand/fleet/process.go
+++ b/internal/stand/fleet/process.go
@@ -6,6 +6,7 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 
@@ -116,4 +117,14 @@
 	_ = command.Process.Signal(s)
 }
 
+// lastLine returns the last line of the process's output.
+func (p *Process) lastLine() string {
+	text, err := os.ReadFile(p.logFile)
+	if err != nil {
+		return err.Error()
+	}
+	lines := strings.Split(strings.TrimSpace(string(text)), "\n")
+	return lines[len(lines)-1]
+}
+
 func itoa(n int) string { return strconv.Itoa(n) }
