--- /dev/null
+++ b/cmd/verdict/main.go
@@ -0,0 +1,57 @@
+// Command verdict reads the output of go test -json and says whether the run passes;
+// see package known. It shows the output of what failed.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/cockroachdb/errors"
+
+	"mangowinch/internal/oper/known"
+)
+
+func main() {
+	list := flag.String("known", "KNOWN-RED.txt", "list of tests that are known to fail; need not be there")
+	events := flag.String("events", "", "output of go test -json")
+	status := flag.Int("status", 0, "exit code of go test")
+	flag.Parse()
+	pass, err := judge(*list, *events, *status)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "verdict: %v\n", err)
+		os.Exit(2)
+	}
+	if !pass {
+		os.Exit(1)
+	}
+}
+
+func judge(list, events string, status int) (pass bool, err error) {
+	text, err := os.ReadFile(list)
+	if err != nil && !errors.Is(err, os.ErrNotExist) {
+		return false, err
+	}
+	reds, err := known.Parse(string(text))
+	if err != nil {
+		return false, err
+	}
+	f, err := os.Open(events)
+	if err != nil {
+		return false, err
+	}
+	defer f.Close()
+	v, err := known.Judge(f, status, reds)
+	if err != nil {
+		return false, err
+	}
+	if _, err := f.Seek(0, io.SeekStart); err != nil {
+		return false, err
+	}
+	if err := known.Show(f, os.Stdout); err != nil {
+		return false, err
+	}
+	v.Print(os.Stdout)
+	return v.Pass(), nil
+}
