Notice a pause; show frames' newer revisions to whoever keeps documents

Cause: a process that was stopped goes on with old beliefs. Ruled out: comparing wall clock with monotonic clock, which shows only suspended machines, not stopped processes.

--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -24,6 +24,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"sync/atomic"
 	"time"
@@ -40,6 +41,7 @@
 	"mangowinch/internal/conf/store"
 	"mangowinch/internal/flow/ident"
 	"mangowinch/internal/load/admit"
+	"mangowinch/internal/node/awake"
 	"mangowinch/internal/node/gate"
 	"mangowinch/internal/node/rings"
 	"mangowinch/internal/work/result"
@@ -84,10 +86,25 @@
 	handler     Handler
 	requests    atomic.Int64 // in progress
 	nonce       atomic.Uint64
+	hooks       Hooks
+	hinted      atomic.Int64  // Unix nanoseconds of the last call of Hooks.Newer
 	load        atomic.Uint32 // in thousandths of the slots, see measureLoad
 	count       counters
 }
 
+// Hooks connect the agent to whoever keeps its documents. Both may be nil.
+type Hooks struct {
+	// Newer is called when a frame shows that the process at link has a newer
+	// document of the own service. It must not block.
+	Newer func(link netip.AddrPort, service string, revision uint64)
+	// Refresh asks for the newest document after a pause. It returns when it has
+	// asked somebody, or with ctx.
+	Refresh func(ctx context.Context)
+}
+
+// SetHooks is to be called before Run.
+func (a *Agent) SetHooks(h Hooks) { a.hooks = h }
+
 // snapshot is what the document in force says; it is immutable.
 type snapshot struct {
 	document *docs.Service
@@ -160,6 +177,10 @@
 		a.keepHealth(inner)
 		return nil
 	})
+	g.Go(func() error {
+		awake.Watch(inner, func(pause time.Duration) { a.woken(inner, pause) })
+		return nil
+	})
 	g.Go(func() error {
 		<-ctx.Done()
 		a.stop(inner)
--- a/internal/node/agent/counts.go
+++ b/internal/node/agent/counts.go
@@ -15,7 +15,7 @@
 type counters struct {
 	service string
 
-	kept, passed, returned, probes *metrics.Counter
+	kept, passed, returned, probes, woken, hints *metrics.Counter
 
 	short, forged, stray, kind *metrics.Counter // unreadable, not authentic, of another service, of no use here
 	foreign, hops, owner       *metrics.Counter // ID of nobody, passed on too often, server not in the document
@@ -37,6 +37,8 @@
 		passed:   event("passed"),
 		returned: event("returned"),
 		probes:   event("probes"),
+		woken:    event("woken"),
+		hints:    event("hints"),
 		short:    dropped("short"),
 		forged:   dropped("forged"),
 		stray:    dropped("service"),
--- a/internal/node/agent/enter.go
+++ b/internal/node/agent/enter.go
@@ -15,7 +15,7 @@
 func (a *Agent) enter(next Handler) Handler {
 	return func(ctx context.Context, x *Exchange) result.Result {
 		if !a.standing.accepting() {
-			return refuse(result.LeavingServer, comeBack)
+			return refuse(a.standing.reason(), comeBack)
 		}
 		pass, refused := a.gate.Enter(ctx, gate.Request{
 			Class:    x.Class.Name,
--- a/internal/node/agent/leave.go
+++ b/internal/node/agent/leave.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 
 	"github.com/rs/zerolog"
+
+	"mangowinch/internal/work/result"
 )
 
 // cause is who says that the server takes no new work.
@@ -55,6 +57,19 @@
 // accepting says whether the server takes new work.
 func (s *standing) accepting() bool { return !s.closed.Load() }
 
+// reason is what a request is told that is not taken.
+func (s *standing) reason() result.Reason {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.causes) == 1 && s.causes[0] == byWaking {
+		return result.StaleView
+	}
+	if slices.Contains(s.causes, byDown) {
+		return result.ServerDown
+	}
+	return result.LeavingServer
+}
+
 // why lists the causes for operators; empty while the server takes new work.
 func (s *standing) why() string {
 	s.mu.Lock()
--- a/internal/node/agent/link.go
+++ b/internal/node/agent/link.go
@@ -84,6 +84,9 @@
 		a.count.refuse(err)
 		return
 	}
+	if h.Revision > v.revision {
+		a.hint(now, h.Entry, h.Revision)
+	}
 	switch h.Kind {
 	case frame.Echo:
 		l.mu.Lock()
--- a/internal/node/entry/counts.go
+++ b/internal/node/entry/counts.go
@@ -15,6 +15,7 @@
 	unsent, forged               *metrics.Counter // the kernel refused it, frame not authentic
 	unusable, conflict           *metrics.Counter // document or address that cannot be used
 	silent                       *metrics.Counter // servers found silent
+	hints                        *metrics.Counter // frames that showed a newer document
 }
 
 func newCounters(service string) counters {
@@ -32,6 +33,7 @@
 		returned:  event("returned"),
 		echoes:    event("echoes"),
 		silent:    event("silent"),
+		hints:     event("hints"),
 		short:     dropped("short"),
 		opener:    dropped("opener"),
 		foreign:   dropped("foreign"),
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -31,6 +31,7 @@
 
 	"mangowinch/internal/conf/prefs"
 	"mangowinch/internal/conf/store"
+	"mangowinch/internal/node/awake"
 )
 
 const (
@@ -54,6 +55,7 @@
 	link     *net.UDPConn
 	leaving  atomic.Bool
 	lastUsed atomic.Int64 // Unix nanoseconds of the last caller's datagram
+	hooks    Hooks
 
 	// mu guards services and doors while the set of services changes. Datagrams
 	// are forwarded from tags and from a door's own pointer, without the lock.
@@ -63,6 +65,18 @@
 	tags     atomic.Pointer[map[uint64]*service]
 }
 
+// Hooks connect the entry to whoever keeps its documents. Both may be nil.
+type Hooks struct {
+	// Newer is called when a frame shows that the agent at link has a newer
+	// document of a service. It must not block.
+	Newer func(link netip.AddrPort, service string, revision uint64)
+	// Refresh asks for the newest documents after a pause.
+	Refresh func(ctx context.Context)
+}
+
+// SetHooks is to be called before Run.
+func (e *Entry) SetHooks(h Hooks) { e.hooks = h }
+
 // New opens the link and returns an entry that serves no address yet.
 func New(settings *prefs.Settings, documents *store.Store, log zerolog.Logger) (e *Entry, err error) {
 	defer func() { err = errors.Wrap(err, "start entry") }()
@@ -109,6 +123,10 @@
 		e.keepServices(inner)
 		return nil
 	})
+	g.Go(func() error {
+		awake.Watch(inner, func(pause time.Duration) { e.woken(inner, pause) })
+		return nil
+	})
 	g.Go(func() error {
 		<-ctx.Done()
 		e.leave(inner)
--- a/internal/node/entry/outward.go
+++ b/internal/node/entry/outward.go
@@ -51,7 +51,11 @@
 		s.count.forged.Inc()
 		return
 	}
-	s.heard(time.Now(), h.Server, h.Flags&frame.Leaving != 0)
+	now := time.Now()
+	if h.Revision > v.revision {
+		e.hint(now, s, from, h.Revision)
+	}
+	s.heard(now, h.Server, h.Flags&frame.Leaving != 0)
 	switch h.Kind {
 	case frame.Return:
 		s.giveBack(h.Caller, payload)
--- a/internal/node/entry/services.go
+++ b/internal/node/entry/services.go
@@ -27,6 +27,8 @@
 	now   atomic.Pointer[snapshot]
 	door  atomic.Pointer[door]
 	count counters
+	// hinted is the time of the last call of Hooks.Newer, in Unix nanoseconds.
+	hinted atomic.Int64
 
 	// mu guards the beliefs that snapshots are made of.
 	mu      sync.Mutex
