Show in /status what was refused, dropped or tried again, and why

Cause: an operator had to find the counters that moved among a hundred lines of /metrics. Section reasons lists those with a reason that are not zero, the largest first. It reads the text of /metrics: a register beside the counters could differ from them, and each package would have to fill it.

--- a/internal/conf/certs/certs.go
+++ b/internal/conf/certs/certs.go
@@ -37,17 +37,13 @@
 // hours before they end; ten seconds is soon enough and costs two small reads.
 const Interval = 10 * time.Second
 
-var (
-	loaded = metrics.GetOrCreateCounter(`mangowinch_certificate_reloads_total{result="loaded"}`)
-	bad    = metrics.GetOrCreateCounter(`mangowinch_certificate_reloads_total{result="bad"}`)
-	until  = metrics.GetOrCreateGauge(`mangowinch_certificate_until_seconds`, nil) // Unix time at which the one in use ends
-)
-
 // Pair is a certificate and its private key, read from two files.
 type Pair struct {
 	certificate, private string // paths
 	logger               zerolog.Logger
 	current              atomic.Pointer[tls.Certificate]
+	loaded, bad          *metrics.Counter // only a process with a certificate has them
+	until                *metrics.Gauge   // Unix time at which the certificate in use ends
 
 	// Owned by Watch.
 	inUse  text
@@ -67,7 +63,14 @@
 func Open(certificate, private string, logger zerolog.Logger) (pair *Pair, err error) {
 	defer func() { err = errors.Wrap(err, "certificate") }()
 
-	p := &Pair{certificate: certificate, private: private, logger: logger}
+	p := &Pair{
+		certificate: certificate,
+		private:     private,
+		logger:      logger,
+		loaded:      metrics.GetOrCreateCounter(`mangowinch_certificate_reloads_total{result="loaded"}`),
+		bad:         metrics.GetOrCreateCounter(`mangowinch_certificate_reloads_total{result="bad"}`),
+		until:       metrics.GetOrCreateGauge(`mangowinch_certificate_until_seconds`, nil),
+	}
 	t, err := p.read()
 	if err != nil {
 		return nil, err
@@ -113,7 +116,7 @@
 		return
 	}
 	p.failed = ""
-	loaded.Inc()
+	p.loaded.Inc()
 	p.logger.Info().Time("until", p.current.Load().Leaf.NotAfter).Msg("certificate in use")
 }
 
@@ -122,7 +125,7 @@
 		return
 	}
 	p.failed = err.Error()
-	bad.Inc()
+	p.bad.Inc()
 	p.logger.Error().Err(err).Msg("certificate cannot be used; the last good one stays")
 }
 
@@ -148,6 +151,6 @@
 	}
 	p.inUse = t
 	p.current.Store(&pair)
-	until.Set(float64(pair.Leaf.NotAfter.Unix()))
+	p.until.Set(float64(pair.Leaf.NotAfter.Unix()))
 	return nil
 }
--- a/internal/conf/certs/certs_test.go
+++ b/internal/conf/certs/certs_test.go
@@ -65,18 +65,18 @@
 
 		client, server := connect(t, p)
 		defer func() { _ = client.Close() }()
-		failures := bad.Get()
+		failures := p.bad.Get()
 		write(t, directory, "half", 24*time.Hour, false)
 		look()
 		look()
 		assert.Equal(t, p.name(), "old")
-		assert.Equal(t, bad.Get(), failures+1) // once, not at every look
+		assert.Equal(t, p.bad.Get(), failures+1) // once, not at every look
 
-		successes := loaded.Get()
+		successes := p.loaded.Get()
 		write(t, directory, "new", 24*time.Hour, true)
 		look()
 		assert.Equal(t, p.name(), "new")
-		assert.Equal(t, loaded.Get(), successes+1)
+		assert.Equal(t, p.loaded.Get(), successes+1)
 		other, _ := connect(t, p)
 		assert.Equal(t, other.ConnectionState().PeerCertificates[0].DNSNames[0], "new")
 		_ = other.Close()
@@ -93,7 +93,7 @@
 		assert.NilError(t, os.Remove(filepath.Join(directory, "c.pem")))
 		look()
 		assert.Equal(t, p.name(), "new")
-		assert.Equal(t, bad.Get(), failures+3)
+		assert.Equal(t, p.bad.Get(), failures+3)
 	})
 }
 
--- a/internal/oper/admin/admin.go
+++ b/internal/oper/admin/admin.go
@@ -59,9 +59,13 @@
 	sections   map[string]func() any
 }
 
-// New returns a server that listens on address once it runs.
+// New returns a server that listens on address once it runs. Its /status has one
+// section from the start: reasons, the counters that say why something was refused,
+// dropped or tried again.
 func New(address netip.AddrPort, logger zerolog.Logger) *Server {
-	return &Server{address: address, logger: logger, sections: map[string]func() any{}}
+	s := &Server{address: address, logger: logger, sections: map[string]func() any{}}
+	s.Section("reasons", func() any { return reasons() })
+	return s
 }
 
 // Section adds a part to /status. Get is called for each request, from any
--- a/internal/oper/admin/admin_test.go
+++ b/internal/oper/admin/admin_test.go
@@ -60,6 +60,21 @@
 		`mangowinch_refused_total{service="x",reason="queue"} 1`))
 }
 
+// An operator asks why requests are refused. The counters that moved have to come
+// first and in words; those of other kinds and those at zero would only hide them.
+func TestReasons(t *testing.T) {
+	assert.DeepEqual(t, parseReasons(`mangowinch_forwarded_total{service="a"} 9
+mangowinch_requests_total{service="a",outcome="not-run",reason="queue"} 3
+mangowinch_requests_total{service="a",outcome="ran",reason=""} 50
+mangowinch_dropped_total{reason="short",service="b"} 7
+mangowinch_dropped_total{reason="size",service="b"} 0
+go_goroutines{reason="x"} 4
+`), []Reason{
+		{Counter: "dropped_total", Service: "b", Reason: "short", Count: 7},
+		{Counter: "requests_total", Service: "a", Reason: "queue", Other: `outcome="not-run"`, Count: 3},
+	})
+}
+
 func TestNothingCanBeChanged(t *testing.T) {
 	w := httptest.NewRecorder()
 	New(netip.AddrPort{}, zerolog.Nop()).Handler().ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/status", nil))
--- a/internal/oper/verbs/tree.go
+++ b/internal/oper/verbs/tree.go
@@ -52,10 +52,23 @@
 	}
 	t.line(depth, name)
 	for i, x := range list {
-		t.value(depth+1, fmt.Sprint(i), x)
+		t.item(depth+1, i, x)
 	}
 }
 
+// item writes an object of a list under its name if it has one, else under its number.
+func (t *tree) item(depth, i int, x any) {
+	if object, ok := x.(map[string]any); ok {
+		if name, ok := object["name"].(string); ok {
+			rest := maps.Clone(object)
+			delete(rest, "name")
+			t.value(depth, name, rest)
+			return
+		}
+	}
+	t.value(depth, fmt.Sprint(i), x)
+}
+
 func (t *tree) rows(depth int, columns []string, list []any) {
 	w := tabwriter.NewWriter(t.w, 0, 0, 2, ' ', 0)
 	prefix := strings.Repeat(indent, depth)
--- a/internal/oper/verbs/verbs_test.go
+++ b/internal/oper/verbs/verbs_test.go
@@ -77,6 +77,7 @@
 			From     string `json:"from"`
 		}{{"tracing-core", 3, "platform"}, {"doc-intake", 12, ""}}
 	})
+	s.Section("reasons", func() any { return nil }) // the counters of this process depend on the tests before
 	s.Section("refused", func() any { return map[string]any{"queue": 4, "peers": []string{"e1", "e2"}} })
 	server := httptest.NewServer(s.Handler())
 	defer server.Close()
@@ -93,7 +94,7 @@
 
 	code, _, err := run("status", address, "nothing")
 	assert.Equal(t, code, exitUse)
-	assert.Assert(t, strings.Contains(err, `no section "nothing"; there are [documents refused]`))
+	assert.Assert(t, strings.Contains(err, `no section "nothing"; there are [documents reasons refused]`))
 
 	code, _, _ = run("status", "127.0.0.1:1")
 	assert.Equal(t, code, exitUse)
