--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"net/netip"
 	"os"
@@ -10,12 +11,14 @@
 	"github.com/alecthomas/kong"
 
 	"mangowinch/internal/bench/entry"
+	"mangowinch/internal/bench/flows"
 	"mangowinch/internal/bench/relay"
 )
 
 type command struct {
 	Relay relayCommand `cmd:"" help:"Be a bare UDP relay."`
 	Entry entryCommand `cmd:"" help:"Measure an entry against a bare UDP relay."`
+	Flows flowsCommand `cmd:"" help:"Measure flows a second and memory for open flows."`
 }
 
 type relayCommand struct {
@@ -58,6 +61,31 @@
 	return nil
 }
 
+type flowsCommand struct {
+	Deployment string        `default:"examples/zagreb" help:"Directory of a deployment."`
+	Binaries   string        `default:"bin" help:"Directory of the programs."`
+	Service    string        `default:"tracing-core" help:"Service whose flows are opened."`
+	Steps      []int         `default:"700,1400,2800,5600" help:"Open flows over all agents."`
+	Rate       time.Duration `default:"5s" help:"How long flows are opened for the rate."`
+}
+
+// Run prints the memory at each step, the slopes and the rate.
+func (c *flowsCommand) Run() error {
+	r, err := flows.Measure(context.Background(), flows.Plan{Deployment: c.Deployment, Binaries: c.Binaries, Service: c.Service, Steps: c.Steps, Rate: c.Rate})
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%d entries, %d agents\n", r.Entries, r.Agents)
+	fmt.Printf("flows opened and closed: %.0f a second, %d failed\n", r.Rate, r.Failed)
+	fmt.Printf("%8s %12s %12s %8s\n", "flows", "agent KiB", "entry KiB", "answered")
+	for _, p := range r.Points {
+		fmt.Printf("%8d %12d %12d %8d\n", p.Flows, p.Agent>>10, p.Entry>>10, p.Heard)
+	}
+	fmt.Printf("agent: %.1f MB and %.1f KB a flow of its own, R squared %.4f\n", r.Base/1e6, r.PerAgentFlow/1e3, r.Fit)
+	fmt.Printf("entry: %.3f KB a flow of the deployment\n", r.PerEntryFlow/1e3)
+	return nil
+}
+
 func main() {
 	var c command
 	k := kong.Parse(&c, kong.Name("bench"), kong.Description("Measures the data path on loopback."))
