--- a/internal/exper/policy/agents.go
+++ b/internal/exper/policy/agents.go
@@ -55,7 +55,6 @@
 	end    fakes.End
 	reason result.Reason
 	after  time.Duration
-	took   time.Duration // of service
 }
 
 func newAgents(n Name, w *World) *agents {
@@ -153,22 +152,23 @@
 		}
 	}
 	a.placer.Sent(choice.Server)
+	sent := a.now()
 	a.send(to, func() {
 		to.enter(j, func(o outcome) {
-			to.send(a, func() { a.back(j, to, append(slices.Clone(tried), choice.Server), o, answer) })
+			to.send(a, func() { a.back(j, to, append(slices.Clone(tried), choice.Server), sent, o, answer) })
 		})
 	})
 }
 
 // back takes in what came of a try.
-func (a *agent) back(j *fakes.Job, from *agent, tried []uint32, o outcome, answer func(Answer)) {
+func (a *agent) back(j *fakes.Job, from *agent, tried []uint32, sent time.Time, o outcome, answer func(Answer)) {
 	ends := map[fakes.End]place.End{fakes.Good: place.Good, fakes.Late: place.Good, fakes.Shed: place.Shed}
 	end, known := ends[o.end]
 	if !known {
 		end = place.Failed
 	}
 	id := uint32(from.server.ID)
-	a.placer.Ended(a.now(), id, end, o.took)
+	a.placer.Ended(a.now(), id, end, a.now().Sub(sent))
 	if from != a && !from.server.Lie {
 		a.placer.Report(a.now(), id, from.hint()) // rides on the reply
 	}
@@ -210,21 +210,21 @@
 		delete(a.waiting, id)
 		reply(outcome{end: fakes.Shed, reason: d.Reason, after: d.After})
 	}
-	a.apply(d.Change)
+	a.timer()
 }
 
 func (a *agent) start(id uint64) {
 	v := a.waiting[id]
 	v.started = a.now()
 	a.server.Run(v.job, func(end fakes.End) {
-		took, measured := a.now().Sub(v.started), time.Duration(0)
+		took := time.Duration(0) // says nothing of service
 		if end == fakes.Good || end == fakes.Late {
-			measured = took
+			took = a.now().Sub(v.started)
 		}
 		delete(a.waiting, id)
-		c := a.gate.Done(a.now(), id, measured)
+		c := a.gate.Done(a.now(), id, took)
 		a.apply(c)
-		v.reply(outcome{end: end, reason: result.ServerDown, took: took, after: time.Second})
+		v.reply(outcome{end: end, reason: result.ServerDown, after: time.Second})
 	})
 	a.observe()
 }
--- a/internal/load/admit/admit.go
+++ b/internal/load/admit/admit.go
@@ -11,8 +11,8 @@
 //   - Long work among short. A server has 4 or 5 slots but holds 2,000 connections.
 //     Four uploads of some seconds would hold every slot, and lookups of some
 //     milliseconds would wait for seconds. Here long work has a bounded share of the slots.
-//   - A heavy caller. See package queue, which orders what waits and says who gives
-//     way when the queue is full.
+//   - A heavy caller. See package queue, which orders what waits and lets no caller
+//     fill the queue.
 //
 // A feed holds a slot only until the first byte of its answer: it is open for
 // hours, so with 4 slots the fifth caseworker would wait until the evening. After
@@ -68,7 +68,6 @@
 	Verdict Verdict
 	Reason  result.Reason // of a refusal
 	After   time.Duration // of a refusal: when to come back
-	Change  Change        // others that had to give way
 }
 
 // Refused is a request that waited and is given up on. It did not run.
@@ -156,32 +155,15 @@
 	if wait > time.Duration(g.rules.Wait*float64(left)) || g.finish(wait, r.Class) > left {
 		return g.refusal(now, result.TooLate)
 	}
-	change, reason := g.makeRoom(now, l, class, r)
-	if reason != result.NoReason {
+	if !l.waiting.Room(class.Name, r.Caller, class.Queue) {
+		reason := result.ShedCaller
+		if l.waiting.Waiting(class.Name) >= class.Queue {
+			reason = result.QueueFull
+		}
 		return g.refusal(now, reason)
 	}
 	l.waiting.Push(queue.Item{ID: r.ID, Caller: r.Caller, Class: r.Class, Cost: g.cost(r.Class), Arrived: now, Deadline: r.Deadline})
-	return Decision{Verdict: Wait, Change: change}
-}
-
-// makeRoom lets the newest request of the heaviest caller give way if the
-// class's queue is full and the new request's caller would hold less.
-func (g *Gate) makeRoom(now time.Time, l *lane, c docs.Class, r Request) (Change, result.Reason) {
-	if l.waiting.Waiting(c.Name) < c.Queue {
-		return Change{}, result.NoReason
-	}
-	newest, excess, ok := l.waiting.Heaviest(c.Name)
-	if !ok {
-		return Change{}, result.QueueFull
-	}
-	if l.waiting.Excess(c.Name, r.Caller) >= excess {
-		if newest.Caller == r.Caller {
-			return Change{}, result.ShedCaller
-		}
-		return Change{}, result.QueueFull
-	}
-	l.waiting.Remove(newest.ID)
-	return Change{Refused: []Refused{g.refused(now, newest.ID, result.ShedCaller)}}, result.NoReason
+	return Decision{Verdict: Wait}
 }
 
 // Done says that a request has given its slot back: a lookup or upload that is
@@ -304,7 +286,7 @@
 	if len(g.running) >= g.limits.Slots {
 		return false
 	}
-	return l.kind == docs.Lookup || g.long() < g.longSlots()
+	return l.kind == docs.Lookup || l.inflight < g.most(l) && g.long() < max(1, g.limits.Slots-1)
 }
 
 // long returns how many slots feeds and uploads hold.
--- a/internal/load/admit/estimate.go
+++ b/internal/load/admit/estimate.go
@@ -73,16 +73,16 @@
 	return max(mean-now.Sub(r.since).Seconds(), mean/2)
 }
 
-// turnover is how many slots a kind can count on while all kinds wait.
+// turnover is how many slots a kind can count on: its bound, less those that other
+// kinds hold or wait for.
 func (g *Gate) turnover(l *lane) int {
-	if l.kind != docs.Lookup {
-		return max(1, g.longSlots()-g.long()+l.inflight)
-	}
-	long := g.long()
-	for _, k := range []docs.Kind{docs.Feed, docs.Upload} {
-		long += g.lanes[k].waiting.Len()
+	slots := g.limits.Slots
+	for _, k := range kinds {
+		if o := g.lanes[k]; o != l && k != docs.Lookup {
+			slots -= min(o.inflight+o.waiting.Len(), g.most(o))
+		}
 	}
-	return max(1, g.limits.Slots-min(long, g.longSlots()))
+	return max(1, min(slots, g.most(l)))
 }
 
 // latest is when a waiting request has to start at the latest.
--- a/internal/load/admit/limits.go
+++ b/internal/load/admit/limits.go
@@ -36,7 +36,7 @@
 	Slack      float64 // the expected wait is multiplied by this
 	Deviations float64 // mean deviations over the mean service time that count as pessimistic
 	Wait       float64 // share of the time left to the deadline that may be spent waiting
-	Long       float64 // share of the slots that feeds and uploads may hold together
+	Long       float64 // share of the slots that feeds may hold, and that uploads may hold
 }
 
 // Default are the thresholds in use; docs/design/load.md has the runs behind them.
@@ -44,8 +44,13 @@
 // since a missed deadline costs more than a refusal.
 var Default = Rules{Slack: 1.2, Deviations: 2, Wait: 1, Long: 0.5}
 
-// longSlots is how many slots feeds and uploads may hold together.
-func (g *Gate) longSlots() int {
+// most is how many slots a kind may hold. Feeds and uploads together leave one free
+// besides, so that lookups always find a slot that turns over quickly; a server with
+// one slot has it for all kinds.
+func (g *Gate) most(l *lane) int {
+	if l.kind == docs.Lookup {
+		return g.limits.Slots
+	}
 	return max(1, int(g.rules.Long*float64(g.limits.Slots)))
 }
 
--- a/internal/load/place/place.go
+++ b/internal/load/place/place.go
@@ -245,7 +245,7 @@
 
 // slower reports whether the own server is so slow that a hop is worth it.
 func (p *Placer) slower(now time.Time, mine, best *state) bool {
-	theirs := best.service(now, p.rules)
+	theirs := best.expected(now, p.rules)
 	return theirs > 0 && mine.service(now, p.rules) > p.rules.Slower*theirs
 }
 
--- a/internal/load/place/state.go
+++ b/internal/load/place/state.go
@@ -8,7 +8,7 @@
 type Rules struct {
 	Fade    time.Duration // age at which a report no longer counts
 	Slow    time.Duration // length of the slow start of a server that joined
-	Slower  float64       // the own server counts as slow when it takes this many times a peer's service time
+	Slower  float64       // a server counts as slow, or its report as false, from this many times the service time
 	Even    float64       // difference in the share of slot time that counts as equal
 	Alike   float64       // relative difference in expected time that counts as equal
 	Shorter float64       // all being full, a peer must be expected to take less than this share of the own time
@@ -46,7 +46,7 @@
 	since    int // of these, sent after the last report
 	hint     Hint
 	heard    time.Time // when the report came
-	measured float64   // seconds, by this agent
+	measured float64   // seconds from sending to the answer, by this agent
 	sampled  time.Time
 	cold     time.Time // when it joined; zero if it is not known to have
 	full     time.Time // counts as full until then, whatever it reports
@@ -82,7 +82,8 @@
 	}
 }
 
-// Ended says how a request that was given to a server ended, and after how long.
+// Ended says how a request that was given to a server ended, and how long after
+// it was sent.
 func (p *Placer) Ended(now time.Time, id uint32, end End, took time.Duration) {
 	s := p.state(id)
 	if s == nil {
@@ -115,7 +116,7 @@
 	s.refusals++
 }
 
-// sample takes in a service time as seen from here. Only answers count: a server
+// sample takes in a time to an answer as seen from here. Only answers count: a server
 // that fails fast must not look quick.
 func (s *state) sample(now time.Time, took time.Duration) {
 	if s.measured == 0 || now.Sub(s.sampled) > measuredFor {
@@ -184,22 +185,27 @@
 	return max(1, share*float64(s.Slots))
 }
 
-// service is the expected service time in seconds: the worse of what this agent
-// measured lately and what the server reports.
+// service is the service time in seconds by the server's own report, or as this
+// agent measured it if there is none.
 func (s *state) service(now time.Time, r Rules) float64 {
-	seconds := 0.0
-	if now.Sub(s.sampled) <= measuredFor {
-		seconds = s.measured
+	if s.fresh(now, r) && s.hint.Service > 0 {
+		return s.hint.Service.Seconds()
 	}
-	if s.fresh(now, r) {
-		seconds = max(seconds, s.hint.Service.Seconds())
+	if now.Sub(s.sampled) <= measuredFor {
+		return s.measured
 	}
-	return seconds
+	return 0
 }
 
-// expected is the expected time to an answer in seconds, for comparison only.
+// expected is the expected time to an answer in seconds, for comparison only: by
+// the report, unless this agent's own requests lately took so much longer than it
+// says that it can't be true.
 func (s *state) expected(now time.Time, r Rules) float64 {
-	return s.service(now, r) * max(1, (s.load(now, r)+1)/s.open(now, r))
+	reported := s.service(now, r) * max(1, (s.load(now, r)+1)/s.open(now, r))
+	if now.Sub(s.sampled) <= measuredFor && s.measured > r.Slower*reported {
+		return s.measured
+	}
+	return reported
 }
 
 func (s *state) busy(now time.Time, r Rules) float64 {
--- a/internal/load/queue/ahead.go
+++ b/internal/load/queue/ahead.go
@@ -82,34 +82,32 @@
 	return nil
 }
 
-// Heaviest returns the newest request of a class of the caller that has most of
-// them waiting for its weight, and how many that are for a weight of 1. It is the
-// one to give way in a full queue. Unnamed callers are weighed as the one group
-// that they are, so that many networks with one request each count as many.
-func (f *Fair) Heaviest(class string) (newest Item, excess float64, ok bool) {
-	top, excess := heaviest(f.flows, class)
-	if top == nil {
-		return Item{}, 0, false
+// Room reports whether a caller may have one more request of a class waiting,
+// of at most limit in all. Each caller may have as many as places are still free,
+// times its weight over the mean weight: one heavy caller fills half of the queue
+// at most, two a third each. So there is always room for a caller that has
+// nothing waiting, nobody has to be turned out again to make it, and a refusal is
+// said at once. Unnamed callers are bounded as the group they are, and in the
+// same way among each other.
+func (f *Fair) Room(class string, c Caller, limit int) bool {
+	key := c
+	if c.Name == "" {
+		key = unnamed
 	}
-	w := top
-	if len(top.members) > 0 {
-		w, _ = heaviest(top.members, class)
+	free := float64(limit - f.Waiting(class))
+	top, n := lookup(f.flows, key), 0
+	if top != nil {
+		n = top.count(class)
 	}
-	for _, i := range w.items {
-		if i.Class == class {
-			newest = i
-		}
+	bound := free * f.Weight(key) / f.mean
+	if free < 1 || float64(n) >= bound {
+		return false
 	}
-	return newest, excess, true
-}
-
-func heaviest(level []*flow, class string) (most *flow, excess float64) {
-	for _, w := range level {
-		if over := float64(w.count(class)) / w.share.Weight; over > excess {
-			most, excess = w, over
-		}
+	if c.Name != "" || top == nil {
+		return true
 	}
-	return most, excess
+	member := lookup(top.members, c)
+	return member == nil || float64(member.count(class)) < bound-float64(n)
 }
 
 func (w *flow) count(class string) int {
@@ -125,20 +123,6 @@
 	return n
 }
 
-// Excess returns how many requests of a class would wait, for a weight of 1, if
-// the caller had one more; for an unnamed caller, those of the group.
-func (f *Fair) Excess(class string, c Caller) float64 {
-	key := c
-	if c.Name == "" {
-		key = unnamed
-	}
-	n := 1
-	if w := lookup(f.flows, key); w != nil {
-		n += w.count(class)
-	}
-	return float64(n) / f.Weight(key)
-}
-
 // Waiting returns how many requests of a class wait.
 func (f *Fair) Waiting(class string) int {
 	n := 0
--- a/internal/load/queue/queue.go
+++ b/internal/load/queue/queue.go
@@ -8,9 +8,7 @@
 //
 // The rule is start-time fair queueing, by caller, weighted by the document, in
 // seconds of a backend server's slot and not in requests: a caller whose requests
-// are long pays for their length. A full queue is relieved by taking the newest
-// request of the caller that holds most for its weight, never by refusing a
-// caller that holds less than it.
+// are long pays for their length. No caller may fill the queue (see [Fair.Room]).
 //
 // Callers that the document does not name share one weight, and are fair among
 // each other by the network of their site (see [Identify]). Who takes more
@@ -49,6 +47,7 @@
 type Fair struct {
 	clock   Clock
 	weights map[string]float64
+	mean    float64 // weight of a caller
 	flows   []*flow // named callers that wait or owe, and the group of unnamed ones
 	size    int
 }
@@ -80,9 +79,12 @@
 // SetWeights puts the weights of a new document in force; what waits stays.
 func (f *Fair) SetWeights(callers []docs.Caller) {
 	f.weights = make(map[string]float64, len(callers))
+	sum := 1.0 // of the unnamed
 	for _, c := range callers {
 		f.weights[c.Name] = float64(max(c.Weight, 1))
+		sum += f.weights[c.Name]
 	}
+	f.mean = sum / float64(len(callers)+1)
 	for _, w := range f.flows {
 		w.share.Weight = f.Weight(w.caller)
 	}
