Hand requests to other agents over drpc

Cause: work must be placed on another agent of the service without breaking "at most once" when the link between the two breaks. A request carries an ID; the receiver remembers its outcome; after a lost link the same process is asked, and nobody else is tried.

Points that decided the shape: - drpc carries one call at a time on a connection, so links are pooled (8 idle, 512 open a peer) and not one per peer. - drpc reads a connection only as far as the handler takes messages, so a cancellation behind an unread body would not be seen. The receiver grants body parts (4 of 16 KB) and always reads. - a cut link is no cancellation: cancelling what may run only once would make its outcome unknown. Cancel is a message of its own; the deadline bounds the rest. - a request that waited in a frozen receiver's socket buffer says "2 s left" when it is read. The sender notes the receiver's own clock (learned from a greeting), so that the receiver sees the delay without comparing clocks. - a body can be read again from its start while no more of it was read than may be under way unread, so a refused upload is placed elsewhere unbuffered.

Ruled out: closing the link to cancel; with bytes unread the reset may overtake data. Ruled out: running the request again under the same ID after a question failed; each ID is sent as a request once.

--- /dev/null
+++ b/internal/work/hand/client.go
@@ -0,0 +1,102 @@
+package hand
+
+import (
+	"context"
+	"crypto/rand"
+	"net/netip"
+	"sync"
+	"time"
+
+	"mangowinch/internal/work/result"
+)
+
+// Client hands requests to other agents of one service.
+type Client struct {
+	service string
+	dial    Dial
+
+	mu    sync.Mutex
+	peers map[netip.AddrPort]*peer
+}
+
+// NewClient gives a client of one service.
+func NewClient(service string, dial Dial) *Client {
+	return &Client{service: service, dial: dial, peers: map[netip.AddrPort]*peer{}}
+}
+
+// Keep closes the idle links to all agents but the given ones. It is called with each
+// new document, so that what is held for addresses is bounded by the document.
+func (c *Client) Keep(agents []netip.AddrPort) {
+	known := make(map[netip.AddrPort]bool, len(agents))
+	for _, a := range agents {
+		known[a] = true
+	}
+	c.mu.Lock()
+	var gone []*peer
+	for a, p := range c.peers {
+		if !known[a] {
+			gone = append(gone, p)
+			delete(c.peers, a)
+		}
+	}
+	c.mu.Unlock()
+	for _, p := range gone {
+		p.closeIdle()
+	}
+}
+
+func (c *Client) peer(a netip.AddrPort) *peer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p, ok := c.peers[a]
+	if !ok {
+		p = &peer{service: c.service, address: a, dial: c.dial}
+		c.peers[a] = p
+	}
+	return p
+}
+
+// Hand gives a request to the agent at an address and its answer to a. It returns at
+// the deadline or when ctx ends, whatever the other agent does.
+//
+// NotRun means that the request did not run at that agent and never will; it may be
+// placed elsewhere if its body can be read again. After Unknown only an idempotent
+// request may. An answer may have been started whatever the outcome; it is whole only
+// after Ran without a reason. Writes of a must fail once ctx has ended.
+func (c *Client) Hand(ctx context.Context, to netip.AddrPort, r *Request, a Answer) (end result.Result) {
+	defer func() { count("ends", c.service, "near", end) }()
+	if r.Hops >= MaxHops {
+		return notRun(result.Hops)
+	}
+	if ctx.Err() != nil {
+		return notRun(result.Gone)
+	}
+	p := c.peer(to)
+	dialing, cancel := context.WithDeadline(ctx, r.Deadline)
+	defer cancel()
+	l, err := p.take(dialing)
+	if err != nil {
+		event("unreached", c.service)
+		return notRun(result.PeerLost)
+	}
+	// The time is taken here once more: the process may have been paused since. Up to
+	// this point nothing of the request has left.
+	now := time.Now()
+	left := r.Deadline.Sub(now) - HopMargin
+	if left <= 0 {
+		l.giveBack()
+		return notRun(result.Expired)
+	}
+	copied := *r
+	if copied.ID == "" {
+		copied.ID = newID()
+	}
+	x := &exchange{client: c, link: l, request: &copied, answer: &resume{answer: a}, credits: make(chan struct{}, 2*window)}
+	return x.run(ctx, now, left)
+}
+
+func newID() string {
+	b := make([]byte, idSize)
+	_, _ = rand.Read(b) // never fails, see crypto/rand
+	return string(b)
+}
--- /dev/null
+++ b/internal/work/hand/codec.go
@@ -0,0 +1,81 @@
+package hand
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"mangowinch/internal/work/result"
+	"mangowinch/internal/work/wire"
+)
+
+var outcomes = map[result.Outcome]wire.Outcome{
+	result.Unknown: wire.Outcome_UNKNOWN,
+	result.Ran:     wire.Outcome_RAN,
+	result.NotRun:  wire.Outcome_NOT_RUN,
+}
+
+func encodeEnd(r result.Result) *wire.Down {
+	return &wire.Down{Part: &wire.Down_End{End: &wire.End{
+		Outcome: outcomes[r.Outcome],
+		Reason:  string(r.Reason),
+		After:   uint64(max(r.After, 0).Milliseconds()),
+	}}}
+}
+
+// decodeEnd takes an outcome it does not know as unknown.
+func decodeEnd(e *wire.End) result.Result {
+	r := result.Result{Reason: result.Reason(e.Reason), After: time.Duration(min(e.After, 1<<40)) * time.Millisecond}
+	switch e.Outcome {
+	case wire.Outcome_RAN:
+		r.Outcome = result.Ran
+	case wire.Outcome_NOT_RUN:
+		r.Outcome = result.NotRun
+	}
+	return r
+}
+
+func encodeFields(h http.Header) []*wire.Field {
+	var fields []*wire.Field
+	for name, values := range h {
+		for _, v := range values {
+			fields = append(fields, &wire.Field{Name: name, Value: v})
+		}
+	}
+	return fields
+}
+
+func decodeFields(fields []*wire.Field) (http.Header, error) {
+	if len(fields) > maxFields {
+		return nil, errors.Newf("%d headers, at most %d are taken", len(fields), maxFields)
+	}
+	h := make(http.Header, len(fields))
+	for _, f := range fields {
+		h.Add(f.Name, f.Value)
+	}
+	return h, nil
+}
+
+func encodeHead(r *Request, incarnation uint64, t *wire.Time) *wire.Up {
+	return &wire.Up{Part: &wire.Up_Head{Head: &wire.Head{
+		Id: []byte(r.ID), Service: r.Service, Incarnation: incarnation, Time: t,
+		Class: r.Class, Method: r.Method, Path: r.Path, Headers: encodeFields(r.Header), Length: r.Length,
+		Caller: r.Caller, Hops: uint32(r.Hops + 1), Idempotent: r.Idempotent, Feed: r.Feed, Key: r.Key,
+	}}}
+}
+
+func decodeHead(h *wire.Head) (r *Request, err error) {
+	defer func() { err = errors.Wrap(err, "head of a handed request") }()
+	if len(h.GetId()) != idSize || h.GetTime() == nil {
+		return nil, errors.New("no ID or no deadline")
+	}
+	header, err := decodeFields(h.Headers)
+	if err != nil {
+		return nil, err
+	}
+	return &Request{
+		ID: string(h.Id), Service: h.Service, Class: h.Class, Method: h.Method, Path: h.Path, Header: header, Length: h.Length,
+		Caller: h.Caller, Hops: int(h.Hops), Idempotent: h.Idempotent, Feed: h.Feed, Key: h.Key,
+	}, nil
+}
--- /dev/null
+++ b/internal/work/hand/link.go
@@ -0,0 +1,177 @@
+package hand
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcwire"
+
+	"mangowinch/internal/work/wire"
+)
+
+const (
+	dialTimeout  = time.Second      // a peer is a few ms away; one that takes longer is as good as gone
+	greetEvery   = 30 * time.Second // clocks that run 200 ppm apart have moved 6 ms by then
+	idleLinks    = 8                // kept per peer: about as many as a server has slots
+	openLinks    = 512              // per peer, feeds included
+	maxMessage   = 256 << 10        // bytes; a head with all its fields is well below
+	drainTimeout = time.Second      // for the end of a request that was cancelled
+)
+
+// Dial opens a link to another agent.
+type Dial func(ctx context.Context, to netip.AddrPort) (net.Conn, error)
+
+// DialTCP is the Dial of a process; the kernel chooses the local address.
+func DialTCP(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
+	return new(net.Dialer).DialContext(ctx, "tcp", to.String())
+}
+
+var (
+	errTooMany = errors.New("too many links to this agent")
+	errService = errors.New("the agent serves another service")
+)
+
+// link is one drpc connection. drpc carries one call at a time on it.
+type link struct {
+	conn    *drpcconn.Conn
+	peer    *peer
+	client  wire.DRPCHandClient
+	process uint64        // incarnation of the process at the other end
+	clock   time.Duration // its clock when greeted came in
+	greeted time.Time
+}
+
+// peer holds the links to one agent. A call takes a link and gives it back or closes it.
+type peer struct {
+	service string
+	address netip.AddrPort
+	dial    Dial
+
+	mu   sync.Mutex
+	idle []*link
+	open int
+}
+
+// take gives a link with a fresh view of the other process.
+func (p *peer) take(ctx context.Context) (l *link, err error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	defer func() { err = errors.Wrapf(err, "link to %s", p.address) }()
+	if l = p.pop(); l != nil {
+		if time.Since(l.greeted) < greetEvery || l.greet(ctx) == nil {
+			return l, nil
+		}
+		l.close()
+	}
+	if !p.reserve() {
+		return nil, errTooMany
+	}
+	conn, err := p.dial(ctx, p.address)
+	if err != nil {
+		p.release()
+		return nil, err
+	}
+	l = &link{peer: p, conn: drpcconn.NewWithOptions(conn, drpcconn.Options{Manager: drpcmanager.Options{
+		Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxMessage},
+	}})}
+	l.client = wire.NewDRPCHandClient(l.conn)
+	if err := l.greet(ctx); err != nil {
+		l.close()
+		return nil, err
+	}
+	return l, nil
+}
+
+// pop gives an idle link that is not known to be closed, the latest used first.
+func (p *peer) pop() *link {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for len(p.idle) > 0 {
+		l := p.idle[len(p.idle)-1]
+		p.idle = p.idle[:len(p.idle)-1]
+		if !l.closed() {
+			return l
+		}
+		p.open--
+	}
+	return nil
+}
+
+func (p *peer) reserve() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.open >= openLinks {
+		return false
+	}
+	p.open++
+	return true
+}
+
+func (p *peer) release() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open--
+}
+
+// closeIdle closes the links that nobody uses.
+func (p *peer) closeIdle() {
+	for l := p.pop(); l != nil; l = p.pop() {
+		l.close()
+	}
+}
+
+func (l *link) greet(ctx context.Context) error {
+	g, err := l.client.Greet(ctx, &wire.Greeting{})
+	if err != nil {
+		return err
+	}
+	if g.Service != l.peer.service {
+		return errService
+	}
+	l.process, l.clock, l.greeted = g.Incarnation, micros(g.Clock), time.Now()
+	return nil
+}
+
+// deadline is a deadline as the other process is to read it. Its clock is taken to
+// have stood at the greeting's value only when that came in here, so the estimate is
+// behind by at most that answer's way and never ahead: a request may be held for
+// older than it is, by a millisecond, but not for younger.
+func (l *link) deadline(now time.Time, left time.Duration) *wire.Time {
+	return &wire.Time{
+		Left: uint64(max(left, 0).Microseconds()),
+		Sent: uint64((l.clock + now.Sub(l.greeted)).Microseconds()),
+	}
+}
+
+func (l *link) closed() bool {
+	select {
+	case <-l.conn.Closed():
+		return true
+	default:
+		return false
+	}
+}
+
+func (l *link) close() {
+	_ = l.conn.Close()
+	l.peer.release()
+}
+
+// giveBack keeps a link whose call has ended in order.
+func (l *link) giveBack() {
+	l.peer.mu.Lock()
+	keep := len(l.peer.idle) < idleLinks && !l.closed()
+	if keep {
+		l.peer.idle = append(l.peer.idle, l)
+	}
+	l.peer.mu.Unlock()
+	if !keep {
+		l.close()
+	}
+}
--- a/internal/work/memo/memo.go
+++ b/internal/work/memo/memo.go
@@ -170,6 +170,9 @@
 	}
 }
 
+// AnswerLimit is the size in bytes beyond which an answer is not kept.
+func (m *Memo) AnswerLimit() int { return m.limits.Answer }
+
 // Size gives how many records are held and the bytes of the answers kept.
 func (m *Memo) Size() (records, bytes int) {
 	m.mu.Lock()
--- a/internal/work/result/result.go
+++ b/internal/work/result/result.go
@@ -67,6 +67,8 @@
 	KeyOld        Reason = "old"       // the request key's lifetime is over, or it was given up unused
 	AnswerGone    Reason = "unkept"    // ran, but its answer was too big to keep for a repeat
 	Gone          Reason = "gone"      // the caller went away
+	Hops          Reason = "hops"      // handed on too often
+	OtherService  Reason = "service"   // arrived at an agent of another service
 	StaleView     Reason = "stale"     // woken late: beliefs are refreshed first
 	Overloaded    Reason = "connlimit" // the agent holds as many connections as it may
 )
