--- /dev/null
+++ b/internal/load/admit/limits.go
@@ -0,0 +1,59 @@
+package admit
+
+import (
+	"mangowinch/internal/conf/docs"
+)
+
+// Limits are what the document says of one backend server.
+type Limits struct {
+	Slots   int
+	Classes []docs.Class
+	Callers []docs.Caller
+}
+
+// LimitsOf takes the limits of one server from its service's document.
+func LimitsOf(s *docs.Service, server docs.Server) Limits {
+	return Limits{Slots: server.Slots, Classes: s.Classes, Callers: s.Callers}
+}
+
+// The weights of the kinds when all of them wait: lookups get half of the slots'
+// time, feeds up to their first byte and uploads a quarter each, so that a flood of
+// lookups does not keep uploads out for ever.
+const (
+	lookupWeight = 2
+	longWeight   = 1
+)
+
+func laneWeight(k docs.Kind) float64 {
+	if k == docs.Lookup {
+		return lookupWeight
+	}
+	return longWeight
+}
+
+// Rules are the thresholds of admission.
+type Rules struct {
+	Slack      float64 // the expected wait is multiplied by this
+	Deviations float64 // mean deviations over the mean service time that count as pessimistic
+	Wait       float64 // share of the time left to the deadline that may be spent waiting
+	Long       float64 // share of the slots that feeds and uploads may hold together
+}
+
+// Default are the thresholds in use; docs/design/load.md has the runs behind them.
+// Slack is Jockey's (EuroSys 2012, section 4.3): the prediction is inflated,
+// since a missed deadline costs more than a refusal.
+var Default = Rules{Slack: 1.2, Deviations: 2, Wait: 1, Long: 0.5}
+
+// longSlots is how many slots feeds and uploads may hold together.
+func (g *Gate) longSlots() int {
+	return max(1, int(g.rules.Long*float64(g.limits.Slots)))
+}
+
+func (l Limits) class(name string) (docs.Class, bool) {
+	for _, c := range l.Classes {
+		if c.Name == name {
+			return c, true
+		}
+	}
+	return docs.Class{}, false
+}
