Call a process that is being stopped not ready; identify callers in one place

A planned stop waits for feeds, hours if need be. Meanwhile /healthz said ready, and whatever reads it would have gone on sending work. Condition staying now fails with the stop.

CallerFor goes: package queue identifies callers, with the same rule, and is what the agent uses. Its test goes with it, as package queue tests the rule.

--- a/internal/conf/docs/docs_test.go
+++ b/internal/conf/docs/docs_test.go
@@ -1,7 +1,6 @@
 package docs
 
 import (
-	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
@@ -72,24 +71,3 @@
 		assert.Equal(t, got, want, path)
 	}
 }
-
-func TestCallerFor(t *testing.T) {
-	s, err := Parse("good.ini", read(t, "good.ini"))
-	assert.NilError(t, err)
-	for address, want := range map[string]string{
-		"10.1.2.3":           "fund-a",
-		"::ffff:10.1.2.3":    "fund-a",
-		"2001:db8:1::1":      "fund-a",
-		"10.9.2.3":           "10.9.2.0/24",
-		"10.9.2.77":          "10.9.2.0/24",
-		"2001:db9:0:1ff::1":  "2001:db9:0:100::/56",
-		"fe80::1%lo":         "fe80::/56",
-		"2001:db9:0:100::42": "2001:db9:0:100::/56",
-	} {
-		name, weight := s.CallerFor(netip.MustParseAddr(address))
-		assert.Equal(t, name, want, address)
-		assert.Equal(t, weight == 2, name == "fund-a", address)
-	}
-	name, _ := s.CallerFor(netip.Addr{})
-	assert.Equal(t, name, "invalid Prefix")
-}
--- a/internal/conf/docs/find.go
+++ b/internal/conf/docs/find.go
@@ -2,23 +2,11 @@
 
 import (
 	"cmp"
-	"net/netip"
 	"path"
 	"slices"
 	"strings"
 )
 
-// Lengths in bits of the network by which a caller that no document lists is
-// known. Addresses inside one network of these lengths can be multiplied freely
-// by whoever holds it, so a share per address would be a share for the asking.
-const (
-	network4 = 24
-	network6 = 56
-)
-
-// unlistedWeight is the share of a caller that no document lists.
-const unlistedWeight = 1
-
 // ClassFor returns the first class whose path covers the request's path. A class's
 // path covers itself and everything below it: /lookup covers /lookup/7 but not
 // /lookups.
@@ -38,26 +26,6 @@
 	return nil, false
 }
 
-// CallerFor returns the name and weight of the caller that an address belongs to.
-// A caller that the document does not list is known by its network, such as
-// 10.1.2.0/24 or 2001:db8:0:100::/56, with weight 1.
-func (s *Service) CallerFor(address netip.Addr) (name string, weight int) {
-	address = address.Unmap().WithZone("")
-	for _, c := range s.Callers {
-		for _, n := range c.Networks {
-			if n.Contains(address) {
-				return c.Name, c.Weight
-			}
-		}
-	}
-	bits := network4
-	if address.Is6() {
-		bits = network6
-	}
-	network, _ := address.Prefix(bits) // an invalid address gives "invalid Prefix", a caller like any other
-	return network.String(), unlistedWeight
-}
-
 // Server returns the server with the given ID.
 func (s *Service) Server(id uint32) (server *Server, ok bool) {
 	i, ok := slices.BinarySearchFunc(s.Servers, id, func(v Server, id uint32) int { return cmp.Compare(v.ID, id) })
--- a/internal/node/start/start.go
+++ b/internal/node/start/start.go
@@ -89,6 +89,10 @@
 func (p *parts) run(ctx context.Context, r runner, only func(name string) bool) error {
 	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
+	// A process that is being stopped works on for hours and is not ready for more.
+	staying := p.admin.Condition("staying")
+	staying.Set(true, "")
+	defer context.AfterFunc(ctx, func() { staying.Set(false, "planned stop") })()
 	var g errgroup.Group
 	g.Go(func() error {
 		fetch.Keep(inner, fetch.New(p.settings.Platform.Address.String()), p.store, only)
