--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -87,8 +87,9 @@
 	requests    atomic.Int64 // in progress
 	nonce       atomic.Uint64
 	hooks       Hooks
-	hinted      atomic.Int64  // Unix nanoseconds of the last call of Hooks.Newer
-	load        atomic.Uint32 // in thousandths of the slots, see measureLoad
+	hinted      atomic.Int64 // Unix nanoseconds of the last call of Hooks.Newer
+	demand      demand
+	load        atomic.Uint32 // demand as frames carry it
 	count       counters
 }
 
--- a/internal/node/agent/chain.go
+++ b/internal/node/agent/chain.go
@@ -16,6 +16,7 @@
 	ID       string // unique in the service
 	Service  *docs.Service
 	Class    *docs.Class
+	OwnFlow  bool         // came by a flow of this agent, not from another agent
 	Source   netip.Addr   // where it comes from
 	Caller   queue.Caller // who shares the service fairly with others
 	Deadline time.Time
--- a/internal/node/agent/enter.go
+++ b/internal/node/agent/enter.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
+	"time"
 
 	"mangowinch/internal/load/queue"
 	"mangowinch/internal/node/gate"
@@ -25,24 +27,19 @@
 		if pass == nil {
 			return refused
 		}
-		defer pass.Leave()
-		x.FirstByte = pass.Leave
+		began := time.Now()
+		leave := sync.OnceFunc(func() {
+			pass.Leave()
+			if x.OwnFlow {
+				a.demand.add(time.Since(began))
+			}
+		})
+		defer leave()
+		x.FirstByte = leave
 		return next(ctx, x)
 	}
 }
 
-// loadScale is the load that frames carry for a server whose slots are all in use
-// and whose queue is empty.
-const loadScale = 1000
-
-// measureLoad notes the share of the server's slots that work and waiting take, for
-// the frames of the next tenth of a second.
-func (a *Agent) measureLoad() {
-	s := a.gate.Stats()
-	n := (s.Running + s.Waiting) * loadScale / max(s.Slots, 1)
-	a.load.Store(uint32(min(n, 1<<16-1)))
-}
-
 // callerOf names the party that a request counts for.
 func callerOf(x *Exchange) queue.Caller {
 	return queue.Identify(x.Service.Callers, x.Source)
--- a/internal/node/agent/link.go
+++ b/internal/node/agent/link.go
@@ -223,7 +223,7 @@
 		case <-ctx.Done():
 			return
 		case now := <-t.C:
-			l.agent.measureLoad()
+			l.agent.load.Store(l.agent.demand.measure(now, l.agent.now.Load().own.Slots))
 			l.probe(now)
 		}
 	}
--- a/internal/node/agent/serve.go
+++ b/internal/node/agent/serve.go
@@ -63,6 +63,7 @@
 		Request: r,
 		Answer:  &Answer{ResponseWriter: w},
 		Source:  source(r.RemoteAddr),
+		OwnFlow: true,
 	}
 	x.Caller = callerOf(x)
 	res := a.handler(r.Context(), x)
--- a/internal/node/entry/outward.go
+++ b/internal/node/entry/outward.go
@@ -55,7 +55,7 @@
 	if h.Revision > v.revision {
 		e.hint(now, s, from, h.Revision)
 	}
-	s.heard(now, h.Server, h.Flags&frame.Leaving != 0)
+	s.heard(now, h)
 	switch h.Kind {
 	case frame.Return:
 		s.giveBack(h.Caller, payload)
--- a/internal/node/entry/services.go
+++ b/internal/node/entry/services.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/netip"
 	"slices"
 	"sync"
@@ -10,8 +11,10 @@
 
 	"mangowinch/internal/conf/docs"
 	"mangowinch/internal/conf/store"
+	"mangowinch/internal/flow/frame"
 	"mangowinch/internal/flow/ident"
 	"mangowinch/internal/flow/route"
+	"mangowinch/internal/load/shift"
 	"mangowinch/internal/node/rings"
 )
 
@@ -20,6 +23,9 @@
 // within 7 s of each other.
 const beforeFor = 17 * time.Second
 
+// loadScale is what frames carry for a demand of all of a server's slots.
+const loadScale = 1000
+
 // service is what the entry knows of one service.
 type service struct {
 	name  string
@@ -33,6 +39,8 @@
 	// mu guards the beliefs that snapshots are made of.
 	mu      sync.Mutex
 	watch   *route.Watch
+	weights *shift.Weights
+	stepped time.Time       // when weights last moved
 	leaving map[uint32]bool // by the servers' own word
 	listed  map[uint32]bool // by the platform's list
 	before  []route.Server
@@ -98,6 +106,7 @@
 		name:    name,
 		tag:     ident.ServiceTag(name),
 		watch:   route.NewWatch(),
+		weights: shift.New(shift.Default),
 		leaving: make(map[uint32]bool),
 		listed:  make(map[uint32]bool),
 		count:   newCounters(name),
@@ -121,6 +130,7 @@
 		s.changed = now
 	}
 	s.watch.Keep(ids(d.Service))
+	s.weights.SetServers(shiftServers(d.Service))
 	next := &snapshot{document: d.Service, revision: d.Revision, ring: ring, agents: agents(d.Service)}
 	s.publish(now, next)
 	e.log.Info().Str("service", s.name).Uint64("revision", d.Revision).Str("source", d.Source).Msg("document in force")
@@ -145,11 +155,12 @@
 // caller holds s.mu.
 func (s *service) publish(now time.Time, next *snapshot) {
 	next.table.Now = nil
+	shares := s.weights.Weights()
 	for i := range next.document.Servers {
 		d := &next.document.Servers[i]
 		next.table.Now = append(next.table.Now, route.Server{
 			ID:      d.ID,
-			Weight:  float64(d.Weight),
+			Weight:  coarse(shares, d.ID),
 			Leaving: d.State == docs.Leaving || s.leaving[d.ID] || s.listed[d.ID],
 			Silent:  s.watch.Silent(now, d.ID),
 		})
@@ -161,10 +172,35 @@
 	s.now.Store(next)
 }
 
+func shiftServers(d *docs.Service) (list []shift.Server) {
+	for i := range d.Servers {
+		s := &d.Servers[i]
+		list = append(list, shift.Server{ID: s.ID, Weight: s.Weight, Leaving: s.State == docs.Leaving})
+	}
+	return list
+}
+
+// coarse rounds a server's weight to steps of an eighth. Entries hear the same
+// reports at different moments; with fine weights hardly two would rank all flows alike, and
+// the second datagram of a first flight would go another way more often.
+func coarse(shares []shift.Weight, id uint32) float64 {
+	const steps = 8
+	for _, w := range shares {
+		if w.ID == id {
+			return max(1, math.Round(w.Share*steps)) / steps
+		}
+	}
+	return 1
+}
+
 // refreshAll lets beliefs that time has ended out of the snapshots.
 func (e *Entry) refreshAll(now time.Time) {
 	for _, s := range *e.tags.Load() {
 		s.mu.Lock()
+		if now.Sub(s.stepped) >= shift.Default.Every {
+			s.weights.Step(now)
+			s.stepped = now
+		}
 		s.refresh(now)
 		s.mu.Unlock()
 	}
@@ -177,10 +213,12 @@
 }
 
 // heard takes in what a server's frame says of the server.
-func (s *service) heard(now time.Time, server uint32, leaving bool) {
+func (s *service) heard(now time.Time, h *frame.Header) {
+	server, leaving := h.Server, h.Flags&frame.Leaving != 0
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	changed := s.watch.Heard(now, server)
+	s.weights.Report(now, server, shift.Load{Demand: float64(h.Load) / loadScale, Leaving: leaving})
 	if s.leaving[server] != leaving {
 		s.leaving[server] = leaving
 		changed = true
--- a/internal/node/entry/status.go
+++ b/internal/node/entry/status.go
@@ -21,6 +21,7 @@
 	Agent  netip.AddrPort `json:"agent"`
 	State  string         `json:"state"`  // serving, leaving or silent
 	Reason string         `json:"reason"` // where that belief comes from
+	Weight float64        `json:"weight"` // share of new flows, relative to the others
 }
 
 // Status lists the services in force and what is believed of their servers.
@@ -39,7 +40,7 @@
 	out := Service{Name: s.name, Revision: v.revision, Address: v.document.Address.String()}
 	for i, r := range v.table.Now {
 		d := &v.document.Servers[i]
-		server := Server{ID: d.ID, Name: d.Name, Agent: d.Agent, State: "serving"}
+		server := Server{ID: d.ID, Name: d.Name, Agent: d.Agent, State: "serving", Weight: r.Weight}
 		switch {
 		case s.leaving[d.ID]:
 			server.State, server.Reason = "leaving", "its own word"
--- a/internal/node/gate/gate.go
+++ b/internal/node/gate/gate.go
@@ -114,7 +114,7 @@
 		turn = nil
 		refused = result.Result{Outcome: result.NotRun, Reason: d.Reason, After: d.After}
 	}
-	g.carry(d.Change)
+	g.carry(admit.Change{}) // the next expiry may be this request's
 	return id, turn, refused
 }
 
