Keep silent feeds open, end connections without requests

Cause: a feed without news for its caller's idle timeout (30 s in many libraries) ended, though nothing was wrong. Agents now say something every 13 s; a connection without any request ends after 2 minutes, which the keep-alive would hold for ever.

--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -51,9 +51,14 @@
 	// handshakeTime bounds a connection's handshake; package table remembers new
 	// flows as long.
 	handshakeTime = 10 * time.Second
-	// idleTime ends a connection without any datagram. Callers keep connections
-	// alive four times in it, so three lost keep-alives end nothing.
+	// idleTime ends a connection without any datagram.
 	idleTime = 60 * time.Second
+	// aliveTime is how often an agent says something on a silent connection: a
+	// feed without news for minutes must not end, and many callers' libraries give
+	// up after 30 s. One keep-alive may be lost there, three here.
+	aliveTime = 13 * time.Second
+	// unusedTime ends a connection without requests, which aliveTime would keep for ever.
+	unusedTime = 2 * time.Minute
 	// stopTime bounds a planned stop. Feeds last for hours, and a stop waits for them.
 	stopTime = 12 * time.Hour
 	// leaveTime is how long a stopping agent stays after its last stream, so that
@@ -138,8 +143,9 @@
 	}
 	a.handler = chain(a.backend.run, a.classify, a.limitTime, a.enter)
 	a.server = &http3.Server{
-		Handler:   http.HandlerFunc(a.serveHTTP),
-		TLSConfig: http3.ConfigureTLSConfig(certificates),
+		Handler:     http.HandlerFunc(a.serveHTTP),
+		TLSConfig:   http3.ConfigureTLSConfig(certificates),
+		IdleTimeout: unusedTime,
 	}
 	return a, nil
 }
@@ -214,6 +220,7 @@
 	config := &quic.Config{
 		HandshakeIdleTimeout: handshakeTime,
 		MaxIdleTimeout:       idleTime,
+		KeepAlivePeriod:      aliveTime,
 		MaxIncomingStreams:   maxStreams,
 		// A larger datagram would not fit behind the link's header.
 		DisablePathMTUDiscovery: true,
