Replace an agent's process under open feeds

Cause: feeds last for hours, and stopping an agent either cut them or blocked its replacement until they ended. Two processes may now hold one address: connection IDs say whose a flow is, each passes the other's datagrams on, and the leaving one gives its successor what is new. Ways weighed: handing open sockets over (one process would still read the other's flows), a second address in the document (a change of the document for each replacement, and old flows' IDs would name the wrong address); sharing the address needs neither. A lost side shows as one second of silence; its flows' callers then get a stateless reset from the other.

--- a/internal/bench/entry/load.go
+++ b/internal/bench/entry/load.go
@@ -26,7 +26,7 @@
 	if err != nil {
 		return nil, err
 	}
-	id := ring.Seal(1, 1)
+	id := ring.Seal(ident.Owner{Server: 1}, 1)
 	datagram := make([]byte, p.Size)
 	datagram[0] = 0x40 // a short header
 	copy(datagram[1:], id[:])
--- a/internal/conf/prefs/load.go
+++ b/internal/conf/prefs/load.go
@@ -67,6 +67,9 @@
 	return &Entry{Bind: from.Addr("bind"), Link: from.AddrPort("link")}
 }
 
+// sideCount is how many processes an agent's replacement makes: the one and its successor.
+const sideCount = 2
+
 func readAgent(from *strict.Section, directory string) *Agent {
 	a := &Agent{
 		Service:     from.Word("service"),
@@ -76,6 +79,12 @@
 		Certificate: readPath(from, "certificate", directory),
 		Private:     readPath(from, "private", directory),
 	}
+	if from.Has("sides") {
+		a.Sides = from.AddrPorts("sides")
+		if len(a.Sides) != sideCount {
+			from.Fault("sides", strict.Invalid, "two addresses are needed")
+		}
+	}
 	if a.Certificate != "" && a.Private != "" {
 		if _, err := tls.LoadX509KeyPair(a.Certificate, a.Private); err != nil {
 			from.Fault("certificate", strict.Invalid, tellPath(err, directory))
--- a/internal/conf/prefs/prefs.go
+++ b/internal/conf/prefs/prefs.go
@@ -66,10 +66,14 @@
 
 // Agent is what only a process of role agent has.
 type Agent struct {
-	Service     string         // name of the document
-	Server      string         // name of the server section in it
-	Listen      netip.AddrPort // the agent address in that section; UDP for frames, TCP for drpc
-	Backend     *url.URL       // http, the agent's own server
-	Certificate string         // path of a PEM file
-	Private     string         // path of the PEM file with the certificate's private key
+	Service string         // name of the document
+	Server  string         // name of the server section in it
+	Listen  netip.AddrPort // the agent address in that section; UDP for frames, TCP for drpc
+	Backend *url.URL       // http, the agent's own server
+	// Sides are two addresses, UDP, by which an agent's process and its successor reach
+	// each other while both run; each takes the one that is free. None: no successor
+	// can be started beside this process.
+	Sides       []netip.AddrPort
+	Certificate string // path of a PEM file
+	Private     string // path of the PEM file with the certificate's private key
 }
--- a/internal/flow/ident/ident.go
+++ b/internal/flow/ident/ident.go
@@ -7,7 +7,8 @@
 // QUIC-LB drafts; the layout here is the project's own.
 //
 // An ID is one tag byte, which tells the key, and one AES block that holds the
-// server ID, the service's tag and a nonce. The AES key is derived from the key
+// server ID, the service's tag, the side and a nonce. The side tells an agent's
+// process from its successor's while both run. The AES key is derived from the key
 // material and the service's name. An ID of another service, a forged or a damaged
 // one therefore opens to a wrong service tag but for one case in 2^32, and the
 // agent looks at the service again (package frame carries it). Outsiders cannot
@@ -18,8 +19,8 @@
 // # Usage
 //
 //	ring, err := ident.NewRing("tracing-core", current, former...)
-//	id := ring.Seal(7, nonce)      // at the agent of server 7
-//	server, err := ring.Open(id[:]) // at any entry
+//	id := ring.Seal(ident.Owner{Server: 7}, nonce) // at the agent of server 7
+//	owner, err := ring.Open(id[:])                 // at any entry
 package ident
 
 import (
@@ -51,6 +52,15 @@
 // ID is one connection ID.
 type ID [Length]byte
 
+// Owner is the process that a connection ID names.
+type Owner struct {
+	Server uint32
+	Side   uint8 // which of the two processes that an agent's replacement makes
+}
+
+// maxNonce bounds nonces, which share eight bytes with the side.
+const maxNonce = 1<<56 - 1
+
 // Secret is named key material, as settings give it.
 type Secret struct {
 	Name     string
@@ -125,23 +135,23 @@
 // Keys are all keys that open, the current one first. The caller must not change them.
 func (r *Ring) Keys() []Key { return r.keys }
 
-// Seal makes the connection ID of a server. The nonce must not repeat while the
-// server's flows last.
-func (r *Ring) Seal(server uint32, nonce uint64) (id ID) {
+// Seal makes a connection ID. Of the nonce 56 bits count; they must not repeat while
+// the owner's flows last.
+func (r *Ring) Seal(o Owner, nonce uint64) (id ID) {
 	k := &r.keys[0]
 	id[0] = k.Tag
 	var plain [aes.BlockSize]byte
-	binary.BigEndian.PutUint32(plain[0:], server)
+	binary.BigEndian.PutUint32(plain[0:], o.Server)
 	binary.BigEndian.PutUint32(plain[4:], uint32(r.Service))
-	binary.BigEndian.PutUint64(plain[8:], nonce)
+	binary.BigEndian.PutUint64(plain[8:], uint64(o.Side)<<56|nonce&maxNonce)
 	k.block.Encrypt(id[1:], plain[:])
 	return id
 }
 
-// Open reads the server ID out of a connection ID. It returns ErrLength or ErrForeign.
-func (r *Ring) Open(id []byte) (server uint32, err error) {
+// Open reads the owner out of a connection ID. It returns ErrLength or ErrForeign.
+func (r *Ring) Open(id []byte) (o Owner, err error) {
 	if len(id) != Length {
-		return 0, ErrLength
+		return Owner{}, ErrLength
 	}
 	var plain [aes.BlockSize]byte
 	for i := range r.keys {
@@ -151,8 +161,8 @@
 		}
 		k.block.Decrypt(plain[:], id[1:])
 		if binary.BigEndian.Uint32(plain[4:]) == uint32(r.Service) {
-			return binary.BigEndian.Uint32(plain[0:]), nil
+			return Owner{Server: binary.BigEndian.Uint32(plain[0:]), Side: plain[8]}, nil
 		}
 	}
-	return 0, ErrForeign
+	return Owner{}, ErrForeign
 }
--- a/internal/flow/ident/ident_test.go
+++ b/internal/flow/ident/ident_test.go
@@ -28,11 +28,11 @@
 func TestOpenGivesTheSealedServer(t *testing.T) {
 	r := ring(t, "tracing-core", secret("k1", 1))
 	rapid.Check(t, func(t *rapid.T) {
-		server := rapid.Uint32().Draw(t, "server")
-		id := r.Seal(server, rapid.Uint64().Draw(t, "nonce"))
+		owner := Owner{Server: rapid.Uint32().Draw(t, "server"), Side: rapid.Uint8().Draw(t, "side")}
+		id := r.Seal(owner, rapid.Uint64().Draw(t, "nonce"))
 		got, err := r.Open(id[:])
 		assert.NilError(t, err)
-		assert.Equal(t, got, server)
+		assert.Equal(t, got, owner)
 	})
 }
 
@@ -41,11 +41,11 @@
 // longer be believed once it is not.
 func TestRotatedKeyStillRoutes(t *testing.T) {
 	before := ring(t, "tracing-core", secret("k1", 1))
-	id := before.Seal(7, 99)
+	id := before.Seal(Owner{Server: 7}, 99)
 	during := ring(t, "tracing-core", secret("k2", 2), secret("k1", 1))
 	got, err := during.Open(id[:])
 	assert.NilError(t, err)
-	assert.Equal(t, got, uint32(7))
+	assert.Equal(t, got, Owner{Server: 7})
 	after := ring(t, "tracing-core", secret("k2", 2))
 	_, err = after.Open(id[:])
 	assert.ErrorIs(t, err, ErrForeign)
@@ -57,7 +57,7 @@
 	a := ring(t, "tracing-core", secret("k1", 1))
 	b := ring(t, "doc-intake", secret("k1", 1))
 	for nonce := range uint64(10_000) {
-		id := a.Seal(uint32(nonce%7)+1, nonce)
+		id := a.Seal(Owner{Server: uint32(nonce%7) + 1}, nonce)
 		_, err := b.Open(id[:])
 		assert.ErrorIs(t, err, ErrForeign)
 	}
@@ -68,7 +68,7 @@
 func TestDamagedIDDoesNotOpen(t *testing.T) {
 	r := ring(t, "tracing-core", secret("k1", 1))
 	for bit := range Length * 8 {
-		id := r.Seal(3, 5)
+		id := r.Seal(Owner{Server: 3}, 5)
 		id[bit/8] ^= 1 << (bit % 8)
 		_, err := r.Open(id[:])
 		assert.ErrorIs(t, err, ErrForeign, "bit %d", bit)
--- a/internal/flow/table/table.go
+++ b/internal/flow/table/table.go
@@ -169,6 +169,12 @@
 	return Decision{Verdict: Pass, Server: after[0], Stage: Take}
 }
 
+// Owns says whether this agent keeps a flow that is being opened.
+func (t *Table) Owns(now time.Time, key uint64) bool {
+	t.turn(now)
+	return t.owns(key)
+}
+
 // Size is the number of flows kept in mind.
 func (t *Table) Size() int { return len(t.young) + len(t.old) }
 
--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -119,7 +119,8 @@
 	own      *docs.Server
 }
 
-// New opens the agent's sockets. The agent serves once a document is in force.
+// New returns an agent that serves once a document is in force; its sockets are
+// opened then.
 func New(settings *prefs.Settings, documents *store.Store, certificates *tls.Config, log zerolog.Logger) (a *Agent, err error) {
 	defer func() { err = errors.Wrap(err, "start agent") }()
 	if settings.Agent == nil {
@@ -137,10 +138,7 @@
 	}
 	a.standing = standing{log: log, changed: a.standingChanged}
 	a.nonce.Store(rand.Uint64())
-	a.link, err = newLink(a)
-	if err != nil {
-		return nil, err
-	}
+	a.link = newLink(a)
 	a.handler = chain(a.backend.run, a.classify, a.limitTime, a.enter)
 	a.server = &http3.Server{
 		Handler:     http.HandlerFunc(a.serveHTTP),
@@ -159,12 +157,18 @@
 	if err := a.awaitDocument(ctx); err != nil {
 		return nil // stopped before it began
 	}
+	if err := a.link.open(ctx); err != nil {
+		return err
+	}
 	listener, err := a.listenQUIC()
 	if err != nil {
 		return err
 	}
 	var g errgroup.Group
-	g.Go(func() error { return a.link.read(inner) })
+	g.Go(func() error { return a.link.read(inner, a.link.conn) })
+	if s := a.link.side; s != nil {
+		g.Go(func() error { return a.link.read(inner, s.conn) })
+	}
 	g.Go(func() error {
 		a.link.keepPaths(inner)
 		return nil
@@ -192,7 +196,7 @@
 		<-ctx.Done()
 		a.stop(inner)
 		stop()
-		return errors.CombineErrors(errors.CombineErrors(a.server.Close(), a.transport.Close()), a.link.conn.Close())
+		return errors.CombineErrors(errors.CombineErrors(a.server.Close(), a.transport.Close()), a.link.close())
 	})
 	return g.Wait()
 }
@@ -234,7 +238,8 @@
 // GenerateConnectionID implements quic.ConnectionIDGenerator.
 func (g generator) GenerateConnectionID() (quic.ConnectionID, error) {
 	v := g.agent.now.Load()
-	id := v.ring.Seal(v.own.ID, g.agent.nonce.Add(1))
+	owner := ident.Owner{Server: v.own.ID, Side: g.agent.link.index()}
+	id := v.ring.Seal(owner, g.agent.nonce.Add(1))
 	return quic.ConnectionIDFromBytes(id[:]), nil
 }
 
--- a/internal/node/agent/counts.go
+++ b/internal/node/agent/counts.go
@@ -15,7 +15,7 @@
 type counters struct {
 	service string
 
-	kept, passed, returned, probes, woken, hints *metrics.Counter
+	kept, passed, sided, returned, probes, woken, hints *metrics.Counter
 
 	short, forged, stray, kind *metrics.Counter // unreadable, not authentic, of another service, of no use here
 	foreign, hops, owner       *metrics.Counter // ID of nobody, passed on too often, server not in the document
@@ -35,6 +35,7 @@
 		service:  service,
 		kept:     event("kept"),
 		passed:   event("passed"),
+		sided:    event("sided"),
 		returned: event("returned"),
 		probes:   event("probes"),
 		woken:    event("woken"),
--- a/internal/node/agent/link.go
+++ b/internal/node/agent/link.go
@@ -14,11 +14,10 @@
 	"mangowinch/internal/flow/paths"
 	"mangowinch/internal/flow/route"
 	"mangowinch/internal/flow/table"
+	"mangowinch/internal/node/sock"
 )
 
 const (
-	// socketBuffer is asked of the kernel, in bytes.
-	socketBuffer = 4 << 20
 	// readSize is the largest frame read, in bytes.
 	readSize = 2048
 	// maxOpening bounds the flows remembered while they open: ten times the
@@ -32,51 +31,76 @@
 type link struct {
 	agent *Agent
 	conn  *net.UDPConn
+	side  *side // nil without sides in the settings
 	wire  *wire
 
-	// mu guards table and paths, which decide for the reader, the probes and
+	// mu guards table and paths, which decide for the readers, the probes and
 	// every connection's sender.
 	mu    sync.Mutex
 	table *table.Table
 	paths *paths.Book
 }
 
-func newLink(a *Agent) (l *link, err error) {
-	defer func() { err = errors.Wrapf(err, "open UDP %s", a.settings.Agent.Listen) }()
-	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(a.settings.Agent.Listen))
-	if err != nil {
-		return nil, err
-	}
-	// The kernel may grant less; that is no failure.
-	_ = conn.SetReadBuffer(socketBuffer)
-	_ = conn.SetWriteBuffer(socketBuffer)
-	l = &link{agent: a, conn: conn, paths: paths.New(maxCallers)}
+func newLink(a *Agent) *link {
+	l := &link{agent: a, paths: paths.New(maxCallers)}
 	l.wire = newWire(l)
-	return l, nil
+	return l
 }
 
-// read takes frames until ctx ends.
-func (l *link) read(ctx context.Context) (err error) {
-	defer func() { err = errors.Wrap(err, "read link") }()
-	l.mu.Lock()
+// open opens the sockets. From this moment on the kernel gives the agent datagrams,
+// so that a successor must not open them before it has a document to read them by.
+func (l *link) open(ctx context.Context) (err error) {
+	l.mu.Lock() // /status may look already
+	defer l.mu.Unlock()
+	settings := l.agent.settings.Agent
 	l.table = table.New(l.agent.now.Load().own.ID, maxOpening, frame.MaxHops)
-	l.mu.Unlock()
+	use := sock.Alone
+	if len(settings.Sides) > 0 {
+		use = sock.Shared
+		if l.side, err = openSide(ctx, settings.Sides); err != nil {
+			return err
+		}
+	}
+	l.conn, err = sock.UDP(ctx, settings.Listen, use)
+	return err
+}
+
+// close ends the readers.
+func (l *link) close() error {
+	err := l.conn.Close()
+	if l.side != nil {
+		err = errors.CombineErrors(err, l.side.conn.Close())
+	}
+	return err
+}
+
+// read takes the frames of one socket until ctx ends.
+func (l *link) read(ctx context.Context, conn *net.UDPConn) (err error) {
+	defer func() { err = errors.Wrap(err, "read link") }()
 	buffer := make([]byte, readSize)
-	var h frame.Header
+	r := reader{link: l, bySide: conn != l.conn}
 	for {
-		n, _, err := l.conn.ReadFromUDPAddrPort(buffer)
+		n, from, err := conn.ReadFromUDPAddrPort(buffer)
 		if err != nil {
 			if ctx.Err() != nil {
 				return nil
 			}
 			return err
 		}
-		l.take(time.Now(), buffer[:n], &h)
+		r.take(time.Now(), buffer[:n], from)
 	}
 }
 
+// reader takes the frames of one socket. It belongs to one goroutine.
+type reader struct {
+	link   *link
+	bySide bool // frames come from the other side, or answer what was sent by it
+	header frame.Header
+}
+
 // take decides what becomes of one frame.
-func (l *link) take(now time.Time, b []byte, h *frame.Header) {
+func (r *reader) take(now time.Time, b []byte, from netip.AddrPort) {
+	l, h := r.link, &r.header
 	a := l.agent
 	v := a.now.Load()
 	payload, err := frame.Parse(b, v.ring, h)
@@ -93,29 +117,42 @@
 		l.paths.Sign(now, h.Entry, h.Flags&frame.Leaving != 0)
 		l.mu.Unlock()
 	case frame.Forward:
-		l.takeDatagram(now, v, h, payload)
+		r.takeDatagram(now, v, b, payload)
+	case frame.Probe:
+		if r.bySide && from == l.side.other {
+			l.side.heard.Store(now.UnixNano())
+			return
+		}
+		a.count.kind.Inc()
 	default:
 		a.count.kind.Inc()
 	}
 }
 
-func (l *link) takeDatagram(now time.Time, v *snapshot, h *frame.Header, payload []byte) {
+// takeDatagram decides what becomes of a caller's datagram; b is its whole frame.
+func (r *reader) takeDatagram(now time.Time, v *snapshot, b, payload []byte) {
+	l, h := r.link, &r.header
 	a := l.agent
 	p, err := packet.Parse(payload)
 	if err != nil {
 		a.count.short.Inc()
 		return
 	}
-	server, err := v.ring.Open(p.Destination)
+	owner, err := v.ring.Open(p.Destination)
 	named := err == nil
 	if !named && !p.Long {
 		a.count.foreign.Inc()
 		return
 	}
+	key := route.Key(p.Destination)
+	if !r.bySide && l.isOther(now, owner, named, key) {
+		l.giveOther(b)
+		return
+	}
 	d := table.Datagram{
-		Key:        route.Key(p.Destination),
+		Key:        key,
 		Named:      named,
-		Server:     server,
+		Server:     owner.Server,
 		Candidates: h.Candidates,
 		Asked:      h.Flags&frame.Former != 0,
 		Stage:      stage(h.Flags),
@@ -218,6 +255,7 @@
 func (l *link) keepPaths(ctx context.Context) {
 	t := time.NewTicker(paths.ProbeEvery)
 	defer t.Stop()
+	var greeted time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -225,6 +263,10 @@
 		case now := <-t.C:
 			l.agent.load.Store(l.agent.demand.measure(now, l.agent.now.Load().own.Slots))
 			l.probe(now)
+			if now.Sub(greeted) >= sideEvery {
+				greeted = now
+				l.greet(l.agent.now.Load())
+			}
 		}
 	}
 }
@@ -233,12 +275,18 @@
 	l.mu.Lock()
 	quiet := l.paths.Probes(now)
 	l.mu.Unlock()
+	// An entry echoes to where the probe came from. Of a shared socket the other
+	// side might get the echo; the side's own socket is not shared.
+	conn := l.conn
+	if l.side != nil {
+		conn = l.side.conn
+	}
 	v := l.agent.now.Load()
 	for _, e := range quiet {
 		h := l.own(v, frame.Probe)
 		h.Entry = e
 		b := frame.Append(nil, v.ring.Current(), &h)
-		if _, err := l.conn.WriteToUDPAddrPort(b, e); err != nil {
+		if _, err := conn.WriteToUDPAddrPort(b, e); err != nil {
 			l.agent.count.unsent.Inc()
 			continue
 		}
--- a/internal/node/agent/status.go
+++ b/internal/node/agent/status.go
@@ -16,7 +16,8 @@
 	Requests    int64          `json:"requests"`          // in progress
 	Connections int64          `json:"connections"`
 	Gate        admit.Stats    `json:"gate"`
-	Opening     int            `json:"opening"` // flows kept in mind while they open
+	Successor   bool           `json:"successor"` // another process holds the same address
+	Opening     int            `json:"opening"`   // flows kept in mind while they open
 	Entries     []paths.Status `json:"entries"`
 }
 
@@ -35,7 +36,8 @@
 	s.Gate = a.gate.Stats()
 	a.link.mu.Lock()
 	defer a.link.mu.Unlock()
-	if a.link.table != nil {
+	if a.link.table != nil { // open
+		s.Successor = a.link.side.alive(time.Now())
 		s.Opening = a.link.table.Size()
 	}
 	s.Entries = a.link.paths.Status(time.Now())
--- a/internal/node/agent/wire.go
+++ b/internal/node/agent/wire.go
@@ -98,7 +98,9 @@
 }
 
 // LocalAddr implements net.PacketConn.
-func (w *wire) LocalAddr() net.Addr { return w.link.conn.LocalAddr() }
+func (w *wire) LocalAddr() net.Addr {
+	return net.UDPAddrFromAddrPort(w.link.agent.settings.Agent.Listen)
+}
 
 // SetReadDeadline implements net.PacketConn.
 func (w *wire) SetReadDeadline(t time.Time) error {
--- a/internal/node/entry/doors.go
+++ b/internal/node/entry/doors.go
@@ -1,9 +1,12 @@
 package entry
 
 import (
+	"context"
 	"net"
 	"net/netip"
 	"sync/atomic"
+
+	"mangowinch/internal/node/sock"
 )
 
 // door is one open service address.
@@ -63,7 +66,7 @@
 func (e *Entry) openDoor(a netip.AddrPort, s *service) {
 	d := e.doors[a]
 	if d == nil {
-		conn, err := listen(a)
+		conn, err := sock.UDP(context.Background(), a, sock.Alone)
 		if err != nil {
 			s.count.unusable.Inc()
 			e.log.Error().Err(err).Str("service", s.name).Msg("address cannot be opened")
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -32,12 +32,10 @@
 	"mangowinch/internal/conf/prefs"
 	"mangowinch/internal/conf/store"
 	"mangowinch/internal/node/awake"
+	"mangowinch/internal/node/sock"
 )
 
 const (
-	// socketBuffer is asked of the kernel for each socket, in bytes, so that a
-	// burst outlasts a pause of some milliseconds.
-	socketBuffer = 4 << 20
 	// refreshEvery bounds how long a snapshot shows a belief that time has ended.
 	refreshEvery = 500 * time.Millisecond
 	// quietTime without a caller's datagram ends a planned stop. The fabric
@@ -83,7 +81,7 @@
 	if settings.Entry == nil {
 		return nil, errors.New("the settings have no section entry")
 	}
-	link, err := listen(settings.Entry.Link)
+	link, err := sock.UDP(context.Background(), settings.Entry.Link, sock.Alone)
 	if err != nil {
 		return nil, err
 	}
@@ -99,18 +97,6 @@
 	return e, nil
 }
 
-func listen(address netip.AddrPort) (conn *net.UDPConn, err error) {
-	defer func() { err = errors.Wrapf(err, "open UDP %s", address) }()
-	conn, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
-	if err != nil {
-		return nil, err
-	}
-	// The kernel may grant less; that is no failure.
-	_ = conn.SetReadBuffer(socketBuffer)
-	_ = conn.SetWriteBuffer(socketBuffer)
-	return conn, nil
-}
-
 // Run forwards until ctx ends and then makes a planned stop: it tells agents that
 // it leaves, and goes on forwarding until the fabric sends nothing more.
 func (e *Entry) Run(ctx context.Context) (err error) {
--- a/internal/node/entry/inward.go
+++ b/internal/node/entry/inward.go
@@ -73,9 +73,9 @@
 // address finds the server: by the connection ID, or by rank. It reports false
 // when the datagram is dropped.
 func (w *inward) address(now time.Time, s *service, v *snapshot, datagram []byte, h packet.Header) bool {
-	server, err := v.ring.Open(h.Destination)
+	owner, err := v.ring.Open(h.Destination)
 	if err == nil {
-		w.frame.Server = server
+		w.frame.Server = owner.Server
 		s.count.named.Inc()
 		return true
 	}
