Run a request with a key once, and place the others

Cause: keys, memory and hand-over each keep a part of "at most once"; somebody has to bring them together, and to place what the own server refuses.

- spread: carries out packages place and retry; knows whether an answer has begun and whether the body can be read again.
- hand: with a key, "not run" is believed only on the owner's word.
That this try did not run says nothing of an earlier one, which is what its caller asks about.
So an owner that can't be reached, a deadline that passed on the way or a barred ID give unknown.
Likewise a key that doesn't open (its secret may have been rotated out).

--- a/internal/work/hand/answer.go
+++ b/internal/work/hand/answer.go
@@ -20,9 +20,9 @@
 type downAnswer struct {
 	stream interface{ Send(*wire.Down) error }
 	//nolint:containedctx // it belongs to one request, like the stream
-	ctx     context.Context
-	service string
-	keeper  *memo.Keeper // nil if the answer is not kept
+	ctx    context.Context
+	server *Server
+	keeper *memo.Keeper // nil if the answer is not kept
 
 	mu   sync.Mutex // the upload sends credits on the same stream
 	lost bool       // the link broke; the answer is kept all the same
@@ -55,7 +55,7 @@
 // sender's question; any other is of no use to anybody.
 func (a *downAnswer) send(d *wire.Down) error {
 	if a.ctx.Err() != nil {
-		event("late", a.service)
+		event("late", a.server.Service)
 		return ErrGone
 	}
 	a.mu.Lock()
@@ -75,10 +75,10 @@
 	a.lost = a.lost || a.stream.Send(&wire.Down{Part: &wire.Down_Credit{Credit: 1}}) != nil
 }
 
-func (a *downAnswer) end(r result.Result) error {
+func (a *downAnswer) end(r result.Result, decided bool) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.stream.Send(encodeEnd(r))
+	return a.stream.Send(encodeEnd(r, decided, a.server.load()))
 }
 
 // replay waits for the first outcome of an ID and gives it.
@@ -98,5 +98,5 @@
 			return err
 		}
 	}
-	return a.end(outcome.Result)
+	return a.end(outcome.Result, false)
 }
--- a/internal/work/hand/ask.go
+++ b/internal/work/hand/ask.go
@@ -70,7 +70,7 @@
 			return result.Result{}, false
 		}
 		if e := d.GetEnd(); e != nil {
-			return decodeEnd(e), true
+			return decodeEnd(e, x.request.Key != ""), true
 		}
 		if x.answer.take(d) != nil {
 			return unknown(result.Gone), true
--- a/internal/work/hand/client.go
+++ b/internal/work/hand/client.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"mangowinch/internal/load/place"
 	"mangowinch/internal/work/result"
 )
 
@@ -14,14 +15,19 @@
 type Client struct {
 	service string
 	dial    Dial
+	report  Report
 
 	mu    sync.Mutex
 	peers map[netip.AddrPort]*peer
 }
 
-// NewClient gives a client of one service.
-func NewClient(service string, dial Dial) *Client {
-	return &Client{service: service, dial: dial, peers: map[netip.AddrPort]*peer{}}
+// Report takes what an agent says of its server.
+type Report func(agent netip.AddrPort, h place.Hint)
+
+// NewClient gives a client of one service. It passes on what agents say of themselves
+// whenever they answer.
+func NewClient(service string, dial Dial, report Report) *Client {
+	return &Client{service: service, dial: dial, report: report, peers: map[netip.AddrPort]*peer{}}
 }
 
 // Keep closes the idle links to all agents but the given ones. It is called with each
@@ -50,7 +56,7 @@
 	defer c.mu.Unlock()
 	p, ok := c.peers[a]
 	if !ok {
-		p = &peer{service: c.service, address: a, dial: c.dial}
+		p = &peer{service: c.service, address: a, dial: c.dial, report: c.report}
 		c.peers[a] = p
 	}
 	return p
@@ -60,16 +66,17 @@
 // the deadline or when ctx ends, whatever the other agent does.
 //
 // NotRun means that the request did not run at that agent and never will; it may be
-// placed elsewhere if its body can be read again. After Unknown only an idempotent
+// placed elsewhere if its body can be read again. With a key it means that nothing ran
+// under the key. After Unknown only an idempotent
 // request may. An answer may have been started whatever the outcome; it is whole only
 // after Ran without a reason. Writes of a must fail once ctx has ended.
 func (c *Client) Hand(ctx context.Context, to netip.AddrPort, r *Request, a Answer) (end result.Result) {
 	defer func() { count("ends", c.service, "near", end) }()
 	if r.Hops >= MaxHops {
-		return notRun(result.Hops)
+		return r.unsent(result.Hops)
 	}
 	if ctx.Err() != nil {
-		return notRun(result.Gone)
+		return r.unsent(result.Gone)
 	}
 	p := c.peer(to)
 	dialing, cancel := context.WithDeadline(ctx, r.Deadline)
@@ -77,7 +84,7 @@
 	l, err := p.take(dialing)
 	if err != nil {
 		event("unreached", c.service)
-		return notRun(result.PeerLost)
+		return r.unsent(result.PeerLost)
 	}
 	// The time is taken here once more: the process may have been paused since. Up to
 	// this point nothing of the request has left.
@@ -85,7 +92,7 @@
 	left := r.Deadline.Sub(now) - HopMargin
 	if left <= 0 {
 		l.giveBack()
-		return notRun(result.Expired)
+		return r.unsent(result.Expired)
 	}
 	copied := *r
 	if copied.ID == "" {
@@ -95,6 +102,15 @@
 	return x.run(ctx, now, left)
 }
 
+// unsent is the end of a request that has not left. A request with a key asks about
+// earlier tries too, of which this agent knows nothing.
+func (r *Request) unsent(reason result.Reason) result.Result {
+	if r.Key != "" {
+		return unknown(reason)
+	}
+	return notRun(reason)
+}
+
 func newID() string {
 	b := make([]byte, idSize)
 	_, _ = rand.Read(b) // never fails, see crypto/rand
--- a/internal/work/hand/codec.go
+++ b/internal/work/hand/codec.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"mangowinch/internal/load/place"
 	"mangowinch/internal/work/result"
 	"mangowinch/internal/work/wire"
 )
@@ -16,16 +17,20 @@
 	result.NotRun:  wire.Outcome_NOT_RUN,
 }
 
-func encodeEnd(r result.Result) *wire.Down {
+func encodeEnd(r result.Result, decided bool, load *wire.Load) *wire.Down {
 	return &wire.Down{Part: &wire.Down_End{End: &wire.End{
+		Decided: decided,
+		Load:    load,
 		Outcome: outcomes[r.Outcome],
 		Reason:  string(r.Reason),
 		After:   uint64(max(r.After, 0).Milliseconds()),
 	}}}
 }
 
-// decodeEnd takes an outcome it does not know as unknown.
-func decodeEnd(e *wire.End) result.Result {
+// decodeEnd takes an outcome it does not know as unknown. With a key, "not run" is
+// believed only on the runner's word: that this try of the request did not run says
+// nothing of an earlier one, which its caller is asking about.
+func decodeEnd(e *wire.End, keyed bool) result.Result {
 	r := result.Result{Reason: result.Reason(e.Reason), After: time.Duration(min(e.After, 1<<40)) * time.Millisecond}
 	switch e.Outcome {
 	case wire.Outcome_RAN:
@@ -33,9 +38,32 @@
 	case wire.Outcome_NOT_RUN:
 		r.Outcome = result.NotRun
 	}
+	if keyed && r.Outcome == result.NotRun && !e.Decided {
+		r.Outcome = result.Unknown
+	}
 	return r
 }
 
+func encodeLoad(h place.Hint) *wire.Load {
+	return &wire.Load{
+		Running: uint32(max(h.Running, 0)),
+		Waiting: uint32(max(h.Waiting, 0)),
+		Busy:    uint32(1000 * max(h.Busy, 0)),
+		Service: uint64(max(h.Service, 0).Microseconds()),
+		Leaving: h.Leaving,
+	}
+}
+
+func decodeLoad(l *wire.Load) place.Hint {
+	return place.Hint{
+		Running: int(l.Running),
+		Waiting: int(l.Waiting),
+		Busy:    min(float64(l.Busy)/1000, 1),
+		Service: micros(l.Service),
+		Leaving: l.Leaving,
+	}
+}
+
 func encodeFields(h http.Header) []*wire.Field {
 	var fields []*wire.Field
 	for name, values := range h {
@@ -61,7 +89,7 @@
 	return &wire.Up{Part: &wire.Up_Head{Head: &wire.Head{
 		Id: []byte(r.ID), Service: r.Service, Incarnation: incarnation, Time: t,
 		Class: r.Class, Method: r.Method, Path: r.Path, Headers: encodeFields(r.Header), Length: r.Length,
-		Caller: r.Caller, Hops: uint32(r.Hops + 1), Idempotent: r.Idempotent, Feed: r.Feed, Key: r.Key,
+		Caller: r.Caller, Hops: uint32(r.Hops + 1), Idempotent: r.Idempotent, Feed: r.Feed, Key: r.Key, Placed: r.Placed,
 	}}}
 }
 
@@ -76,6 +104,6 @@
 	}
 	return &Request{
 		ID: string(h.Id), Service: h.Service, Class: h.Class, Method: h.Method, Path: h.Path, Header: header, Length: h.Length,
-		Caller: h.Caller, Hops: int(h.Hops), Idempotent: h.Idempotent, Feed: h.Feed, Key: h.Key,
+		Caller: h.Caller, Hops: int(h.Hops), Idempotent: h.Idempotent, Feed: h.Feed, Key: h.Key, Placed: h.Placed,
 	}, nil
 }
--- a/internal/work/hand/exchange.go
+++ b/internal/work/hand/exchange.go
@@ -40,7 +40,7 @@
 		x.stop()
 		x.link.close()
 		event("unreached", x.client.service)
-		return notRun(result.PeerLost)
+		return x.request.unsent(result.PeerLost)
 	}
 	x.stream = stream
 	head := encodeHead(x.request, x.link.process, x.link.deadline(now, left))
@@ -107,7 +107,8 @@
 				}
 			}
 		case *wire.Down_End:
-			return received{end: decodeEnd(p.End)}
+			x.link.peer.heard(p.End.Load)
+			return received{end: decodeEnd(p.End, x.request.Key != "")}
 		default:
 			if err := x.answer.take(d); err != nil {
 				return received{gone: true}
--- a/internal/work/hand/fake_test.go
+++ b/internal/work/hand/fake_test.go
@@ -83,7 +83,7 @@
 	mu    sync.Mutex
 	far   *far  // nil: connection refused
 	cuts  []cut // for the links to come, the first dialled first; the others last
-	links []*fakeLink
+	links []*FakeLink
 }
 
 // cut breaks a link once more than up bytes have gone to the far agent, or down bytes back;
@@ -103,7 +103,7 @@
 		c = n.cuts[len(n.links)]
 	}
 	near, far := net.Pipe()
-	up, down := newLink(near, c.up), newLink(far, c.down)
+	up, down := NewLink(near, c.up), NewLink(far, c.down)
 	server := drpcserver.New(n.far.mux)
 	go func() { _ = server.ServeOne(n.ctx, down) }()
 	n.links = append(n.links, up)
@@ -135,9 +135,9 @@
 	n.far = f
 }
 
-// fakeLink is one end of a link with a socket buffer: what was written before a close still
+// FakeLink is one end of a link with a socket buffer: what was written before a close still
 // arrives.
-type fakeLink struct {
+type FakeLink struct {
 	net.Conn
 	left  int // bytes until it breaks; negative: never
 	queue chan []byte
@@ -146,13 +146,14 @@
 	held  atomic.Pointer[chan struct{}]
 }
 
-func newLink(c net.Conn, left int) *fakeLink {
-	l := &fakeLink{Conn: c, left: left, queue: make(chan []byte, 1000), done: make(chan struct{})}
+// NewLink wraps one end of a pipe that breaks after left bytes.
+func NewLink(c net.Conn, left int) *FakeLink {
+	l := &FakeLink{Conn: c, left: left, queue: make(chan []byte, 1000), done: make(chan struct{})}
 	go l.deliver()
 	return l
 }
 
-func (l *fakeLink) deliver() {
+func (l *FakeLink) deliver() {
 	defer l.Conn.Close()
 	for closed := false; !closed || len(l.queue) > 0; {
 		select {
@@ -170,7 +171,7 @@
 	}
 }
 
-func (l *fakeLink) Write(p []byte) (int, error) {
+func (l *FakeLink) Write(p []byte) (int, error) {
 	n := len(p)
 	if l.left >= 0 {
 		n = min(n, l.left)
@@ -188,7 +189,7 @@
 	return n, nil
 }
 
-func (l *fakeLink) Close() error {
+func (l *FakeLink) Close() error {
 	l.once.Do(func() { close(l.done) })
 	return nil
 }
@@ -233,5 +234,5 @@
 	t.Cleanup(func() { time.Sleep(2 * time.Minute) }) // for whatever still waits
 	f := newFar(t, "tracing-core", 1)
 	n := &network{ctx: t.Context(), far: f}
-	return NewClient("tracing-core", n.dial), f, n
+	return NewClient("tracing-core", n.dial, nil), f, n
 }
--- a/internal/work/hand/hand.go
+++ b/internal/work/hand/hand.go
@@ -22,7 +22,7 @@
 //
 //	err := hand.Register(mux, &hand.Server{Service: "tracing-core", Incarnation: n, Start: start, Runner: chain, Memory: memo.New(memo.DefaultLimits)})
 //
-//	client := hand.NewClient("tracing-core", hand.DialTCP)
+//	client := hand.NewClient("tracing-core", hand.DialTCP, placer.heard)
 //	end := client.Hand(ctx, peer, request, answer)
 package hand
 
@@ -73,7 +73,8 @@
 	Caller     string
 	Hops       int // hand-overs so far
 	Idempotent bool
-	Key        string // text of the request key, if it has one
+	Key        string // text of the request key, if it has one; the receiver is its owner then
+	Placed     bool   // another agent chose this one for it; it is not placed again
 }
 
 // Late reports whether the deadline has passed. A runner asks it right before the
@@ -91,7 +92,8 @@
 }
 
 // Runner runs requests that other agents hand over. Its context ends when the
-// caller goes away or the deadline passes.
+// caller goes away or the deadline passes. Of a request with a key it says "not run"
+// only if nothing ever ran under that key.
 type Runner interface {
 	Run(ctx context.Context, r *Request, a Answer) result.Result
 }
--- /dev/null
+++ b/internal/work/hand/history_test.go
@@ -0,0 +1,176 @@
+package hand_test
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"mangowinch/internal/work/result"
+)
+
+// claimPlan is what one caller does: a claim, and its key again at other agents as long as
+// the outcome is unknown.
+type claimPlan struct {
+	at     time.Duration
+	keyed  bool
+	issuer uint32
+	agents []uint32 // the first try and the repeats
+	pause  time.Duration
+}
+
+// faultPlan is one fault.
+type faultPlan struct {
+	at, lasts time.Duration
+	agent     uint32
+	kind      string // restart, partition or cut
+}
+
+type plan struct {
+	seed   uint64
+	claims []claimPlan
+	faults []faultPlan
+}
+
+func drawPlan(t *rapid.T) plan {
+	millis := func(least, most int) *rapid.Generator[time.Duration] {
+		return rapid.Map(rapid.IntRange(least, most), func(n int) time.Duration { return time.Duration(n) * time.Millisecond })
+	}
+	agent := rapid.Uint32Range(1, agents)
+	claim := rapid.Custom(func(t *rapid.T) claimPlan {
+		return claimPlan{
+			at:     millis(0, 500).Draw(t, "at"),
+			keyed:  rapid.Float64().Draw(t, "keyed") < 0.8,
+			issuer: agent.Draw(t, "issuer"),
+			agents: rapid.SliceOfN(agent, 1, 4).Draw(t, "agents"),
+			pause:  millis(0, 300).Draw(t, "pause"),
+		}
+	})
+	fault := rapid.Custom(func(t *rapid.T) faultPlan {
+		return faultPlan{
+			at:    millis(0, 1000).Draw(t, "at"),
+			lasts: millis(1, 1000).Draw(t, "lasts"),
+			agent: agent.Draw(t, "agent"),
+			kind:  rapid.SampledFrom([]string{"restart", "partition", "cut"}).Draw(t, "kind"),
+		}
+	})
+	return plan{
+		seed:   rapid.Uint64Min(1).Draw(t, "seed"),
+		claims: rapid.SliceOfN(claim, 1, 12).Draw(t, "claims"),
+		faults: rapid.SliceOfN(fault, 0, 4).Draw(t, "faults"),
+	}
+}
+
+// history is what callers were told of one claim.
+type history struct {
+	path string
+	ends []result.Result
+	body string // of the answer that came with "ran"
+}
+
+// play runs a plan and gives what each caller saw.
+func play(t *testing.T, p plan) (*fleet, []history) {
+	f := newFleet(t)
+	f.seed = p.seed
+	f.behave = func(agent uint32, path string) behaviour {
+		r := f.random("server", agent, path)
+		return behaviour{
+			shed:  r%5 < 3,
+			dies:  r>>4%5 == 0,
+			waits: time.Duration(r>>8%100) * time.Millisecond,
+			takes: time.Duration(r>>16%400) * time.Millisecond,
+		}
+	}
+	var all sync.WaitGroup
+	seen := make([]history, len(p.claims))
+	for i, c := range p.claims {
+		all.Go(func() { seen[i] = f.claim(fmt.Sprintf("/claim/%d", i), c) })
+	}
+	for i, x := range p.faults {
+		all.Go(func() { f.strike(t, x, uint64(i+2)) })
+	}
+	all.Wait()
+	time.Sleep(time.Minute)
+	return f, seen
+}
+
+func (f *fleet) claim(path string, c claimPlan) history {
+	h := history{path: path}
+	time.Sleep(c.at)
+	key := ""
+	if c.keyed {
+		key = f.issue(c.issuer)
+	}
+	for _, a := range c.agents {
+		end, body := f.call(a, path, key)
+		h.ends = append(h.ends, end)
+		if end.Outcome == result.Ran {
+			h.body = body
+		}
+		if end.Outcome != result.Unknown || key == "" {
+			break
+		}
+		time.Sleep(c.pause)
+	}
+	return h
+}
+
+func (f *fleet) strike(t *testing.T, x faultPlan, incarnation uint64) {
+	time.Sleep(x.at)
+	switch x.kind {
+	case "restart":
+		f.stop(x.agent)
+		f.start(t, x.agent, incarnation)
+	case "partition":
+		f.partition(x.agent, true)
+		time.Sleep(x.lasts)
+		f.partition(x.agent, false)
+	case "cut":
+		f.partition(x.agent, true)
+		f.partition(x.agent, false)
+	}
+}
+
+// check gives what must not be in a history.
+func (f *fleet) check(seen []history) (violations []string) {
+	for _, h := range seen {
+		runs, last := f.runs(h.path), h.ends[len(h.ends)-1]
+		if runs > 1 {
+			violations = append(violations, fmt.Sprintf("%s ran %d times: %v", h.path, runs, h.ends))
+		}
+		if last.Outcome == result.NotRun && runs > 0 {
+			violations = append(violations, fmt.Sprintf("%s was called not run and ran: %v", h.path, h.ends))
+		}
+		if last.Outcome == result.Ran && (runs == 0 || last.Reason == result.NoReason && h.body != "case for "+h.path) {
+			violations = append(violations, fmt.Sprintf("%s got %q: %v", h.path, h.body, h.ends))
+		}
+	}
+	return violations
+}
+
+// Story: callers send claims and repeat those whose outcome is unknown, at other agents,
+// while links break, agents restart, the fleet is cut in two and servers shed, stall
+// and die. No claim runs twice, none runs that was called not run, and each caller gets
+// its own answer.
+func TestHistories(t *testing.T) {
+	ends, claims := map[result.Outcome]int{}, 0
+	rapid.Check(t, func(r *rapid.T) {
+		p := drawPlan(r)
+		var violations []string
+		synctest.Test(t, func(t *testing.T) {
+			f, seen := play(t, p)
+			violations = f.check(seen)
+			for _, h := range seen {
+				claims++
+				ends[h.ends[len(h.ends)-1].Outcome]++
+			}
+		})
+		if len(violations) > 0 {
+			r.Fatalf("%v", violations)
+		}
+	})
+	t.Logf("%d claims: %v", claims, ends)
+}
--- a/internal/work/hand/link.go
+++ b/internal/work/hand/link.go
@@ -52,6 +52,7 @@
 	service string
 	address netip.AddrPort
 	dial    Dial
+	report  Report
 
 	mu   sync.Mutex
 	idle []*link
@@ -103,6 +104,12 @@
 	return nil
 }
 
+func (p *peer) heard(l *wire.Load) {
+	if l != nil && p.report != nil {
+		p.report(p.address, decodeLoad(l))
+	}
+}
+
 func (p *peer) reserve() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -134,6 +141,7 @@
 	if g.Service != l.peer.service {
 		return errService
 	}
+	l.peer.heard(g.Load)
 	l.process, l.clock, l.greeted = g.Incarnation, micros(g.Clock), time.Now()
 	return nil
 }
--- a/internal/work/hand/server.go
+++ b/internal/work/hand/server.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 	"storj.io/drpc"
 
+	"mangowinch/internal/load/place"
 	"mangowinch/internal/work/memo"
 	"mangowinch/internal/work/result"
 	"mangowinch/internal/work/wire"
@@ -18,7 +19,15 @@
 	Incarnation uint64
 	Start       time.Time // of the process, with its monotonic reading
 	Runner      Runner
-	Memory      *memo.Memo // of IDs; another one than that of request keys
+	Memory      *memo.Memo        // of IDs; another one than that of request keys
+	Load        func() place.Hint // of the own server, told with each end; nil: nothing is told
+}
+
+func (s *Server) load() *wire.Load {
+	if s.Load == nil {
+		return nil
+	}
+	return encodeLoad(s.Load())
 }
 
 // Register puts the server on the process's mux.
@@ -32,6 +41,7 @@
 		Service:     s.Service,
 		Incarnation: s.Incarnation,
 		Clock:       uint64(time.Since(s.Start).Microseconds()),
+		Load:        s.load(),
 	}, nil
 }
 
@@ -62,20 +72,20 @@
 	}
 	now := time.Now()
 	r.Deadline = s.deadline(now, up.GetHead().Time)
-	answer := &downAnswer{stream: stream, service: s.Service}
+	answer := &downAnswer{stream: stream, server: s}
 	end := s.accept(now, r, up.GetHead().Incarnation)
 	if end != nil {
-		return answer.end(*end)
+		return answer.end(*end, false)
 	}
 	if r.Idempotent {
-		return answer.end(s.run(stream, r, answer))
+		return answer.end(s.run(stream, r, answer), true)
 	}
 
 	switch d := s.Memory.Begin(now, memo.Call{ID: r.ID, Head: r.digest(), Until: s.until(r)}); d.Verdict {
 	case memo.Run:
-		return answer.end(s.runOnce(stream, r, answer))
+		return answer.end(s.runOnce(stream, r, answer), true)
 	case memo.Refused:
-		return answer.end(d.Result)
+		return answer.end(d.Result, false)
 	default:
 		event("repeated", s.Service)
 		return answer.replay(stream.Context(), d.Record)
@@ -158,9 +168,9 @@
 // Ask implements the drpc service: what became of an ID.
 func (s *Server) Ask(q *wire.Question, stream wire.DRPCHand_AskStream) error {
 	event("asked", s.Service)
-	answer := &downAnswer{stream: stream, service: s.Service, ctx: stream.Context()}
+	answer := &downAnswer{stream: stream, server: s, ctx: stream.Context()}
 	if q.Incarnation != s.Incarnation {
-		return answer.end(unknown(result.PeerLost))
+		return answer.end(unknown(result.PeerLost), false)
 	}
 	if len(q.Id) != idSize || q.Time == nil {
 		event("damaged", s.Service)
@@ -169,7 +179,7 @@
 	now := time.Now()
 	d := s.Memory.Ask(now, string(q.Id), s.deadline(now, q.Time))
 	if d.Verdict == memo.Refused {
-		return answer.end(d.Result)
+		return answer.end(d.Result, false)
 	}
 	return answer.replay(stream.Context(), d.Record)
 }
--- /dev/null
+++ b/internal/work/spread/spread.go
@@ -0,0 +1,214 @@
+// Package spread runs a request on the agent's own server or hands it to another
+// agent, and tries again elsewhere what was refused as not run.
+//
+// It carries out what packages place and retry decide, and adds what only the one
+// who carries it out can know: whether an answer has begun, and whether the request's
+// body can still be read from its beginning.
+//
+// # Usage
+//
+//	s := spread.New(place.Self{ID: 3, Domain: "zg-a"}, client, ownHint)
+//	s.SetServers(service)
+//	end := s.Run(ctx, request, answer, ownServer)
+package spread
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"mangowinch/internal/conf/docs"
+	"mangowinch/internal/load/place"
+	"mangowinch/internal/load/retry"
+	"mangowinch/internal/work/hand"
+	"mangowinch/internal/work/result"
+)
+
+// Passer hands requests to other agents.
+type Passer interface {
+	Hand(ctx context.Context, to netip.AddrPort, r *hand.Request, a hand.Answer) result.Result
+}
+
+// Spreader places the requests of one agent.
+type Spreader struct {
+	self   uint32
+	client Passer
+	own    func() place.Hint
+
+	mu       sync.Mutex // guards all below; place and retry are not safe for concurrent use
+	placer   *place.Placer
+	budget   *retry.Budget
+	service  string
+	agents   map[uint32]netip.AddrPort
+	agentIDs map[netip.AddrPort]uint32
+}
+
+// New gives a spreader that knows of no server yet. Own tells the state of the own server.
+func New(self place.Self, client Passer, own func() place.Hint) *Spreader {
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	return &Spreader{
+		self:   self.ID,
+		client: client,
+		own:    own,
+		placer: place.New(self, random),
+		budget: retry.New(retry.Default),
+	}
+}
+
+// SetServers puts a new document in force.
+func (s *Spreader) SetServers(d *docs.Service) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.service = d.Name
+	s.placer.SetServers(time.Now(), place.ServersOf(d))
+	s.agents = make(map[uint32]netip.AddrPort, len(d.Servers))
+	s.agentIDs = make(map[netip.AddrPort]uint32, len(d.Servers))
+	for _, v := range d.Servers {
+		s.agents[v.ID] = v.Agent
+		s.agentIDs[v.Agent] = v.ID
+	}
+}
+
+// Report takes what another agent says of its server.
+func (s *Spreader) Report(agent netip.AddrPort, h place.Hint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if id, ok := s.agentIDs[agent]; ok {
+		s.placer.Report(time.Now(), id, h)
+	}
+}
+
+// attempt is a request that is being placed.
+type attempt struct {
+	request hand.Request
+	body    *hand.Body // nil if there is none
+	answer  *begun
+	tried   []uint32
+}
+
+// Run gives a request's outcome. Own runs it on the own server. A request that
+// another agent has placed here runs here or not at all: two agents that each think
+// the other idle would pass it to and fro.
+func (s *Spreader) Run(ctx context.Context, r *hand.Request, a hand.Answer, own hand.Runner) result.Result {
+	if r.Placed {
+		return own.Run(ctx, r, a)
+	}
+	t := &attempt{request: *r, answer: &begun{Answer: a}}
+	if r.Body != nil && r.Body != http.NoBody {
+		t.body = hand.NewBody(r.Body)
+	}
+	s.fresh()
+	end := result.Result{Outcome: result.NotRun, Reason: result.LeavingServer, After: comeBack}
+	for {
+		server, address := s.choose(t.tried)
+		if server == 0 {
+			return end // nobody else to try: the last refusal stands
+		}
+		end = s.try(ctx, t, server, address, own)
+		t.tried = append(t.tried, server)
+		if !s.again(t, end) {
+			return end
+		}
+	}
+}
+
+// comeBack is when a caller is to try again that met no server which takes work: a
+// planned replacement of a server takes seconds.
+const comeBack = time.Second
+
+func (s *Spreader) try(ctx context.Context, t *attempt, server uint32, address netip.AddrPort, own hand.Runner) (end result.Result) {
+	r := t.request
+	if t.body != nil {
+		reader := t.body.Reader()
+		defer func() { _ = reader.Close() }()
+		r.Body = reader
+	}
+	started := time.Now()
+	defer func() { s.ended(server, end, time.Since(started)) }()
+	if server == s.self {
+		return own.Run(ctx, &r, t.answer)
+	}
+	r.Placed = true
+	return s.client.Hand(ctx, address, &r, t.answer)
+}
+
+func (s *Spreader) fresh() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.budget.Fresh()
+}
+
+func (s *Spreader) choose(tried []uint32) (server uint32, address netip.AddrPort) {
+	hint := s.own()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.placer.Choose(time.Now(), hint, tried)
+	s.count("placed", string(c.Why))
+	if c.Server != 0 {
+		s.placer.Sent(c.Server)
+	}
+	return c.Server, s.agents[c.Server]
+}
+
+func (s *Spreader) ended(server uint32, end result.Result, took time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	how := place.Good
+	switch {
+	case end.Reason == result.Gone:
+		how = place.Good // the caller's doing; the time it took is a lower bound
+	case end.Outcome == result.NotRun && end.Reason != result.PeerLost && end.Reason != result.ServerDown:
+		how = place.Shed
+	case end.Outcome != result.Ran:
+		how = place.Failed
+	}
+	s.placer.Ended(time.Now(), server, how, took)
+}
+
+// again decides whether one more try is made.
+func (s *Spreader) again(t *attempt, end result.Result) bool {
+	if end.Outcome == result.Ran {
+		return false
+	}
+	if t.answer.started.Load() || t.body != nil && !t.body.Again() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.count("retries", "consumed")
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v := s.budget.Decide(time.Now(), retry.Attempt{
+		Result:     end,
+		Idempotent: t.request.Idempotent,
+		Tries:      len(t.tried),
+		Deadline:   t.request.Deadline,
+		Service:    hand.HopMargin,
+	})
+	s.count("retries", string(v.Why))
+	return v.Retry
+}
+
+// count needs mu.
+func (s *Spreader) count(what, why string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`mangowinch_%s_total{service=%q,reason=%q}`, what, s.service, why)).Inc()
+}
+
+// begun notes whether any of an answer has been passed on.
+type begun struct {
+	hand.Answer
+	started atomic.Bool
+}
+
+// Start implements hand.Answer.
+func (b *begun) Start(status int, header http.Header) error {
+	b.started.Store(true)
+	return b.Answer.Start(status, header)
+}
--- a/internal/work/token/owner.go
+++ b/internal/work/token/owner.go
@@ -22,17 +22,11 @@
 type Owner struct {
 	Service     string
 	Server      uint32
-	Incarnation uint64        // never the same for two processes; see NewIncarnation
+	Incarnation uint64        // never the same for two processes
 	Start       time.Time     // with its monotonic reading: ages of keys are measured by it alone
 	Lifetime    time.Duration // the same for the whole life of the process
 }
 
-// NewIncarnation names a process: seconds of the clock, which let a person see the
-// order, and 32 random bits, since a clock that was set back may repeat itself.
-func NewIncarnation(now time.Time, random uint32) uint64 {
-	return uint64(now.Unix())<<32 | uint64(random)
-}
-
 // Issue gives a fresh key. Nonce comes from the process's random source; it need
 // not be secret, because a key is authenticated.
 func (o Owner) Issue(now time.Time, nonce uint64) Key {
@@ -61,7 +55,7 @@
 	Agent  netip.AddrPort // of the owner, for Pass
 	Issued time.Time      // by this process's clock, for Here
 	Until  time.Time      // the key's outcome is remembered at least so long, for Here
-	Result result.Result  // for Refuse
+	Result result.Result  // for Refuse; never "not run", since an earlier try may have run
 }
 
 // Rule decides who decides. Servers are those that the service's documents in force
@@ -73,7 +67,7 @@
 // one with a higher number.
 func (o Owner) Rule(now time.Time, k Key, servers []docs.Server) Ruling {
 	if k.Service != o.Service {
-		return refuse(result.NotRun, result.KeyBad, 0)
+		return refuse(result.KeyBad, 0)
 	}
 	if k.Server != o.Server {
 		for _, s := range servers {
@@ -81,24 +75,24 @@
 				return Ruling{Place: Pass, Agent: s.Agent}
 			}
 		}
-		return refuse(result.Unknown, result.OwnerGone, ComeBack)
+		return refuse(result.OwnerGone, ComeBack)
 	}
 	if k.Incarnation != o.Incarnation {
-		return refuse(result.Unknown, result.OwnerGone, 0)
+		return refuse(result.OwnerGone, 0)
 	}
 	issued := o.Start.Add(k.Issued)
 	until := issued.Add(o.Lifetime)
 	if issued.After(now) {
-		return refuse(result.NotRun, result.KeyBad, 0)
+		return refuse(result.KeyBad, 0)
 	}
 	// The memory of outcomes may have dropped this key, so it can neither run
 	// nor be called not run. Both times are by this process's clock.
 	if !now.Before(until) {
-		return refuse(result.Unknown, result.KeyOld, 0)
+		return refuse(result.KeyOld, 0)
 	}
 	return Ruling{Place: Here, Issued: issued, Until: until}
 }
 
-func refuse(o result.Outcome, r result.Reason, after time.Duration) Ruling {
-	return Ruling{Place: Refuse, Result: result.Result{Outcome: o, Reason: r, After: after}}
+func refuse(r result.Reason, after time.Duration) Ruling {
+	return Ruling{Place: Refuse, Result: result.Result{Outcome: result.Unknown, Reason: r, After: after}}
 }
--- a/internal/work/token/token_test.go
+++ b/internal/work/token/token_test.go
@@ -147,8 +147,7 @@
 // its clock set back, so that the new process has the lower incarnation. The
 // caller repeats the key. The new process knows nothing of the run: unknown.
 func TestRestartedOwnerWithClockSetBack(t *testing.T) {
-	then, now := NewIncarnation(start, 9), NewIncarnation(start.Add(-time.Hour), 9)
-	assert.Assert(t, now < then)
+	then, now := uint64(start.UnixNano()), uint64(start.Add(-time.Hour).UnixNano())
 	got := owner(3, now).Rule(start, owner(3, then).Issue(start, 1), nil)
 	assert.Equal(t, got.Place, Refuse)
 	assert.Equal(t, got.Result, result.Result{Outcome: result.Unknown, Reason: result.OwnerGone})
