Share work between agents: request keys, placement, hand-over

Cause: an agent ran all its callers' requests on its own server, and a repeat of an unknown request ran again.

The chain is now classify, limitTime, once, place, enter, server. What other agents hand over goes through the same chain, with the deadline and source address that came with it.

- answers carry a fresh key, and /.well-known/request-key gives one; a leaving agent gives none, since it would soon not know what became of it
- a request with a key that is refused before its key was looked at is unknown
- right before the first byte to the server the deadline is compared with the clock: after a pause the timers are due and have not fired
- an answer of "ran" with a reason is not whole and is broken off

--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -44,6 +44,7 @@
 	"mangowinch/internal/node/awake"
 	"mangowinch/internal/node/gate"
 	"mangowinch/internal/node/rings"
+	"mangowinch/internal/work/once"
 	"mangowinch/internal/work/result"
 )
 
@@ -79,23 +80,25 @@
 	store       *store.Store
 	log         zerolog.Logger
 	incarnation uint64 // tells this run of the process from earlier ones
-	now         atomic.Pointer[snapshot]
-	standing    standing
-	gate        *gate.Gate
-	opened      opened
-	handshakes  *rate.Limiter
-	link        *link
-	transport   *quic.Transport
-	server      *http3.Server
-	backend     *backend
-	handler     Handler
-	requests    atomic.Int64 // in progress
-	nonce       atomic.Uint64
-	hooks       Hooks
-	hinted      atomic.Int64 // Unix nanoseconds of the last call of Hooks.Newer
-	demand      demand
-	load        atomic.Uint32 // demand as frames carry it
-	count       counters
+	started     time.Time
+	share
+	now        atomic.Pointer[snapshot]
+	standing   standing
+	gate       *gate.Gate
+	opened     opened
+	handshakes *rate.Limiter
+	link       *link
+	transport  *quic.Transport
+	server     *http3.Server
+	backend    *backend
+	handler    Handler
+	requests   atomic.Int64 // in progress
+	nonce      atomic.Uint64
+	hooks      Hooks
+	hinted     atomic.Int64 // Unix nanoseconds of the last call of Hooks.Newer
+	demand     demand
+	load       atomic.Uint32 // demand as frames carry it
+	count      counters
 }
 
 // Hooks connect the agent to whoever keeps its documents. Both may be nil.
@@ -117,6 +120,7 @@
 	revision uint64
 	ring     *ident.Ring
 	own      *docs.Server
+	keys     *once.View
 }
 
 // New opens the agent's sockets. The agent serves once a document is in force.
@@ -130,6 +134,7 @@
 		store:       documents,
 		log:         log,
 		incarnation: uint64(time.Now().UnixNano()),
+		started:     time.Now(),
 		count:       newCounters(settings.Agent.Service),
 		backend:     newBackend(settings.Agent.Backend),
 		gate:        gate.New(admit.Limits{}),
@@ -137,11 +142,14 @@
 	}
 	a.standing = standing{log: log, changed: a.standingChanged}
 	a.nonce.Store(rand.Uint64())
+	if err := a.registerHand(); err != nil {
+		return nil, err
+	}
 	a.link, err = newLink(a)
 	if err != nil {
 		return nil, err
 	}
-	a.handler = chain(a.backend.run, a.classify, a.limitTime, a.enter)
+	a.handler = chain(a.backend.run, a.classify, a.limitTime, a.once, a.place, a.enter)
 	a.server = &http3.Server{
 		Handler:     http.HandlerFunc(a.serveHTTP),
 		TLSConfig:   http3.ConfigureTLSConfig(certificates),
@@ -163,8 +171,13 @@
 	if err != nil {
 		return err
 	}
+	peers, err := net.Listen("tcp", a.settings.Agent.Listen.String())
+	if err != nil {
+		return err
+	}
 	var g errgroup.Group
 	g.Go(func() error { return a.link.read(inner) })
+	g.Go(func() error { return a.servePeers(inner, peers) })
 	g.Go(func() error {
 		a.link.keepPaths(inner)
 		return nil
@@ -288,7 +301,11 @@
 		a.standing.set(byDocument, true)
 		return
 	}
+	if old == nil {
+		a.newShare(next)
+	}
 	a.now.Store(next)
+	a.setPeers(d.Service)
 	a.gate.SetLimits(admit.LimitsOf(d.Service, *next.own))
 	a.log.Info().Str("service", d.Name).Uint64("revision", d.Revision).Str("source", d.Source).Msg("document in force")
 	a.standing.set(byDocument, next.own.State == docs.Leaving)
@@ -312,10 +329,19 @@
 		}
 		s.own = o
 	}
-	if s.own == nil && a.now.Load() == nil {
-		return nil, errors.Newf("the document has no server %q", a.settings.Agent.Server)
+	old := a.now.Load()
+	if s.own == nil {
+		if old == nil {
+			return nil, errors.Newf("the document has no server %q", a.settings.Agent.Server)
+		}
+		return s, nil
+	}
+	var before *once.View
+	if old != nil {
+		before = old.keys
 	}
-	return s, nil
+	s.keys, err = a.keysOf(d.Service, s.own, before)
+	return s, err
 }
 
 // stop waits until the requests in progress have ended.
--- a/internal/node/agent/backend.go
+++ b/internal/node/agent/backend.go
@@ -59,6 +59,11 @@
 // Its outcome is not run only if no byte of the request can have reached the server,
 // or on the server's own word.
 func (b *backend) run(ctx context.Context, x *Exchange) result.Result {
+	// A process that was paused while this waited wakes with its timers due and
+	// unfired; whoever waits for this has been answered long ago.
+	if !time.Now().Before(x.Deadline) {
+		return refuse(result.Expired, 0)
+	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	late := time.AfterFunc(time.Until(x.Deadline), func() { cancel(errDeadline) })
--- a/internal/node/agent/chain.go
+++ b/internal/node/agent/chain.go
@@ -19,6 +19,10 @@
 	OwnFlow  bool         // came by a flow of this agent, not from another agent
 	Source   netip.Addr   // where it comes from
 	Caller   queue.Caller // who shares the service fairly with others
+	Key      string       // request key, if it has one
+	Hops     int          // hand-overs so far
+	Placed   bool         // another agent chose this one for it
+	Decided  bool         // its key was looked at: "not run" holds for the key
 	Deadline time.Time
 	Request  *http.Request
 	Answer   *Answer
--- a/internal/node/agent/limit.go
+++ b/internal/node/agent/limit.go
@@ -17,6 +17,9 @@
 // its first byte; whoever waits for something compares with Exchange.Deadline.
 func (a *Agent) limitTime(next Handler) Handler {
 	return func(ctx context.Context, x *Exchange) result.Result {
+		if !x.Deadline.IsZero() { // handed over, with what the first agent left
+			return next(ctx, x)
+		}
 		left := x.Class.Deadline
 		if ms, err := strconv.ParseInt(x.Request.Header.Get(headerDeadline), 10, 64); err == nil && ms >= 0 {
 			left = min(left, time.Duration(ms)*time.Millisecond)
--- a/internal/node/agent/serve.go
+++ b/internal/node/agent/serve.go
@@ -56,6 +56,11 @@
 func (a *Agent) serveHTTP(w http.ResponseWriter, r *http.Request) {
 	a.requests.Add(1)
 	defer a.requests.Add(-1)
+	if r.URL.Path == keyPath {
+		a.serveKey(w)
+		return
+	}
+	a.giveKey(w.Header())
 	v := a.now.Load()
 	x := &Exchange{
 		ID:      fmt.Sprintf("%d-%x-%x", v.own.ID, a.incarnation, a.nonce.Add(1)),
@@ -64,9 +69,11 @@
 		Answer:  &Answer{ResponseWriter: w},
 		Source:  source(r.RemoteAddr),
 		OwnFlow: true,
+		Key:     r.Header.Get(headerKey),
 	}
+	r.Header.Set(headerID, x.ID)
 	x.Caller = callerOf(x)
-	res := a.handler(r.Context(), x)
+	res := settle(x, a.handler(r.Context(), x))
 	a.count.end(res)
 	if x.Answer.Began() {
 		a.endBegun(r.Context(), res)
@@ -78,7 +85,7 @@
 // endBegun breaks off an answer that began and did not come whole, so that the
 // caller never takes a part for the whole.
 func (a *Agent) endBegun(ctx context.Context, res result.Result) {
-	if res.Outcome == result.Ran {
+	if res.Outcome == result.Ran && res.Reason == result.NoReason {
 		return
 	}
 	if ctx.Err() == nil {
--- a/internal/node/agent/status.go
+++ b/internal/node/agent/status.go
@@ -17,6 +17,8 @@
 	Connections int64          `json:"connections"`
 	Gate        admit.Stats    `json:"gate"`
 	Opening     int            `json:"opening"` // flows kept in mind while they open
+	Keys        int            `json:"keys"`    // request keys whose outcome is remembered
+	Handed      int            `json:"handed"`  // handed requests whose outcome is remembered
 	Entries     []paths.Status `json:"entries"`
 }
 
@@ -29,6 +31,8 @@
 	}
 	if v := a.now.Load(); v != nil {
 		s.Revision = v.revision
+		s.Keys, _ = a.guard.Memory.Size()
+		s.Handed, _ = a.ids.Size()
 	}
 	s.Leaving = a.standing.why()
 	s.Connections = a.opened.count.Load()
