--- a/internal/work/hand/exchange.go
+++ b/internal/work/hand/exchange.go
@@ -130,7 +130,7 @@
 	for range window {
 		x.credits <- struct{}{}
 	}
-	part := make([]byte, partSize)
+	part := make([]byte, x.partSize())
 	for {
 		select {
 		case <-x.credits:
@@ -155,6 +155,14 @@
 	}
 }
 
+// partSize is no larger than a short body, with one byte more to see its end.
+func (x *exchange) partSize() int64 {
+	if n := x.request.Length; n >= 0 && n < partSize {
+		return n + 1
+	}
+	return partSize
+}
+
 // finish ends the call in order and keeps the link. The stream's context is not
 // cancelled: drpc would close the link if it saw that before the end.
 func (x *exchange) finish() {
