--- a/internal/node/agent/link.go
+++ b/internal/node/agent/link.go
@@ -54,17 +54,18 @@
 	defer l.mu.Unlock()
 	settings := l.agent.settings.Agent
 	l.table = table.New(l.agent.now.Load().own.ID, maxOpening, frame.MaxHops)
-	use := sock.Alone
 	if len(settings.Sides) > 0 {
-		use = sock.Shared
 		if l.side, err = openSide(ctx, settings.Sides); err != nil {
 			return err
 		}
 	}
-	l.conn, err = sock.UDP(ctx, settings.Listen, use)
+	l.conn, err = sock.UDP(ctx, settings.Listen, l.use())
 	return err
 }
 
+// use says whether a successor may open the agent's address beside this process.
+func (l *link) use() sock.Use { return sock.Use(len(l.agent.settings.Agent.Sides) > 0) }
+
 // close ends the readers.
 func (l *link) close() error {
 	err := l.conn.Close()
--- a/internal/node/agent/status.go
+++ b/internal/node/agent/status.go
@@ -18,6 +18,8 @@
 	Gate        admit.Stats    `json:"gate"`
 	Successor   bool           `json:"successor"` // another process holds the same address
 	Opening     int            `json:"opening"`   // flows kept in mind while they open
+	Keys        int            `json:"keys"`      // request keys whose outcome is remembered
+	Handed      int            `json:"handed"`    // handed requests whose outcome is remembered
 	Entries     []paths.Status `json:"entries"`
 }
 
@@ -30,6 +32,8 @@
 	}
 	if v := a.now.Load(); v != nil {
 		s.Revision = v.revision
+		s.Keys, _ = a.guard.Memory.Size()
+		s.Handed, _ = a.ids.Size()
 	}
 	s.Leaving = a.standing.why()
 	s.Connections = a.opened.count.Load()
--- a/internal/work/hand/exchange.go
+++ b/internal/work/hand/exchange.go
@@ -40,7 +40,7 @@
 		x.stop()
 		x.link.close()
 		event("unreached", x.client.service)
-		return notRun(result.PeerLost)
+		return x.request.unsent(result.PeerLost)
 	}
 	x.stream = stream
 	head := encodeHead(x.request, x.link.process, x.link.deadline(now, left))
@@ -107,7 +107,8 @@
 				}
 			}
 		case *wire.Down_End:
-			return received{end: decodeEnd(p.End)}
+			x.link.peer.heard(p.End.Load)
+			return received{end: decodeEnd(p.End, x.request.Key != "")}
 		default:
 			if err := x.answer.take(d); err != nil {
 				return received{gone: true}
@@ -129,7 +130,7 @@
 	for range window {
 		x.credits <- struct{}{}
 	}
-	part := make([]byte, partSize)
+	part := make([]byte, x.partSize())
 	for {
 		select {
 		case <-x.credits:
@@ -154,6 +155,14 @@
 	}
 }
 
+// partSize is no larger than a short body, with one byte more to see its end.
+func (x *exchange) partSize() int64 {
+	if n := x.request.Length; n >= 0 && n < partSize {
+		return n + 1
+	}
+	return partSize
+}
+
 // finish ends the call in order and keeps the link. The stream's context is not
 // cancelled: drpc would close the link if it saw that before the end.
 func (x *exchange) finish() {
