--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -16,6 +16,7 @@
 	Fabric   fabricCommand   `cmd:"" help:"Spray the datagrams of callers over entries."`
 	Server   serverCommand   `cmd:"" help:"Be a backend server."`
 	Demo     demoCommand     `cmd:"" help:"Start a deployment, call it, kill an entry under a feed, say what happened."`
+	Faults   faultsCommand   `cmd:"" help:"Break parts of a deployment under load and compare what callers were told with what ran."`
 }
 
 func main() {
--- a/internal/stand/check/check.go
+++ b/internal/stand/check/check.go
@@ -39,6 +39,7 @@
 	Crossed  Rule = "crossed"  // ran at another service
 	Late     Rule = "late"     // new work at a server that had been told to leave
 	Stranger Rule = "stranger" // ran, and no caller asked for it
+	Reverted Rule = "reverted" // an accepted document is not in force; found by runs, not by Check
 )
 
 // Attempt is one request as its caller saw it. A repeat with a request key counts
@@ -48,6 +49,7 @@
 	Service string
 	Once    bool // not idempotent
 	Steady  bool // must come to its end whole in spite of the fault
+	Long    bool // a feed or an upload
 	Outcome result.Outcome
 	Reason  string
 	Want    string // the whole answer
--- /dev/null
+++ b/internal/stand/faults/steps.go
@@ -0,0 +1,199 @@
+package faults
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"mangowinch/internal/conf/prefs"
+	"mangowinch/internal/stand/check"
+	"mangowinch/internal/stand/fabric"
+)
+
+const withdrawAfter = time.Second // until the fabric notices that an entry is gone
+
+// entry draws an entry.
+func (r *run) entry() *prefs.Settings {
+	entries := r.fleet.Entries()
+	return entries[r.random.IntN(len(entries))]
+}
+
+// agent draws an agent of the larger service.
+func (r *run) agent() *prefs.Settings {
+	agents := r.fleet.Agents(r.largest())
+	return agents[r.random.IntN(len(agents))]
+}
+
+func (r *run) largest() string {
+	largest := r.fleet.Services[0]
+	for _, s := range r.fleet.Services {
+		if len(s.Servers) > len(largest.Servers) {
+			largest = s
+		}
+	}
+	return largest.Name
+}
+
+// hits says that flows and requests at an agent's server may be cut by the fault.
+func (r *run) hits(agent *prefs.Settings) {
+	r.hit[agent.Agent.Service+"/"+agent.Agent.Server] = true
+}
+
+// leaves says that a server is told to leave now.
+func (r *run) leaves(agent *prefs.Settings) {
+	r.leaving = append(r.leaving, check.Leave{Service: agent.Agent.Service, Server: agent.Agent.Server, At: time.Now()})
+}
+
+// post sets a fault at a stand-in.
+func (r *run) post(process, path, body string) (err error) {
+	defer func() { err = errors.Wrapf(err, "%s %s", process, path) }()
+	url := "http://" + r.fleet.Process(process).Operator.String() + path
+	request, err := http.NewRequestWithContext(r.ctx, http.MethodPost, url, strings.NewReader(body))
+	if err != nil {
+		return err
+	}
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	defer answer.Body.Close()
+	if answer.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(answer.Body)
+		return errors.Newf("%s: %s", answer.Status, text)
+	}
+	return nil
+}
+
+// spray lets the fabric send to all entries but these.
+func (r *run) spray(without ...*prefs.Settings) error {
+	var addresses []string
+	for _, e := range r.fleet.Entries() {
+		gone := false
+		for _, w := range without {
+			gone = gone || w == e
+		}
+		if !gone {
+			addresses = append(addresses, e.Entry.Bind.String())
+		}
+	}
+	return r.post("fabric", "/entries?set="+strings.Join(addresses, ","), "")
+}
+
+// cut sets the loss at an entry.
+func (r *run) cut(e *prefs.Settings, toward, back float64) error {
+	return r.post("fabric", fmt.Sprintf("/fault?entry=%s&toward=%g&back=%g", e.Entry.Bind, toward, back), "")
+}
+
+// part shows each side of the callers other entries; no sides end it.
+func (r *run) part(sides ...fabric.Side) error {
+	if sides == nil {
+		sides = []fabric.Side{}
+	}
+	text, err := json.Marshal(sides)
+	if err != nil {
+		return err
+	}
+	return r.post("fabric", "/partition", string(text))
+}
+
+// restart starts a process that has ended and waits until it is ready.
+func (r *run) restart(name string) error {
+	if err := r.fleet.Process(name).Start(); err != nil {
+		return err
+	}
+	return r.fleet.AwaitReady(r.ctx, name)
+}
+
+// edit changes a file that the platform serves, in one step for its readers.
+func (r *run) edit(file string, change func(text string) string) (err error) {
+	defer func() { err = errors.Wrapf(err, "edit %s", file) }()
+	path := filepath.Join(r.fleet.DocumentsDirectory(), file)
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	next := path + ".next"
+	if err := os.WriteFile(next, []byte(change(string(text))), 0o600); err != nil {
+		return err
+	}
+	return os.Rename(next, path)
+}
+
+// setState writes a server's state into its document.
+func (r *run) setState(agent *prefs.Settings, state string) error {
+	section := "[server " + agent.Agent.Server + "]\n"
+	return r.edit(agent.Agent.Service+".ini", func(text string) string {
+		return strings.Replace(text, section, section+"state = "+state+"\n", 1)
+	})
+}
+
+// touch makes a new revision of a document that changes nothing else.
+func (r *run) touch(service string) error {
+	return r.edit(service+".ini", func(text string) string { return text + "\n; touched\n" })
+}
+
+// setListed writes an instance's state into the platform's list.
+func (r *run) setListed(name, state string) error {
+	return r.edit("instances.json", func(text string) string {
+		lines := strings.Split(text, "\n")
+		for i, line := range lines {
+			if strings.Contains(line, `"name": "`+name+`"`) {
+				lines[i] = strings.Replace(line, `"live"`, `"`+state+`"`, 1)
+			}
+		}
+		return strings.Join(lines, "\n")
+	})
+}
+
+// revision returns the revision of a document that a process has in force.
+func (r *run) revision(process, service string) (revision uint64, err error) {
+	defer func() { err = errors.Wrapf(err, "status of %s", process) }()
+	url := "http://" + r.fleet.Process(process).Operator.String() + "/status"
+	request, err := http.NewRequestWithContext(r.ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return 0, err
+	}
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, err
+	}
+	defer answer.Body.Close()
+	var status struct {
+		Sections struct {
+			Documents []struct {
+				Name     string `json:"name"`
+				Revision uint64 `json:"revision"`
+			} `json:"documents"`
+		} `json:"sections"`
+	}
+	if err := json.NewDecoder(answer.Body).Decode(&status); err != nil {
+		return 0, err
+	}
+	for _, d := range status.Sections.Documents {
+		if d.Name == service {
+			return d.Revision, nil
+		}
+	}
+	return 0, nil
+}
+
+// expectRevision adds a violation if a process does not have a document's revision
+// in force within a time, or a later one.
+func (r *run) expectRevision(process, service string, least uint64, within time.Duration) {
+	var got uint64
+	var err error
+	for end := time.Now().Add(within); time.Now().Before(end); r.wait(20 * time.Millisecond) {
+		if got, err = r.revision(process, service); err == nil && got >= least {
+			return
+		}
+	}
+	r.extra = append(r.extra, check.Violation{Rule: check.Reverted, Token: process,
+		Detail: fmt.Sprintf("has revision %d of %s and not %d after %s (%v)", got, service, least, within, err)})
+}
--- a/internal/stand/fleet/fleet.go
+++ b/internal/stand/fleet/fleet.go
@@ -225,7 +225,7 @@
 	return nodes
 }
 
-// AwaitReady returns once each named process answers GET /healthz (a server: /health) with 200.
+// AwaitReady returns once each named process answers GET /healthz with 200.
 func (f *Fleet) AwaitReady(ctx context.Context, names ...string) (err error) {
 	ctx, cancel := context.WithTimeout(ctx, readyWithin)
 	defer cancel()
@@ -259,21 +259,16 @@
 }
 
 func (p *Process) ready(ctx context.Context) bool {
-	for _, path := range []string{"/healthz", "/health"} {
-		request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.Operator.String()+path, nil)
-		if err != nil {
-			return false
-		}
-		answer, err := http.DefaultClient.Do(request)
-		if err != nil {
-			return false
-		}
-		answer.Body.Close()
-		if answer.StatusCode == http.StatusOK {
-			return true
-		}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.Operator.String()+"/healthz", nil)
+	if err != nil {
+		return false
+	}
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
 	}
-	return false
+	answer.Body.Close()
+	return answer.StatusCode == http.StatusOK
 }
 
 // Close ends every process and removes the temporary directory.
--- a/internal/stand/server/server.go
+++ b/internal/stand/server/server.go
@@ -108,6 +108,7 @@
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /health", s.serveHealth)
+	mux.HandleFunc("GET /healthz", func(http.ResponseWriter, *http.Request) {})
 	mux.HandleFunc("GET /load", s.serveLoad)
 	mux.HandleFunc("GET /history", s.serveHistory)
 	mux.HandleFunc("POST /drain", s.serveDrain)
