--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -24,6 +24,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"sync/atomic"
 	"time"
@@ -40,6 +41,7 @@
 	"mangowinch/internal/conf/store"
 	"mangowinch/internal/flow/ident"
 	"mangowinch/internal/load/admit"
+	"mangowinch/internal/node/awake"
 	"mangowinch/internal/node/gate"
 	"mangowinch/internal/node/rings"
 	"mangowinch/internal/work/result"
@@ -49,9 +51,14 @@
 	// handshakeTime bounds a connection's handshake; package table remembers new
 	// flows as long.
 	handshakeTime = 10 * time.Second
-	// idleTime ends a connection without any datagram. Callers keep connections
-	// alive four times in it, so three lost keep-alives end nothing.
+	// idleTime ends a connection without any datagram.
 	idleTime = 60 * time.Second
+	// aliveTime is how often an agent says something on a silent connection: a
+	// feed without news for minutes must not end, and many callers' libraries give
+	// up after 30 s. One keep-alive may be lost there, three here.
+	aliveTime = 13 * time.Second
+	// unusedTime ends a connection without requests, which aliveTime would keep for ever.
+	unusedTime = 2 * time.Minute
 	// stopTime bounds a planned stop. Feeds last for hours, and a stop waits for them.
 	stopTime = 12 * time.Hour
 	// leaveTime is how long a stopping agent stays after its last stream, so that
@@ -84,10 +91,26 @@
 	handler     Handler
 	requests    atomic.Int64 // in progress
 	nonce       atomic.Uint64
-	load        atomic.Uint32 // in thousandths of the slots, see measureLoad
+	hooks       Hooks
+	hinted      atomic.Int64 // Unix nanoseconds of the last call of Hooks.Newer
+	demand      demand
+	load        atomic.Uint32 // demand as frames carry it
 	count       counters
 }
 
+// Hooks connect the agent to whoever keeps its documents. Both may be nil.
+type Hooks struct {
+	// Newer is called when a frame shows that the process at link has a newer
+	// document of the own service. It must not block.
+	Newer func(link netip.AddrPort, service string, revision uint64)
+	// Refresh asks for the newest document after a pause. It returns when it has
+	// asked somebody, or with ctx.
+	Refresh func(ctx context.Context)
+}
+
+// SetHooks is to be called before Run.
+func (a *Agent) SetHooks(h Hooks) { a.hooks = h }
+
 // snapshot is what the document in force says; it is immutable.
 type snapshot struct {
 	document *docs.Service
@@ -120,8 +143,9 @@
 	}
 	a.handler = chain(a.backend.run, a.classify, a.limitTime, a.enter)
 	a.server = &http3.Server{
-		Handler:   http.HandlerFunc(a.serveHTTP),
-		TLSConfig: http3.ConfigureTLSConfig(certificates),
+		Handler:     http.HandlerFunc(a.serveHTTP),
+		TLSConfig:   http3.ConfigureTLSConfig(certificates),
+		IdleTimeout: unusedTime,
 	}
 	return a, nil
 }
@@ -160,6 +184,10 @@
 		a.keepHealth(inner)
 		return nil
 	})
+	g.Go(func() error {
+		awake.Watch(inner, func(pause time.Duration) { a.woken(inner, pause) })
+		return nil
+	})
 	g.Go(func() error {
 		<-ctx.Done()
 		a.stop(inner)
@@ -192,6 +220,7 @@
 	config := &quic.Config{
 		HandshakeIdleTimeout: handshakeTime,
 		MaxIdleTimeout:       idleTime,
+		KeepAlivePeriod:      aliveTime,
 		MaxIncomingStreams:   maxStreams,
 		// A larger datagram would not fit behind the link's header.
 		DisablePathMTUDiscovery: true,
--- a/internal/node/agent/link.go
+++ b/internal/node/agent/link.go
@@ -84,6 +84,9 @@
 		a.count.refuse(err)
 		return
 	}
+	if h.Revision > v.revision {
+		a.hint(now, h.Entry, h.Revision)
+	}
 	switch h.Kind {
 	case frame.Echo:
 		l.mu.Lock()
@@ -220,7 +223,7 @@
 		case <-ctx.Done():
 			return
 		case now := <-t.C:
-			l.agent.measureLoad()
+			l.agent.load.Store(l.agent.demand.measure(now, l.agent.now.Load().own.Slots))
 			l.probe(now)
 		}
 	}
