--- a/internal/oper/admin/admin_test.go
+++ b/internal/oper/admin/admin_test.go
@@ -68,6 +68,7 @@
 mangowinch_requests_total{service="a",outcome="ran",reason=""} 50
 mangowinch_dropped_total{reason="short",service="b"} 7
 mangowinch_dropped_total{reason="size",service="b"} 0
+mangowinch_hand_ends_total{service="a",outcome="ran",reason="none"} 8
 go_goroutines{reason="x"} 4
 `), []Reason{
 		{Counter: "dropped_total", Service: "b", Reason: "short", Count: 7},
--- a/internal/oper/admin/reasons.go
+++ b/internal/oper/admin/reasons.go
@@ -11,8 +11,12 @@
 	"github.com/VictoriaMetrics/metrics"
 )
 
-// reasonLabel is the label by which counters of refusals, drops and retries say why.
-const reasonLabel = "reason"
+const (
+	// reasonLabel is the label by which counters of refusals, drops and retries say why.
+	reasonLabel = "reason"
+	// noReason is what some of them say of an end that needs no reason.
+	noReason = "none"
+)
 
 // Reason is one counter that says why something was refused, dropped or tried again.
 type Reason struct {
@@ -66,5 +70,5 @@
 		}
 	}
 	r.Other = strings.Join(other, " ")
-	return r, r.Reason != "" && r.Count > 0
+	return r, r.Reason != "" && r.Reason != noReason && r.Count > 0
 }
--- a/internal/oper/verbs/verbs_test.go
+++ b/internal/oper/verbs/verbs_test.go
@@ -191,3 +191,21 @@
 	assert.Equal(t, code, exitUse)
 	assert.Assert(t, strings.Contains(err, "[process]: missing"), err)
 }
+
+// The examples are what newcomers start from and what the demo and the tests run, so
+// they must hold against each other, too.
+func TestExamples(t *testing.T) {
+	for _, deployment := range []string{"zagreb", "rabat"} {
+		directory := certified(t)
+		assert.NilError(t, os.Rename(filepath.Join(directory, certificateFile), filepath.Join(directory, "cert.pem")))
+		assert.NilError(t, os.Rename(filepath.Join(directory, privateFile), filepath.Join(directory, "cert.key")))
+		args := []string{"check"}
+		for _, part := range []string{"documents", "settings"} {
+			assert.NilError(t, os.CopyFS(directory, os.DirFS(filepath.Join("../../../examples", deployment, part))))
+		}
+		files, err := filepath.Glob(filepath.Join(directory, "*.ini"))
+		assert.NilError(t, err)
+		code, out, message := run(append(args, files...)...)
+		assert.Equal(t, code, exitDone, out+message)
+	}
+}
