Believe in the old process until its silence is sure

The successor read a datagram of the old process's flow before it had heard its greeting, took the flow for lost, and QUIC reset it. Ruled out: a datagram lost between the sides (the reset came from the successor, which had passed on 55 others). A side not heard yet now has a second to speak, and greets before it reads.

--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -169,6 +169,7 @@
 	if err := a.link.open(ctx); err != nil {
 		return err
 	}
+	a.link.greet(a.now.Load()) // before anything is read
 	listener, err := a.listenQUIC()
 	if err != nil {
 		return err
--- a/internal/node/agent/side.go
+++ b/internal/node/agent/side.go
@@ -20,6 +20,9 @@
 	// sideLost is how long a side may be silent before the other takes its datagrams
 	// for itself, so that QUIC tells their callers that the flows are gone.
 	sideLost = time.Second
+	// doubtAgain is when a silent side is given its time once more: a successor may
+	// have been started meanwhile, whose first greeting was lost.
+	doubtAgain = 10 * time.Second
 )
 
 // side connects an agent's process with the one that replaces it, or that it
@@ -32,6 +35,7 @@
 	conn  *net.UDPConn
 	other netip.AddrPort
 	heard atomic.Int64 // Unix nanoseconds of the other's last sign of life
+	doubt atomic.Int64 // Unix nanoseconds when its silence was first noticed; 0 if it is heard
 }
 
 // openSide takes the first address that is free. Without addresses there is no side.
@@ -46,11 +50,31 @@
 	return nil, errors.Wrap(err, "both sides are taken")
 }
 
-// alive says whether the other process runs.
+// alive says whether the other process was heard lately.
 func (s *side) alive(now time.Time) bool {
 	return s != nil && now.UnixNano()-s.heard.Load() < int64(sideLost)
 }
 
+// mayLive says whether the other process may run, as long as its silence is not
+// long enough to be sure. A process that has just started has not heard the other
+// yet; were the other's datagrams taken for lost flows' in that moment, QUIC would
+// reset the very flows that the replacement is to keep.
+func (s *side) mayLive(now time.Time) bool {
+	if s == nil {
+		return false
+	}
+	if s.alive(now) {
+		s.doubt.Store(0)
+		return true
+	}
+	since := now.UnixNano() - s.doubt.Load()
+	if since > int64(doubtAgain) {
+		s.doubt.Store(now.UnixNano())
+		return true
+	}
+	return since < int64(sideLost)
+}
+
 // greet tells the other process that this one runs.
 func (l *link) greet(v *snapshot) {
 	if l.side == nil {
@@ -65,13 +89,10 @@
 // isOther says whether a datagram is the other side's. A leaving process also gives it
 // flows that it has not begun, so that its successor opens them.
 func (l *link) isOther(now time.Time, owner ident.Owner, named bool, key uint64) bool {
-	if !l.side.alive(now) {
-		return false
-	}
 	if named {
-		return owner.Server == l.agent.now.Load().own.ID && owner.Side != l.side.index
+		return l.side != nil && owner.Side != l.side.index && owner.Server == l.agent.now.Load().own.ID && l.side.mayLive(now)
 	}
-	if l.agent.standing.accepting() {
+	if l.agent.standing.accepting() || !l.side.alive(now) {
 		return false
 	}
 	l.mu.Lock()
--- /dev/null
+++ b/internal/node/agent/side_test.go
@@ -0,0 +1,35 @@
+package agent
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// An agent's process is replaced while a feed is open. The feed's next datagram
+// reaches the successor before the old process has greeted it. The successor used
+// to take the flow for lost, and QUIC cut the feed with a stateless reset.
+func TestSuccessorBelievesInOldProcessAtFirst(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var s side
+	assert.Assert(t, s.mayLive(now))
+	assert.Assert(t, s.mayLive(now.Add(sideLost/2)))
+	s.heard.Store(now.Add(sideLost / 2).UnixNano())
+	assert.Assert(t, s.mayLive(now.Add(sideLost)))
+}
+
+// The old process has died. After a second of silence its flows' callers must be
+// told, so that they open new ones instead of waiting for their idle timeout.
+func TestSilentSideIsGivenUp(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var s side
+	s.heard.Store(now.UnixNano())
+	assert.Assert(t, s.mayLive(now.Add(sideLost/2)))
+	now = now.Add(2 * sideLost)
+	assert.Assert(t, s.mayLive(now)) // silence is noticed
+	assert.Assert(t, !s.mayLive(now.Add(sideLost)))
+	assert.Assert(t, !s.alive(now))
+	var none *side
+	assert.Assert(t, !none.mayLive(now))
+}
