--- a/cmd/exper/main.go
+++ b/cmd/exper/main.go
@@ -13,6 +13,7 @@
 	"mangowinch/internal/exper/cases"
 	"mangowinch/internal/exper/policy"
 	"mangowinch/internal/exper/table"
+	"mangowinch/internal/load/admit"
 )
 
 type arguments struct {
@@ -22,23 +23,22 @@
 	Seed    uint64 `help:"Seed of arrivals and choices." default:"1"`
 	Workers int    `help:"Runs at a time." default:"3"`
 
-	Slack      float64       `help:"admit: factor on the expected wait." default:"${slack}"`
-	Deviations float64       `help:"admit: mean deviations that count as pessimistic." default:"${deviations}"`
-	Wait       float64       `help:"admit: share of the time left that may be spent waiting." default:"${wait}"`
-	Long       float64       `help:"admit: share of the slots for long work." default:"${long}"`
-	Even       float64       `help:"place: difference in slot time that counts as equal." default:"${even}"`
-	Shorter    float64       `help:"place: share of the own time from which a full peer is better." default:"${shorter}"`
-	Slower     float64       `help:"place: factor of service time that counts as slow." default:"${slower}"`
-	Fade       time.Duration `help:"place: age at which a report no longer counts." default:"${fade}"`
-	Report     time.Duration `help:"Time between two reports of an agent to its peers." default:"${report}"`
-	Usage      time.Duration `help:"Time constant of the slot time in reports." default:"${usage}"`
-	Retries    float64       `help:"retry: share of fresh work." default:"${retries}"`
+	Wait    float64       `help:"admit: share of the time left that may be spent waiting." default:"${wait}"`
+	Long    float64       `help:"admit: share of the slots for long work." default:"${long}"`
+	Spread  float64       `help:"admit: spread of Retry-After." default:"${spread}"`
+	Even    float64       `help:"place: difference in slot time that counts as equal." default:"${even}"`
+	Shorter float64       `help:"place: share of the own time from which a full peer is better." default:"${shorter}"`
+	Slower  float64       `help:"place: factor of service time that counts as slow." default:"${slower}"`
+	Fade    time.Duration `help:"place: age at which a report no longer counts." default:"${fade}"`
+	Report  time.Duration `help:"Time between two reports of an agent to its peers." default:"${report}"`
+	Usage   time.Duration `help:"Time constant of the slot time in reports." default:"${usage}"`
+	Retries float64       `help:"retry: share of fresh work." default:"${retries}"`
 }
 
 // tuning are the thresholds in use, but for those that were asked for.
 func (a arguments) tuning() policy.Tuning {
 	t := policy.Tuned
-	t.Admit.Slack, t.Admit.Deviations, t.Admit.Wait, t.Admit.Long = a.Slack, a.Deviations, a.Wait, a.Long
+	t.Admit = admit.Rules{Wait: a.Wait, Spread: a.Spread, Long: a.Long}
 	t.Place.Even, t.Place.Shorter, t.Place.Slower, t.Place.Fade = a.Even, a.Shorter, a.Slower, a.Fade
 	t.Report, t.Usage, t.Retry.Share = a.Report, a.Usage, a.Retries
 	return t
@@ -47,7 +47,7 @@
 // defaults shows the thresholds in use as the flags' defaults.
 func defaults(t policy.Tuning) kong.Vars {
 	return kong.Vars{
-		"slack": fmt.Sprint(t.Admit.Slack), "deviations": fmt.Sprint(t.Admit.Deviations), "wait": fmt.Sprint(t.Admit.Wait), "long": fmt.Sprint(t.Admit.Long),
+		"wait": fmt.Sprint(t.Admit.Wait), "long": fmt.Sprint(t.Admit.Long), "spread": fmt.Sprint(t.Admit.Spread),
 		"even": fmt.Sprint(t.Place.Even), "shorter": fmt.Sprint(t.Place.Shorter), "slower": fmt.Sprint(t.Place.Slower), "fade": t.Place.Fade.String(),
 		"report": t.Report.String(), "usage": t.Usage.String(), "retries": fmt.Sprint(t.Retry.Share),
 	}
--- a/internal/exper/cases/list.go
+++ b/internal/exper/cases/list.go
@@ -93,6 +93,27 @@
 	return c
 }
 
+// Tight is twice capacity with lookups that have little time and queues that are
+// longer than that time.
+func Tight() Case {
+	c := minute("tight", "2 times capacity, lookups have 150 ms, queues of 128", alike(2))
+	c.Mix[0].Deadline, c.Mix[0].Queue = 150*time.Millisecond, 128
+	return c
+}
+
+// Partial is an outage of nearly half of the servers.
+func Partial() Case {
+	c := minute("partial", "60% of capacity, 3 of 7 servers (or as many of fewer) unreachable from 20 s to 50 s", alike(0.6))
+	c.From, c.To, c.End = 20*time.Second, 50*time.Second, 50*time.Second
+	c.Faults = func(r *run) {
+		for _, s := range r.servers[:len(r.servers)*3/7] {
+			r.loop.At(20*time.Second, func() { s.Down = true })
+			r.loop.At(50*time.Second, func() { s.Down = false })
+		}
+	}
+	return c
+}
+
 // Cold is a server that joins with a cold start of 10 s.
 func Cold() Case {
 	c := minute("cold", "75% of capacity of the rest, one server joins at 20 s, 4 times slower at first", alike(0.6))
@@ -143,6 +164,6 @@
 func All() []Case {
 	return []Case{
 		Steady(), Mixed(), Hot(), Burst(), Heavy(), Alone(), Slow(), FailFast(), Lying(), Long(),
-		Saturation(1), Saturation(1.2), Saturation(2), Saturation(5), Cold(), Storm(), Drain(),
+		Saturation(1), Saturation(1.2), Saturation(2), Saturation(5), Tight(), Cold(), Partial(), Storm(), Drain(),
 	}
 }
--- a/internal/exper/meter/meter.go
+++ b/internal/exper/meter/meter.go
@@ -15,8 +15,9 @@
 //     asked for. Jain's index of these, and the worst of them.
 //   - Twice: requests whose execution began more than once.
 //   - Broken: requests that a stopping server cut.
-//   - Recovered: time from the load's end to the arrival of the last request that is then
-//     refused, late or failed. Settled: until no request waits in any queue.
+//   - Recovered: time from the load's end to the last moment from which on more than 1% of
+//     the requests that arrive in one second are refused, late or failed; 0 if there is
+//     none. Settled: until no request waits in any queue.
 //
 // # Usage
 //
@@ -52,7 +53,7 @@
 	counts   Counts
 	lookups  *hdrhistogram.Histogram // microseconds
 	refusals *hdrhistogram.Histogram // microseconds
-	lastBad  time.Time
+	after    []arrival // those since the load's end
 	windows  [][]float64 // slot time per slot of each server in service, per second
 }
 
@@ -71,6 +72,12 @@
 	lookupsGoodCount int
 }
 
+// arrival is a request that came after the load's end.
+type arrival struct {
+	at   time.Duration
+	good bool
+}
+
 // Bounds of the histograms in microseconds: up to 1,000 s with 3 digits.
 const (
 	most   = 1_000_000_000
@@ -103,8 +110,8 @@
 // Answered notes a request's end. A job whose caller gave up is late.
 func (m *Meter) Answered(now time.Time, j *fakes.Job, a policy.Answer) {
 	good := a.End == fakes.Good && !now.After(j.Deadline)
-	if !good && !j.Arrived.Before(m.settings.End) && j.Arrived.After(m.lastBad) {
-		m.lastBad = j.Arrived
+	if !j.Arrived.Before(m.settings.End) {
+		m.after = append(m.after, arrival{at: j.Arrived.Sub(m.settings.End), good: good})
 	}
 	if a.End == fakes.Cut {
 		m.counts.Broken++
--- a/internal/exper/meter/report.go
+++ b/internal/exper/meter/report.go
@@ -1,6 +1,7 @@
 package meter
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -38,6 +39,9 @@
 // longWindow is how many seconds the longer window of imbalance has.
 const longWindow = 10
 
+// tolerated is the share of arrivals in a second that may go wrong in normal service.
+const tolerated = 0.01
+
 // Report returns the sums.
 func (m *Meter) Report() Report {
 	r := Report{
@@ -47,9 +51,7 @@
 		RefusalP99: quantile(m.refusals, 99),
 		Imbalance1: imbalance(m.windows, 1),
 		Imbalance:  imbalance(m.windows, longWindow),
-	}
-	if m.lastBad.After(m.settings.End) {
-		r.Recovered = m.lastBad.Sub(m.settings.End)
+		Recovered:  recovered(m.after),
 	}
 	seconds := m.settings.To.Sub(m.settings.From).Seconds()
 	capacity := seconds * float64(m.settings.Slots)
@@ -68,6 +70,26 @@
 	return r
 }
 
+// recovered is when the last second began in which too many arrivals went wrong.
+func recovered(list []arrival) (last time.Duration) {
+	slices.SortStableFunc(list, func(a, b arrival) int { return cmp.Compare(a.at, b.at) })
+	end, bad := 0, 0
+	for i, a := range list {
+		for ; end < len(list) && list[end].at < a.at+time.Second; end++ {
+			if !list[end].good {
+				bad++
+			}
+		}
+		if !a.good {
+			if float64(bad) > tolerated*float64(end-i) {
+				last = a.at
+			}
+			bad--
+		}
+	}
+	return last
+}
+
 // due divides the capacity by max-min fairness: round by round, whoever asks for
 // less than its share of what is left gets all of it.
 func (m *Meter) due(capacity float64) []float64 {
--- a/internal/exper/policy/agents.go
+++ b/internal/exper/policy/agents.go
@@ -19,13 +19,15 @@
 	Expire(now time.Time) admit.Change
 	NextExpiry() time.Time
 	Drain() []uint64
+	After(now time.Time) time.Duration
 	Stats() admit.Stats
 }
 
 // agents is one agent beside each server, each with the product's decision code.
 type agents struct {
 	world       *World
-	unlimited   bool
+	unlimited   bool // nothing is refused, no deadline is told
+	byFlow      bool // nothing is handed over
 	list        []*agent
 	handed, far int
 }
@@ -58,7 +60,7 @@
 }
 
 func newAgents(n Name, w *World) *agents {
-	s := &agents{world: w, unlimited: n == Unlimited}
+	s := &agents{world: w, unlimited: n == Unlimited, byFlow: n == ByFlow}
 	var servers []place.Server
 	for _, v := range w.Servers {
 		servers = append(servers, place.Server{ID: uint32(v.ID), Domain: string(rune('a' + v.Domain)), Slots: v.Slots})
@@ -121,7 +123,7 @@
 
 func (a *agent) hint() place.Hint {
 	st := a.gate.Stats()
-	h := place.Hint{Running: st.Running, Waiting: st.Waiting, Busy: a.usage.Share(a.now()), Leaving: a.leaving}
+	h := place.Hint{Running: st.Running, Waiting: st.Waiting, Busy: a.usage.Share(a.now()), Leaving: a.leaving || a.placer.Down(a.now())}
 	for _, c := range st.Classes {
 		if c.Runs > 0 && (h.Service == 0 || c.Mean < h.Service) {
 			h.Service = c.Mean // of the shortest class, which every server has
@@ -139,9 +141,12 @@
 
 // place sends a request to a server, and tries again or answers when it comes back.
 func (a *agent) place(j *fakes.Job, tried []uint32, answer func(Answer)) {
-	choice := a.placer.Choose(a.now(), a.hint(), tried)
+	choice := place.Choice{Server: uint32(a.server.ID)}
+	if !a.agents.byFlow {
+		choice = a.placer.Choose(a.now(), a.hint(), tried)
+	}
 	if choice.Server == 0 {
-		answer(Answer{End: fakes.Shed, Reason: result.LeavingServer, After: time.Second})
+		answer(Answer{End: fakes.Shed, Reason: result.LeavingServer, After: a.gate.After(a.now())})
 		return
 	}
 	to := a.agents.list[choice.Server-1]
@@ -162,7 +167,7 @@
 
 // back takes in what came of a try.
 func (a *agent) back(j *fakes.Job, from *agent, tried []uint32, sent time.Time, o outcome, answer func(Answer)) {
-	ends := map[fakes.End]place.End{fakes.Good: place.Good, fakes.Late: place.Good, fakes.Shed: place.Shed}
+	ends := map[fakes.End]place.End{fakes.Good: place.Good, fakes.Late: place.Good, fakes.Shed: place.Shed, fakes.Unreached: place.Missed}
 	end, known := ends[o.end]
 	if !known {
 		end = place.Failed
@@ -182,7 +187,7 @@
 		Deadline: j.Deadline,
 		Service:  a.hint().Service,
 	}
-	if a.budget.Decide(a.now(), attempt).Retry {
+	if !a.agents.byFlow && a.budget.Decide(a.now(), attempt).Retry {
 		a.place(j, tried, answer)
 		return
 	}
@@ -196,7 +201,7 @@
 		if a.server.Down {
 			reason, end = result.ServerDown, fakes.Unreached
 		}
-		reply(outcome{end: end, reason: reason, after: time.Second})
+		reply(outcome{end: end, reason: reason, after: a.gate.After(a.now())})
 		return
 	}
 	a.id++
@@ -224,7 +229,7 @@
 		delete(a.waiting, id)
 		c := a.gate.Done(a.now(), id, took)
 		a.apply(c)
-		v.reply(outcome{end: end, reason: result.ServerDown, after: time.Second})
+		v.reply(outcome{end: end, reason: result.ServerDown, after: a.gate.After(a.now())})
 	})
 	a.observe()
 }
@@ -269,7 +274,7 @@
 	for _, id := range a.gate.Drain() {
 		v := a.waiting[id]
 		delete(a.waiting, id)
-		v.reply(outcome{end: fakes.Shed, reason: result.LeavingServer, after: time.Second})
+		v.reply(outcome{end: fakes.Shed, reason: result.LeavingServer, after: a.gate.After(a.now())})
 	}
 }
 
--- a/internal/exper/policy/line.go
+++ b/internal/exper/policy/line.go
@@ -73,6 +73,8 @@
 	return ids
 }
 
+func (g *line) After(time.Time) time.Duration { return time.Second }
+
 func (g *line) Stats() admit.Stats {
 	return admit.Stats{Slots: g.limits.Slots, Running: len(g.running), Waiting: len(g.waiting), Classes: []admit.ClassStats{g.measured}}
 }
--- a/internal/exper/policy/policy.go
+++ b/internal/exper/policy/policy.go
@@ -37,12 +37,13 @@
 	Random    Name = "random"            // baseline
 	Least     Name = "least connections" // baseline
 	Reported  Name = "least reported"    // baseline: the least busy by the servers' own lagging reports
+	ByFlow    Name = "by flow"           // baseline: a request runs where its connection is, first come first served, bounded
 	Fifo      Name = "fcfs queue"        // own placement, but first come first served, bounded
 	Unlimited Name = "no limit"          // own placement, but nothing is refused and no deadline is told
 )
 
 // Names lists all policies in the order of the tables.
-var Names = []Name{Own, RoundTurn, Random, Least, Reported, Fifo, Unlimited}
+var Names = []Name{Own, RoundTurn, Random, Least, Reported, ByFlow, Fifo, Unlimited}
 
 // World is what a policy acts in.
 type World struct {
@@ -70,7 +71,7 @@
 	Place:  place.Default,
 	Retry:  retry.Default,
 	Report: 250 * time.Millisecond,
-	Usage:  5 * time.Second,
+	Usage:  time.Second,
 }
 
 // Answer is what a caller gets.
--- a/internal/load/admit/admit.go
+++ b/internal/load/admit/admit.go
@@ -150,9 +150,7 @@
 		g.start(now, l, r.ID, r.Class)
 		return Decision{Verdict: Run}
 	}
-	wait := g.wait(now, l, r.Caller)
-	left := r.Deadline.Sub(now)
-	if wait > time.Duration(g.rules.Wait*float64(left)) || g.finish(wait, r.Class) > left {
+	if g.late(now, l, r) {
 		return g.refusal(now, result.TooLate)
 	}
 	if !l.waiting.Room(class.Name, r.Caller, class.Queue) {
--- a/internal/load/admit/after.go
+++ b/internal/load/admit/after.go
@@ -28,14 +28,16 @@
 	return now.Sub(s.began)
 }
 
-// after is when a refused caller is to come back. A shortage is expected to last
+// After is when a caller that is refused now is to come back; it notes the refusal.
+// A process asks for it when it refuses for a reason of its own, such as that no server
+// can be reached. A shortage is expected to last
 // about as long again as it has lasted, and no less than the queue takes to empty.
-// The answer is spread evenly over once to three times that: callers that were
+// The answer is spread evenly beyond that: callers that were
 // refused together would otherwise come back together and make the next shortage.
-func (g *Gate) after(now time.Time) time.Duration {
+func (g *Gate) After(now time.Time) time.Duration {
 	base := max(g.shortage.age(now), g.backlog(), leastAfter)
-	spread := time.Duration(2 * g.random.Float64() * float64(base))
-	return min(base, mostAfter) + min(spread, 2*mostAfter)
+	base = min(base, mostAfter)
+	return base + time.Duration(g.rules.Spread*g.random.Float64()*float64(base))
 }
 
 // backlog is how long the slots take for all that waits.
@@ -50,11 +52,11 @@
 }
 
 func (g *Gate) refusal(now time.Time, r result.Reason) Decision {
-	return Decision{Verdict: Refuse, Reason: r, After: g.after(now)}
+	return Decision{Verdict: Refuse, Reason: r, After: g.After(now)}
 }
 
 func (g *Gate) refused(now time.Time, id uint64, r result.Reason) Refused {
-	return Refused{ID: id, Reason: r, After: g.after(now)}
+	return Refused{ID: id, Reason: r, After: g.After(now)}
 }
 
 // Stats is the state of a gate for /status and for the load that peers are told of.
@@ -68,10 +70,9 @@
 
 // ClassStats is what is measured of one class.
 type ClassStats struct {
-	Class       string
-	Mean        time.Duration // of service
-	Pessimistic time.Duration
-	Runs        int
+	Class string
+	Mean  time.Duration // of service
+	Runs  int
 }
 
 // Stats returns a copy of the gate's state.
@@ -83,7 +84,7 @@
 	}
 	for _, c := range g.limits.Classes {
 		e := g.estimate(c.Name)
-		s.Classes = append(s.Classes, ClassStats{Class: c.Name, Mean: seconds(e.mean), Pessimistic: seconds(e.pessimistic(g.rules.Deviations)), Runs: e.runs})
+		s.Classes = append(s.Classes, ClassStats{Class: c.Name, Mean: seconds(e.mean), Runs: e.runs})
 	}
 	return s
 }
--- a/internal/load/admit/estimate.go
+++ b/internal/load/admit/estimate.go
@@ -14,23 +14,16 @@
 
 // estimate follows the service time of one class.
 type estimate struct {
-	mean, deviation float64 // seconds
-	runs            int
+	mean float64 // seconds
+	runs int
 }
 
 func (e *estimate) add(took time.Duration) {
-	s := took.Seconds()
 	if e.runs++; e.runs == 1 {
-		e.mean, e.deviation = s, s/2
+		e.mean = took.Seconds()
 		return
 	}
-	miss := s - e.mean
-	e.mean += gain * miss
-	e.deviation += gain * (max(miss, -miss) - e.deviation)
-}
-
-func (e *estimate) pessimistic(deviations float64) float64 {
-	return e.mean + deviations*e.deviation
+	e.mean += gain * (took.Seconds() - e.mean)
 }
 
 func (g *Gate) estimate(class string) *estimate {
@@ -48,22 +41,24 @@
 	return g.estimate(class).mean
 }
 
-// finish is a pessimistic estimate of how long a request that has to wait takes
-// until its answer.
-func (g *Gate) finish(wait time.Duration, class string) time.Duration {
-	return wait + seconds(g.estimate(class).pessimistic(g.rules.Deviations))
+// late reports whether a request that has to wait is to be refused. The estimate
+// is pessimistic in that waiting may take only a part of the time left: the rest is
+// for a service time that is over the mean and for a wait that is longer than expected.
+func (g *Gate) late(now time.Time, l *lane, r Request) bool {
+	wait, left := g.wait(now, l, r.Caller), r.Deadline.Sub(now).Seconds()
+	return wait > g.rules.Wait*left || wait+g.cost(r.Class) > left
 }
 
-// wait is the expected wait of a new request of a caller, with slack: the work that
+// wait is the expected wait of a new request of a caller, in seconds: the work that
 // starts before it, over the slots that its kind can count on.
-func (g *Gate) wait(now time.Time, l *lane, c queue.Caller) time.Duration {
+func (g *Gate) wait(now time.Time, l *lane, c queue.Caller) float64 {
 	work := l.waiting.Ahead(c)
 	for _, r := range g.running {
 		if r.kind == l.kind {
 			work += g.remaining(now, r)
 		}
 	}
-	return seconds(g.rules.Slack * work / float64(g.turnover(l)))
+	return work / float64(g.turnover(l))
 }
 
 // remaining is what a run still takes. A run that is over its mean may be one of
--- a/internal/load/admit/limits.go
+++ b/internal/load/admit/limits.go
@@ -33,16 +33,13 @@
 
 // Rules are the thresholds of admission.
 type Rules struct {
-	Slack      float64 // the expected wait is multiplied by this
-	Deviations float64 // mean deviations over the mean service time that count as pessimistic
-	Wait       float64 // share of the time left to the deadline that may be spent waiting
-	Long       float64 // share of the slots that feeds may hold, and that uploads may hold
+	Wait   float64 // share of the time left to the deadline that a request may be expected to wait
+	Spread float64 // Retry-After is spread over once to 1+Spread times the expected shortage
+	Long   float64 // share of the slots that feeds may hold, and that uploads may hold
 }
 
 // Default are the thresholds in use; docs/design/load.md has the runs behind them.
-// Slack is Jockey's (EuroSys 2012, section 4.3): the prediction is inflated,
-// since a missed deadline costs more than a refusal.
-var Default = Rules{Slack: 1.2, Deviations: 2, Wait: 1, Long: 0.5}
+var Default = Rules{Wait: 0.2, Spread: 2, Long: 0.5}
 
 // most is how many slots a kind may hold. Feeds and uploads together leave one free
 // besides, so that lookups always find a slot that turns over quickly; a server with
--- a/internal/load/place/place.go
+++ b/internal/load/place/place.go
@@ -145,7 +145,7 @@
 func (p *Placer) Choose(now time.Time, own Hint, tried []uint32) Choice {
 	mine := p.state(p.self.ID)
 	peers := p.candidates(now, tried)
-	if mine == nil || own.Leaving || mine.Leaving || mine.ejected(now) || slices.Contains(tried, p.self.ID) {
+	if mine == nil || own.Leaving || mine.Leaving || mine.ejected(now) || now.Before(mine.down) || slices.Contains(tried, p.self.ID) {
 		return p.leave(now, peers)
 	}
 	mine.hint, mine.heard, mine.since = own, now, 0
@@ -190,7 +190,7 @@
 // candidates are the peers that may be given work.
 func (p *Placer) candidates(now time.Time, tried []uint32) (list []*state) {
 	for _, s := range p.states {
-		if s.ID != p.self.ID && !s.Leaving && !s.hint.Leaving && !s.ejected(now) && !slices.Contains(tried, s.ID) {
+		if s.ID != p.self.ID && !s.out(now) && !slices.Contains(tried, s.ID) {
 			list = append(list, s)
 		}
 	}
--- a/internal/load/place/place_test.go
+++ b/internal/load/place/place_test.go
@@ -134,6 +134,20 @@
 	assert.Equal(t, len(p.Ejected(now)), 2)
 }
 
+// Three of seven servers crash. None of their agents may go on sending callers'
+// requests into the void because no more than two servers may be ejected.
+func TestUnreachableServersAreOutBeyondTheCeiling(t *testing.T) {
+	p := seven()
+	for _, id := range []uint32{1, 3, 5} {
+		p.Sent(id)
+		p.Ended(now, id, Missed, time.Millisecond)
+	}
+	assert.Assert(t, p.Down(now))
+	counts := spread(p, quiet, 100)
+	assert.Equal(t, counts[1]+counts[3]+counts[5], 0)
+	assert.Equal(t, p.Choose(now.Add(firstDown), quiet, nil), Choice{1, Own}) // tried again
+}
+
 // A server joins with empty caches. It gets one request at a time first, not as many as it has slots.
 func TestColdServerStartsSlowly(t *testing.T) {
 	p := seven()
--- a/internal/load/place/state.go
+++ b/internal/load/place/state.go
@@ -21,7 +21,7 @@
 	Fade:    2 * time.Second,
 	Slow:    10 * time.Second,
 	Slower:  2,
-	Even:    0.02,
+	Even:    0.01,
 	Alike:   0.25,
 	Shorter: 0.7,
 	Failing: 0.5,
@@ -35,8 +35,10 @@
 	longEject   = 30 * time.Second
 	firstFull   = 50 * time.Millisecond // after one refusal
 	longFull    = time.Second           // after several in a row
-	measuredFor = 5 * time.Second       // after which an own measurement gives way to reports
-	coldOpen    = 0.1                   // share of its slots that a cold server starts with
+	firstDown   = 100 * time.Millisecond
+	longDown    = time.Second
+	measuredFor = 5 * time.Second // after which an own measurement gives way to reports
+	coldOpen    = 0.1             // share of its slots that a cold server starts with
 )
 
 // state is what is known of one server.
@@ -55,6 +57,8 @@
 	outcomes int
 	until    time.Time // ejected until then
 	ejects   int       // in a row
+	down     time.Time // unreachable until then, as far as known
+	misses   int       // in a row
 }
 
 // End is how a request ended at a server.
@@ -63,8 +67,9 @@
 // The ends.
 const (
 	Good   End = iota // answered
-	Failed            // failed, broke off or could not be reached
+	Failed            // failed, or broke off
 	Shed              // refused as not run
+	Missed            // the server could not be reached, so it did not run
 )
 
 // Sent says that a request was given to a server.
@@ -90,11 +95,15 @@
 		return
 	}
 	s.inflight = max(0, s.inflight-1)
-	if end == Shed {
+	switch end {
+	case Shed:
 		s.shed(now)
 		return
+	case Missed:
+		s.miss(now)
+		return
 	}
-	s.refusals = 0
+	s.refusals, s.misses = 0, 0
 	s.outcomes++
 	failed := 0.0
 	if end == Failed {
@@ -116,6 +125,21 @@
 	s.refusals++
 }
 
+// miss notes that the server could not be reached. It is then out for a while,
+// whatever the ceiling says: the ceiling guards against taking for sick what is only
+// loaded, but a server that cannot be reached relieves nobody.
+func (s *state) miss(now time.Time) {
+	s.down = now.Add(min(firstDown<<min(s.misses, 10), longDown))
+	s.misses++
+}
+
+// Down reports whether the agent's own server cannot be reached; the agent then
+// tells its peers that it takes no new work.
+func (p *Placer) Down(now time.Time) bool {
+	s := p.state(p.self.ID)
+	return s != nil && now.Before(s.down)
+}
+
 // sample takes in a time to an answer as seen from here. Only answers count: a server
 // that fails fast must not look quick.
 func (s *state) sample(now time.Time, took time.Duration) {
@@ -151,6 +175,11 @@
 
 func (s *state) ejected(now time.Time) bool { return now.Before(s.until) }
 
+// out reports whether the server gets no work now.
+func (s *state) out(now time.Time) bool {
+	return s.Leaving || s.hint.Leaving || s.ejected(now) || now.Before(s.down)
+}
+
 // Ejected lists the servers that get no work now.
 func (p *Placer) Ejected(now time.Time) (ids []uint32) {
 	for _, s := range p.states {
