Relay documents among processes: rumours, digests, heartbeats, duty

Entries hold all documents: who learns of a newer one tells 4 of 8 neighbours, which pull the text and tell others; once a second each entry compares with one other by digest. Agents hold their own: 3 entries tell them, they poll some entry every 3 s, and beat with the other agents of their service. 3 entries of each failure domain watch the platform; when it was last heard rides on the exchanges.

Decisions are pure (digest, peers, duty, budget); relay is the loops. Not chosen: pushing texts with rumours (each process would get them fan-out times), connections to all (800 each), gossip about suspicion (a partition would spread it).

First waits of 0.1 s after an outage made 74 to 100 calls in its first second; 0.5 s, 43 to 49.

--- a/internal/ctrl/fetch/backoff.go
+++ b/internal/ctrl/fetch/backoff.go
@@ -7,7 +7,7 @@
 
 // Bounds of the wait after failed calls to the platform.
 const (
-	BackoffBase = 100 * time.Millisecond // it answers in milliseconds: a blip is over by then
+	BackoffBase = 500 * time.Millisecond // a blip is over by then, and 21 watchers make some 50 calls in the first second
 	BackoffCap  = 30 * time.Second       // after an hour's outage its return is seen within that time
 )
 
--- a/internal/ctrl/fetch/fetch.go
+++ b/internal/ctrl/fetch/fetch.go
@@ -38,7 +38,7 @@
 
 // Limits of one client.
 const (
-	callsPerSecond = 50               // 1,300 documents in 26 s when no peer can help; some 40 clients fill the platform
+	callsPerSecond = 10               // some 21 watchers at once make 210 of the 2,000
 	callsBurst     = 20               // a small site's documents at once
 	maxBody        = 1<<20 + 4096     // one document, with room for what is no text
 	maxList        = 8 << 20          // 8,000 instances at a kilobyte
--- /dev/null
+++ b/internal/ctrl/relay/beat.go
@@ -0,0 +1,172 @@
+package relay
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"mangowinch/internal/conf/docs"
+	"mangowinch/internal/ctrl/digest"
+	"mangowinch/internal/ctrl/peers"
+	"mangowinch/internal/ctrl/wire"
+)
+
+// beatEvery is the longest that two agents of a service go without a heartbeat. One
+// of the two begins it, the other's answer is its own: so 7 agents send 21 a second.
+const beatEvery = time.Second
+
+// Mate is what an agent knows of another agent of its service. It's a hint: the
+// other one decides on its own what it takes.
+type Mate struct {
+	Server      uint32 // its ID in the document
+	Name        string // of its server section
+	Address     netip.AddrPort
+	Incarnation uint64
+	State       peers.State
+	Load        Load
+	Revision    uint64    // of the document in force there
+	Heard       time.Time // zero: never
+	Failures    int       // heartbeats in a row without an answer
+}
+
+// Mates returns what is known of the other agents of the service, by server ID.
+func (n *Node) Mates() map[uint32]Mate {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	mates := map[uint32]Mate{}
+	for id, m := range n.mates {
+		mates[id] = *m
+	}
+	return mates
+}
+
+// beat is an agent's loop of heartbeats to the other agents of its service.
+func (n *Node) beat(ctx context.Context) {
+	var running sync.WaitGroup
+	defer running.Wait()
+	slots := make(chan struct{}, tellsAtOnce)
+	for sleep(ctx, n.jitter(beatEvery/2)) {
+		for _, m := range n.silent() {
+			select {
+			case slots <- struct{}{}:
+			default:
+				count("refused", "reason", "beats")
+				continue
+			}
+			running.Go(func() {
+				defer func() { <-slots }()
+				n.beatOne(ctx, m)
+			})
+		}
+	}
+}
+
+// silent fits the mates to the document and returns those to whom a heartbeat is due.
+func (n *Node) silent() []Mate {
+	e := n.Store.View().Entries[n.Service]
+	if e == nil {
+		return nil
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	listed := map[uint32]docs.Server{}
+	for _, s := range e.Service.Servers {
+		if s.Name != n.Server {
+			listed[s.ID] = s
+		}
+	}
+	for id := range n.mates {
+		if _, ok := listed[id]; !ok {
+			delete(n.mates, id)
+		}
+	}
+	var due []Mate
+	for id, s := range listed {
+		m := n.mates[id]
+		if m == nil || m.Address != s.Agent {
+			m = &Mate{Server: id, Name: s.Name, Address: s.Agent, State: peers.Live}
+			n.mates[id] = m
+		}
+		if time.Since(m.Heard) >= beatEvery*3/4 {
+			due = append(due, *m)
+		}
+	}
+	return due
+}
+
+func (n *Node) beatOne(ctx context.Context, m Mate) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	in, err := n.Dial(m.Address).Beat(ctx, n.pulse())
+	if err != nil {
+		count("beats", "result", "failed")
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		if k := n.mates[m.Server]; k != nil && k.Address == m.Address {
+			k.Failures++
+		}
+		return
+	}
+	count("beats", "result", "done")
+	n.feel(in)
+}
+
+// Beat answers the heartbeat of another agent of the service.
+func (n *Node) Beat(_ context.Context, in *wire.Pulse) (*wire.Pulse, error) {
+	if n.Service == "" || in.GetService() != n.Service {
+		// An address that was given to another service: the other side's document is old.
+		count("refused", "reason", "service")
+		return nil, ErrService
+	}
+	if !n.answers.Allow() {
+		count("refused", "reason", "rate")
+		return nil, ErrBusy
+	}
+	n.feel(in)
+	return n.pulse(), nil
+}
+
+// feel takes in a heartbeat.
+func (n *Node) feel(in *wire.Pulse) {
+	from, ok := memberOf(in.GetFrom())
+	if !ok || in.GetService() != n.Service {
+		count("refused", "reason", "service")
+		return
+	}
+	theirs := digest.Item{Name: n.Service, Revision: in.GetRevision(), Newest: max(in.GetNewest(), in.GetRevision())}
+	n.lack(map[string]digest.Item{n.Service: theirs}, from.Address)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	m := n.mates[in.GetServer()]
+	if m == nil || m.Address != from.Address || from.Incarnation < m.Incarnation {
+		// Not in the document here, or not yet; or the last words of an earlier life.
+		count("refused", "reason", "mate")
+		return
+	}
+	m.Incarnation, m.State, m.Revision = from.Incarnation, from.State, in.GetRevision()
+	m.Load = Load{Busy: int(in.GetBusy()), Slots: int(in.GetSlots()), Queue: int(in.GetQueue()), Draining: in.GetDraining()}
+	m.Heard, m.Failures = time.Now(), 0
+}
+
+// pulse is this agent's heartbeat.
+func (n *Node) pulse() *wire.Pulse {
+	view := n.Store.View()
+	own := digest.Know(view, n.Service)
+	p := &wire.Pulse{Service: n.Service, Revision: own.Revision, Newest: own.Newest}
+	if e := view.Entries[n.Service]; e != nil {
+		for _, s := range e.Service.Servers {
+			if s.Name == n.Server {
+				p.Server = s.ID
+			}
+		}
+	}
+	if n.Load != nil {
+		l := n.Load()
+		p.Busy, p.Slots, p.Queue, p.Draining = uint32(l.Busy), uint32(l.Slots), uint32(l.Queue), l.Draining
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	p.From = memberTo(n.table.Self())
+	return p
+}
--- /dev/null
+++ b/internal/ctrl/relay/codec.go
@@ -0,0 +1,36 @@
+package relay
+
+import (
+	"net/netip"
+
+	"mangowinch/internal/ctrl/digest"
+	"mangowinch/internal/ctrl/peers"
+	"mangowinch/internal/ctrl/wire"
+)
+
+// memberOf reads a member; false when it has no usable name or address.
+func memberOf(w *wire.Member) (peers.Member, bool) {
+	address, err := netip.ParseAddrPort(w.GetAddress())
+	if err != nil || w.GetName() == "" || len(w.GetName()) > 64 || len(w.GetDomain()) > 64 {
+		return peers.Member{}, false
+	}
+	return peers.Member{
+		Name: w.GetName(), Role: peers.Role(w.GetRole()), Domain: w.GetDomain(), Address: address,
+		Incarnation: w.GetIncarnation(), State: peers.State(w.GetState()),
+	}, true
+}
+
+func memberTo(m peers.Member) *wire.Member {
+	return &wire.Member{
+		Name: m.Name, Role: string(m.Role), Domain: m.Domain, Address: m.Address.String(),
+		Incarnation: m.Incarnation, State: string(m.State),
+	}
+}
+
+func itemOf(w *wire.Item) digest.Item {
+	return digest.Item{Name: w.GetName(), Revision: w.GetRevision(), Newest: max(w.GetNewest(), w.GetRevision())}
+}
+
+func itemTo(i digest.Item) *wire.Item {
+	return &wire.Item{Name: i.Name, Revision: i.Revision, Newest: i.Newest}
+}
--- /dev/null
+++ b/internal/ctrl/relay/pull.go
@@ -0,0 +1,437 @@
+package relay
+
+import (
+	"bytes"
+	"compress/flate"
+	"context"
+	"io"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"mangowinch/internal/conf/store"
+	"mangowinch/internal/ctrl/digest"
+	"mangowinch/internal/ctrl/wire"
+)
+
+// Bounds of pulling.
+const (
+	pullTimeout = 2500 * time.Millisecond
+	pullHedge   = 600 * time.Millisecond // then another one is asked as well; the first may have waited half a second for its budget
+	pullsAtOnce = 6                      // so that slow peers don't hold up all
+	namesAtOnce = 256                    // of one call
+	largeAnswer = 64 << 10               // bytes of text in one answer, before deflating
+	smallAnswer = 16 << 10               // when the budget is nearly spent; passes in 1.4 s even if it can't be deflated
+	maxAnswer   = 256 << 10
+	maxPartial  = 4 << 20 // of texts that came in part
+	linksOfWant = 4       // peers that are known to have one document
+	failsOfWant = 6       // then comparing brings it up again
+	triedFor    = 30 * time.Second
+	pullRetry   = 250 * time.Millisecond
+)
+
+// want is a document of which somebody has more than this process.
+type want struct {
+	item   digest.Item
+	links  []netip.AddrPort // who has it; the first is asked next
+	due    time.Time
+	active bool
+	failed int // calls in a row
+}
+
+// partial is a text that came in part.
+type partial struct {
+	revision, size uint64
+	text           []byte
+}
+
+// trial remembers what was pulled in vain: a text that this program can't read
+// and another one can would else be pulled every second.
+type trial struct {
+	item digest.Item
+	at   time.Time
+}
+
+// puller is the state of pulling. The node's lock guards it.
+type puller struct {
+	wants    map[string]*want
+	partials map[string]*partial
+	tried    map[string]trial
+	wake     chan struct{}
+}
+
+func newPuller() puller {
+	return puller{
+		wants:    map[string]*want{},
+		partials: map[string]*partial{},
+		tried:    map[string]trial{},
+		wake:     make(chan struct{}, 1),
+	}
+}
+
+// want asks for a document from somebody who has it.
+func (n *Node) want(i digest.Item, link netip.AddrPort) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if t, ok := n.pull.tried[i.Name]; ok && !i.Newer(t.item) && time.Since(t.at) < triedFor {
+		return
+	}
+	w := n.pull.wants[i.Name]
+	if w == nil {
+		if len(n.pull.wants) >= store.MaxNames {
+			count("refused", "reason", "wants")
+			return
+		}
+		w = &want{}
+		n.pull.wants[i.Name] = w
+	}
+	if i.Newer(w.item) {
+		w.item = i
+		w.links = append([]netip.AddrPort{link}, w.links...)
+	} else {
+		w.links = append(w.links, link)
+	}
+	w.links = unique(w.links)
+	w.links = w.links[:min(len(w.links), linksOfWant)]
+	n.wakePuller()
+}
+
+func unique(links []netip.AddrPort) []netip.AddrPort {
+	var u []netip.AddrPort
+	seen := map[netip.AddrPort]bool{}
+	for _, l := range links {
+		if !seen[l] {
+			seen[l] = true
+			u = append(u, l)
+		}
+	}
+	return u
+}
+
+func (n *Node) wakePuller() {
+	select {
+	case n.pull.wake <- struct{}{}:
+	default:
+	}
+}
+
+// pulls is the loop that fetches what is wanted.
+func (n *Node) pulls(ctx context.Context) {
+	var running sync.WaitGroup
+	defer running.Wait()
+	slots := make(chan struct{}, pullsAtOnce)
+	for ctx.Err() == nil {
+		select {
+		case slots <- struct{}{}:
+		case <-ctx.Done():
+			return
+		}
+		link, batch := n.nextPull()
+		if len(batch) > 0 {
+			running.Go(func() {
+				n.pullFrom(ctx, link, batch)
+				<-slots
+			})
+			continue
+		}
+		<-slots
+		timer := time.NewTimer(pullRetry)
+		select {
+		case <-n.pull.wake:
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+	}
+}
+
+// nextPull chooses a peer, and everything that it has and is not being pulled.
+func (n *Node) nextPull() (link netip.AddrPort, batch map[string]digest.Item) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	batch = map[string]digest.Item{}
+	for name, w := range n.pull.wants {
+		if w.active || time.Now().Before(w.due) || len(batch) >= namesAtOnce {
+			continue
+		}
+		if len(w.links) == 0 {
+			delete(n.pull.wants, name) // comparing brings it up again
+			continue
+		}
+		if len(batch) == 0 {
+			link = w.links[0]
+		}
+		for _, l := range w.links {
+			if l == link {
+				w.active = true
+				batch[name] = w.item
+			}
+		}
+	}
+	return link, batch
+}
+
+// pullFrom carries out one call.
+func (n *Node) pullFrom(ctx context.Context, link netip.AddrPort, batch map[string]digest.Item) {
+	parts, err := n.ask(ctx, link, batch)
+	if err != nil {
+		count("pulls", "result", "failed")
+	} else {
+		count("pulls", "result", "done")
+	}
+	got := map[string]taken{}
+	for _, p := range parts {
+		if _, asked := batch[p.GetName()]; asked {
+			got[p.GetName()] = n.take(p, link)
+		}
+	}
+	view := n.Store.View()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for name := range batch {
+		w := n.pull.wants[name]
+		if w == nil {
+			continue
+		}
+		w.active = false
+		own := digest.Know(view, name)
+		if !w.item.Newer(own) {
+			delete(n.pull.wants, name)
+			delete(n.pull.tried, name)
+			continue
+		}
+		switch got[name] {
+		case forward:
+			w.failed = 0
+			continue
+		case useless:
+			n.pull.tried[name] = trial{w.item, time.Now()}
+			delete(n.pull.wants, name)
+		}
+		w.links = without(w.links, link)
+		if err != nil && w.failed < failsOfWant {
+			// Lost, or over its budget: another one is asked next, and this one later.
+			w.failed++
+			w.links = append(w.links, link)
+		}
+		w.due = time.Now().Add(time.Duration(n.Rand.Int64N(int64(pullRetry))))
+	}
+	n.wakePuller()
+}
+
+func without(links []netip.AddrPort, link netip.AddrPort) []netip.AddrPort {
+	var left []netip.AddrPort
+	for _, l := range links {
+		if l != link {
+			left = append(left, l)
+		}
+	}
+	return left
+}
+
+// ask sends one call and unpacks its answer.
+func (n *Node) ask(ctx context.Context, link netip.AddrPort, batch map[string]digest.Item) (parts []*wire.Part, err error) {
+	view := n.Store.View()
+	in := &wire.Wants{From: memberTo(n.Self)}
+	n.mu.Lock()
+	for name := range batch {
+		own := digest.Know(view, name)
+		w := &wire.Want{Name: name, Revision: own.Revision, Newest: own.Newest}
+		if p := n.pull.partials[name]; p != nil {
+			w.Partial, w.Offset = p.revision, uint64(len(p.text))
+		}
+		in.Wants = append(in.Wants, w)
+	}
+	n.mu.Unlock()
+	call, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	hedge := time.AfterFunc(pullHedge, func() { n.hedge(link, batch) })
+	out, err := n.Dial(link).Pull(call, in)
+	hedge.Stop()
+	if err != nil {
+		return nil, err
+	}
+	n.Meter.Work(func() { parts, err = inflate(out.GetDeflated()) })
+	n.Meter.Charge(ctx, len(out.GetDeflated()))
+	return parts, err
+}
+
+// hedge lets others be asked for what this peer was slow to give. With a fifth of
+// the messages lost, one in sixty texts would else be late by three timeouts.
+func (n *Node) hedge(link netip.AddrPort, batch map[string]digest.Item) {
+	count("pulls", "result", "slow")
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for name := range batch {
+		if w := n.pull.wants[name]; w != nil {
+			w.active = false
+			w.links = append(without(w.links, link), link)
+		}
+	}
+	n.wakePuller()
+}
+
+// taken is what became of one piece of a text.
+type taken int
+
+const (
+	nothing taken = iota // none came, or one that doesn't fit
+	forward              // this process has more than before
+	useless              // the text is whole, and yet this process has no more than before
+)
+
+// take adds a piece to what came of its text, and offers the text once it is whole.
+func (n *Node) take(p *wire.Part, link netip.AddrPort) taken {
+	text, whole, ok := n.join(p)
+	switch {
+	case !ok:
+		return nothing
+	case !whole:
+		return forward
+	}
+	before := digest.Know(n.Store.View(), p.GetName())
+	accepted, err := n.Store.Offer(p.GetName(), p.GetRevision(), text, link.String())
+	if err != nil {
+		n.Log.Warn().Err(err).Msg("document is faulty")
+	}
+	if accepted {
+		n.Log.Info().Str("document", p.GetName()).Uint64("revision", p.GetRevision()).Stringer("from", link).Msg("document in force")
+	}
+	if digest.Know(n.Store.View(), p.GetName()) == before {
+		return useless
+	}
+	return forward
+}
+
+// join adds a piece to the text that it belongs to.
+func (n *Node) join(p *wire.Part) (text []byte, whole, ok bool) {
+	if p.GetSize() > store.MaxText || p.GetOffset()+uint64(len(p.GetData())) > p.GetSize() {
+		count("refused", "reason", "part")
+		return nil, false, false
+	}
+	if p.GetOffset() == 0 && uint64(len(p.GetData())) == p.GetSize() {
+		return p.GetData(), true, true
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	q := n.pull.partials[p.GetName()]
+	if p.GetOffset() == 0 && (q == nil || q.revision < p.GetRevision()) {
+		if q == nil && (len(n.pull.partials)+1)*store.MaxText > maxPartial {
+			clear(n.pull.partials) // begun and never ended
+		}
+		q = &partial{revision: p.GetRevision(), size: p.GetSize()}
+		n.pull.partials[p.GetName()] = q
+	}
+	if q != nil && q.revision == p.GetRevision() && p.GetOffset()+uint64(len(p.GetData())) <= uint64(len(q.text)) {
+		return nil, false, false // came by another call before
+	}
+	if q == nil || q.revision != p.GetRevision() || q.size != p.GetSize() || uint64(len(q.text)) != p.GetOffset() {
+		count("refused", "reason", "part")
+		delete(n.pull.partials, p.GetName())
+		return nil, false, false
+	}
+	q.text = append(q.text, p.GetData()...)
+	if uint64(len(q.text)) < q.size {
+		return nil, false, true
+	}
+	delete(n.pull.partials, p.GetName())
+	return q.text, true, true
+}
+
+// Pull answers with the texts that the asker lacks, as many as the budget allows.
+func (n *Node) Pull(ctx context.Context, in *wire.Wants) (out *wire.Texts, err error) {
+	if !n.answers.Allow() {
+		count("refused", "reason", "rate")
+		return nil, ErrBusy
+	}
+	n.Meter.Work(func() { out, err = n.pack(in) })
+	if err != nil {
+		return nil, err
+	}
+	if !n.Meter.Spend(ctx, len(out.GetDeflated())) {
+		count("refused", "reason", "budget")
+		return nil, ErrBusy
+	}
+	return out, nil
+}
+
+// pack collects texts up to the size of one answer.
+func (n *Node) pack(in *wire.Wants) (*wire.Texts, error) {
+	left := smallAnswer
+	if n.Meter.Room() > largeAnswer {
+		left = largeAnswer
+	}
+	view := n.Store.View()
+	parts := &wire.Parts{}
+	for _, w := range in.GetWants() {
+		if left <= 0 {
+			break
+		}
+		revision, text := lacked(view, w)
+		if text == nil {
+			continue
+		}
+		p := &wire.Part{Name: w.GetName(), Revision: revision, Size: uint64(len(text))}
+		if w.GetPartial() == revision && w.GetOffset() < p.GetSize() {
+			p.Offset = w.GetOffset()
+		}
+		p.Data = text[p.GetOffset():min(p.GetOffset()+uint64(left), p.GetSize())]
+		left -= len(p.GetData())
+		parts.Parts = append(parts.Parts, p)
+	}
+	b, err := deflate(parts)
+	return &wire.Texts{Deflated: b}, err
+}
+
+// lacked returns the text that brings an asker forward: first the newest, then,
+// if it could not read that one, the one in force.
+func lacked(view *store.View, w *wire.Want) (revision uint64, text []byte) {
+	f, e := view.Faults[w.GetName()], view.Entries[w.GetName()]
+	if f != nil && f.Revision > w.GetNewest() {
+		return f.Revision, f.Text
+	}
+	if e != nil && e.Revision > w.GetRevision() && e.Revision != w.GetNewest() {
+		return e.Revision, e.Text
+	}
+	return 0, nil
+}
+
+// writers keeps deflaters, which take most of a megabyte each.
+var writers = sync.Pool{New: func() any {
+	w, _ := flate.NewWriter(nil, flate.DefaultCompression) // fails for a wrong level only
+	return w
+}}
+
+func deflate(parts *wire.Parts) (deflated []byte, err error) {
+	defer func() { err = errors.Wrap(err, "deflate") }()
+	b, err := proto.Marshal(parts)
+	if err != nil {
+		return nil, err
+	}
+	var out bytes.Buffer
+	w := writers.Get().(*flate.Writer)
+	defer writers.Put(w)
+	w.Reset(&out)
+	if _, err := w.Write(b); err != nil {
+		return nil, err
+	}
+	err = w.Close()
+	return out.Bytes(), err
+}
+
+func inflate(deflated []byte) (parts []*wire.Part, err error) {
+	defer func() { err = errors.Wrap(err, "inflate") }()
+	b, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(deflated)), maxAnswer+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(b) > maxAnswer {
+		return nil, errors.Newf("more than %d bytes", maxAnswer)
+	}
+	var all wire.Parts
+	err = proto.Unmarshal(b, &all)
+	return all.GetParts(), err
+}
