Answer a caller by the entry that brought its word after a pause

Cause: the rule for callers that owe an acknowledgement counts datagrams sent since the caller was last heard. A caller that goes on sending (an upload that sends again what was not acknowledged) sets the count back each time, so its answers stayed for good with an entry that cannot reach it: because the way from that entry to callers is cut, or because a partition shows the caller other entries.

Ruled out: alternating on each datagram, which would reorder answers; counting retransmissions, which the agent cannot see under QUIC.

A feed whose caller is reached by one of many entries, none of them in the agent's active set, is not covered: with the entries of today all are in the set.

--- a/internal/flow/paths/paths.go
+++ b/internal/flow/paths/paths.go
@@ -10,7 +10,12 @@
 // echo of a probe is missing, for a probe makes the round trip. If entry to
 // caller is cut, echoes come but the caller stays silent; so a caller that owes an
 // acknowledgement too long makes its flow alternate between entries until it is
-// heard again.
+// heard again. And a caller that goes on sending while its answers are lost, as in
+// an upload, is no silent one; so whenever a caller speaks after a pause, its
+// answers go by the entry that brought its word. QUIC pauses longer after each loss,
+// and the fabric brings its next word by any entry that the caller can reach: under a
+// partition that is one of its own side. Within a stream of datagrams the entry
+// stays the same, for alternating would reorder them.
 //
 // An agent answers by a small active set of entries and probes only these. With 800
 // entries each one is heard too seldom for traffic alone to be its sign of life,
@@ -48,6 +53,11 @@
 	// acknowledges within 25 ms and a round trip of 2 to 8 ms; three times that
 	// is no accident.
 	owedAfter = 100 * time.Millisecond
+	// pauseAfter is how long a caller must have said nothing for its next datagram to
+	// change the entry it is answered by. Over the time of an acknowledgement, so
+	// that a stream never changes; under the second retransmission, so that an
+	// upload has six or more tries before an idle timeout of 5 s.
+	pauseAfter = 50 * time.Millisecond
 	// owedCount is how many datagrams must be owed, so that a last datagram that
 	// needs no acknowledgement starts nothing.
 	owedCount = 2
@@ -78,6 +88,9 @@
 	owed  time.Time // first datagram sent since heard
 	count int       // datagrams sent since heard
 	place int       // where in the active set its datagrams go
+	// via brought the caller's first word after its last pause, and is answered by
+	// while it lives. Not valid while the caller owes an acknowledgement.
+	via netip.AddrPort
 }
 
 // New returns an empty Book that keeps at most limit callers in mind.
@@ -102,6 +115,9 @@
 		c = &caller{place: b.turn}
 		b.callers[from] = c
 	}
+	if now.Sub(c.heard) > pauseAfter {
+		c.via = via
+	}
 	c.heard = now
 	c.count = 0
 }
@@ -139,8 +155,12 @@
 	}
 	c.count++
 	if c.count > owedCount && now.Sub(c.owed) > owedAfter {
+		c.via = netip.AddrPort{}
 		c.place++
 	}
+	if e := b.entries[c.via]; e != nil && e.live(now) {
+		return c.via, true
+	}
 	return b.from(now, c.place), true
 }
 
--- a/internal/flow/paths/paths_test.go
+++ b/internal/flow/paths/paths_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"testing"
 	"time"
@@ -129,3 +130,69 @@
 	b.Probes(now.Add(forgetAfter + time.Second))
 	assert.Equal(t, len(b.callers)+len(b.entries), 0)
 }
+
+// upload plays a caller that sends and sends again what is not acknowledged, each
+// time after twice the pause, until it gives up after 5 s. Its datagrams come by
+// one of the entries reach names, and answers arrive unless lost says otherwise.
+// It reports whether 100 datagrams were acknowledged.
+func upload(b *Book, now time.Time, from netip.AddrPort, reach func() netip.AddrPort, lost func(netip.AddrPort) bool) bool {
+	const roundTrip, giveUp = 25 * time.Millisecond, 5 * time.Second
+	for range 100 {
+		silent := time.Duration(0)
+		for pause := roundTrip; ; pause *= 2 {
+			b.Heard(now, reach(), from, false)
+			via, ok := b.Choose(now, from)
+			if ok && !lost(via) {
+				now = now.Add(roundTrip)
+				break
+			}
+			if silent += pause; silent > giveUp {
+				return false
+			}
+			now = now.Add(pause)
+			for _, e := range b.Probes(now) {
+				b.Sign(now, e, false)
+			}
+		}
+	}
+	return true
+}
+
+// A network partition leaves some callers one entry only. An heir uploads a scan
+// through it. The agent is heard by all entries and believed that any of them may
+// answer, so its acknowledgements went to the other side; and since the heir went
+// on sending, the rule for silent callers never looked for another way.
+func TestPartedCallerIsAnsweredByEntriesThatHearIt(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := book(now, 3)
+	for i := range 30 {
+		from := netip.AddrPortFrom(feed.Addr(), uint16(5000+i))
+		whole := upload(b, now, from,
+			func() netip.AddrPort { return entryAt(1) },
+			func(via netip.AddrPort) bool { return via != entryAt(1) })
+		assert.Assert(t, whole, "upload %d", i)
+	}
+}
+
+// The way from one of three entries to callers is cut, the way towards it is not.
+// Uploads that were answered by it go on by the others: at worst one in a
+// hundred meets the cut entry at each of the tries it has in 5 s.
+func TestUploadLeavesEntryThatNoLongerAnswers(t *testing.T) {
+	now := time.Unix(1000, 0)
+	random := rand.New(rand.NewPCG(1, 1))
+	broken := 0
+	for i := range 1000 {
+		b := book(now, 3)
+		from := netip.AddrPortFrom(feed.Addr(), uint16(5000+i))
+		for range i % 3 {
+			b.Heard(now, entryAt(2), netip.AddrPortFrom(feed.Addr(), 1), false)
+		}
+		whole := upload(b, now, from,
+			func() netip.AddrPort { return entryAt(1 + random.IntN(3)) },
+			func(via netip.AddrPort) bool { return via == entryAt(1) })
+		if !whole {
+			broken++
+		}
+	}
+	assert.Assert(t, broken <= 10, "%d of 1000 uploads cut", broken)
+}
