--- a/internal/node/agent/status.go
+++ b/internal/node/agent/status.go
@@ -16,7 +16,10 @@
 	Requests    int64          `json:"requests"`          // in progress
 	Connections int64          `json:"connections"`
 	Gate        admit.Stats    `json:"gate"`
-	Opening     int            `json:"opening"` // flows kept in mind while they open
+	Successor   bool           `json:"successor"` // another process holds the same address
+	Opening     int            `json:"opening"`   // flows kept in mind while they open
+	Keys        int            `json:"keys"`      // request keys whose outcome is remembered
+	Handed      int            `json:"handed"`    // handed requests whose outcome is remembered
 	Entries     []paths.Status `json:"entries"`
 }
 
@@ -29,13 +32,16 @@
 	}
 	if v := a.now.Load(); v != nil {
 		s.Revision = v.revision
+		s.Keys, _ = a.guard.Memory.Size()
+		s.Handed, _ = a.ids.Size()
 	}
 	s.Leaving = a.standing.why()
 	s.Connections = a.opened.count.Load()
 	s.Gate = a.gate.Stats()
 	a.link.mu.Lock()
 	defer a.link.mu.Unlock()
-	if a.link.table != nil {
+	if a.link.table != nil { // open
+		s.Successor = a.link.side.alive(time.Now())
 		s.Opening = a.link.table.Size()
 	}
 	s.Entries = a.link.paths.Status(time.Now())
