--- a/internal/stand/faults/load.go
+++ b/internal/stand/faults/load.go
@@ -145,11 +145,11 @@
 func (p *party) ask(ctx context.Context) check.Attempt {
 	p.asked++
 	token := fmt.Sprintf("%s-%d", p.name, p.asked)
-	a, make := p.choose(token)
+	a, build := p.choose(token)
 	a.Begun = time.Now()
 	key := p.key
 	for i := 0; ; i++ {
-		answer := p.send(ctx, make(), key)
+		answer := p.send(ctx, build(), key)
 		a.Outcome, a.Reason, a.Got = answer.Outcome, answer.Reason, answer.Body
 		a.Err = describe(answer)
 		if answer.Key != "" {
--- a/internal/stand/faults/scenario.go
+++ b/internal/stand/faults/scenario.go
@@ -241,7 +241,7 @@
 		return err
 	}
 	e := r.entry()
-	r.expectRevision(e.Process.Name, service, 2, 7*time.Second)
+	r.expectRevision(e.Process.Name, service, 2)
 	if err := r.post("platform", "/fault?mode=down", ""); err != nil {
 		return err
 	}
@@ -256,7 +256,7 @@
 		return err
 	}
 	for _, n := range r.fleet.Entries() {
-		r.expectRevision(n.Process.Name, service, 2, 7*time.Second)
+		r.expectRevision(n.Process.Name, service, 2)
 	}
 	if err := r.post("platform", "/fault?mode=stale&back=1", ""); err != nil {
 		return err
@@ -270,7 +270,7 @@
 	if err := p.Start(); err != nil {
 		return err
 	}
-	r.expectRevision(name, service, 2, 7*time.Second)
+	r.expectRevision(name, service, 2)
 	return r.post("platform", "/fault?mode=ok", "")
 }
 
@@ -314,7 +314,7 @@
 	r.wait(200 * time.Millisecond) // the platform has read it by now
 	for _, n := range append(r.fleet.Entries(), r.fleet.Agents(service)...) {
 		// Both may have come to the platform as one revision.
-		r.expectRevision(n.Process.Name, service, 2, 7*time.Second)
+		r.expectRevision(n.Process.Name, service, 2)
 	}
 	return nil
 }
@@ -372,7 +372,7 @@
 	if err := p.Start(); err != nil {
 		return err
 	}
-	r.expectRevision(a.Process.Name, a.Agent.Service, 1, 7*time.Second)
+	r.expectRevision(a.Process.Name, a.Agent.Service, 1)
 	return r.post("platform", "/fault?mode=ok", "")
 }
 
--- a/internal/stand/faults/steps.go
+++ b/internal/stand/faults/steps.go
@@ -17,7 +17,10 @@
 	"mangowinch/internal/stand/fabric"
 )
 
-const withdrawAfter = time.Second // until the fabric notices that an entry is gone
+const (
+	withdrawAfter = time.Second     // until the fabric notices that an entry is gone
+	inForceWithin = 7 * time.Second // from the platform's having a document to its being in force everywhere
+)
 
 // entry draws an entry.
 func (r *run) entry() *prefs.Settings {
@@ -185,15 +188,15 @@
 }
 
 // expectRevision adds a violation if a process does not have a document's revision
-// in force within a time, or a later one.
-func (r *run) expectRevision(process, service string, least uint64, within time.Duration) {
+// in force within inForceWithin, or a later one.
+func (r *run) expectRevision(process, service string, least uint64) {
 	var got uint64
 	var err error
-	for end := time.Now().Add(within); time.Now().Before(end); r.wait(20 * time.Millisecond) {
+	for end := time.Now().Add(inForceWithin); time.Now().Before(end); r.wait(20 * time.Millisecond) {
 		if got, err = r.revision(process, service); err == nil && got >= least {
 			return
 		}
 	}
 	r.extra = append(r.extra, check.Violation{Rule: check.Reverted, Token: process,
-		Detail: fmt.Sprintf("has revision %d of %s and not %d after %s (%v)", got, service, least, within, err)})
+		Detail: fmt.Sprintf("has revision %d of %s and not %d after %s (%v)", got, service, least, inForceWithin, err)})
 }
