Expect a shortage to last as long again, counted from sustained refusals only

A shortage is now one in which at least 5% of a second's requests are refused: a stray refusal every few seconds made it age for ever.

The most that a caller is told is 30 s before spreading, since the spread is wider.

--- a/internal/exper/meter/meter.go
+++ b/internal/exper/meter/meter.go
@@ -14,6 +14,7 @@
 //     which is its max-min fair share by weight of all slot time, and no more than it
 //     asked for. Jain's index of these, and the worst of them.
 //   - Twice: requests whose execution began more than once.
+//   - Given up: requests of the whole run of which no try was answered in time.
 //   - Broken: requests that a stopping server cut.
 //   - Recovered: time from the load's end to the last moment from which on more than 1% of
 //     the requests that arrive in one second are refused, late or failed; 0 if there is
@@ -53,13 +54,13 @@
 	counts   Counts
 	lookups  *hdrhistogram.Histogram // microseconds
 	refusals *hdrhistogram.Histogram // microseconds
-	after    []arrival // those since the load's end
-	windows  [][]float64 // slot time per slot of each server in service, per second
+	after    []arrival               // those since the load's end
+	windows  [][]float64             // slot time per slot of each server in service, per second
 }
 
 // Counts are requests by end.
 type Counts struct {
-	Offered, InTime, Refused, Late, Failed, Twice, Broken int
+	Offered, InTime, Refused, Late, Failed, Twice, Broken, GivenUp int
 }
 
 type caller struct {
@@ -151,6 +152,9 @@
 // Twice notes a request that ran more than once.
 func (m *Meter) Twice() { m.counts.Twice++ }
 
+// GaveUp notes a request whose caller tries no more.
+func (m *Meter) GaveUp() { m.counts.GivenUp++ }
+
 // Second notes the slot time per slot that each server in service used in a second.
 func (m *Meter) Second(now time.Time, shares []float64) {
 	if now.After(m.settings.From) && !now.After(m.settings.To) {
--- a/internal/exper/policy/agents.go
+++ b/internal/exper/policy/agents.go
@@ -229,7 +229,11 @@
 		delete(a.waiting, id)
 		c := a.gate.Done(a.now(), id, took)
 		a.apply(c)
-		v.reply(outcome{end: end, reason: result.ServerDown, after: a.gate.After(a.now())})
+		o := outcome{end: end}
+		if end == fakes.Shed || end == fakes.Unreached {
+			o.reason, o.after = result.ServerDown, a.gate.After(a.now())
+		}
+		v.reply(o)
 	})
 	a.observe()
 }
--- a/internal/exper/table/table.go
+++ b/internal/exper/table/table.go
@@ -21,13 +21,13 @@
 
 // Write writes a table with one row for each report.
 func Write(w io.Writer, rows []Row) {
-	fmt.Fprintln(w, "| policy | goodput | in time | p50 | p99 | refused | refusal p99 | late | failed | servers 1 s | servers 10 s | Jain | worst caller | twice | broken | recovered | settled | handed |")
-	fmt.Fprintln(w, "|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|")
+	fmt.Fprintln(w, "| policy | goodput | in time | p50 | p99 | refused | refusal p99 | late | failed | servers 1 s | servers 10 s | Jain | worst caller | twice | given up | broken | recovered | settled | handed |")
+	fmt.Fprintln(w, "|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|")
 	for _, r := range rows {
 		v := r.Report
-		fmt.Fprintf(w, "| %s | %.1f%% | %s | %s | %s | %s | %s | %s | %s | %.3f | %.3f | %.3f | %.3f | %d | %d | %s | %s | %.1f%% |\n",
+		fmt.Fprintf(w, "| %s | %.1f%% | %s | %s | %s | %s | %s | %s | %s | %.3f | %.3f | %.3f | %.3f | %d | %d | %d | %s | %s | %.1f%% |\n",
 			r.Name, 100*v.Goodput, share(v.InTime, v.Offered), ms(v.P50), ms(v.P99), share(v.Refused, v.Offered), ms(v.RefusalP99),
-			share(v.Late, v.Offered), share(v.Failed, v.Offered), v.Imbalance1, v.Imbalance, v.Jain, v.Worst, v.Twice, v.Broken,
+			share(v.Late, v.Offered), share(v.Failed, v.Offered), v.Imbalance1, v.Imbalance, v.Jain, v.Worst, v.Twice, v.GivenUp, v.Broken,
 			ms(v.Recovered), ms(v.Settled), 100*v.Handed)
 	}
 }
--- a/internal/load/admit/admit.go
+++ b/internal/load/admit/admit.go
@@ -134,6 +134,7 @@
 
 // Arrive decides on a new request.
 func (g *Gate) Arrive(now time.Time, r Request) Decision {
+	g.shortage.arrive(now)
 	class, ok := g.limits.class(r.Class)
 	if !ok {
 		return Decision{Reason: result.NoClass}
--- a/internal/load/admit/after.go
+++ b/internal/load/admit/after.go
@@ -10,32 +10,55 @@
 // Parameters of Retry-After.
 const (
 	leastAfter = time.Second      // the header's own unit
-	mostAfter  = 60 * time.Second // a caller that is told more gives up or ignores it
-	// calm is how long nothing has to be refused for a shortage to count as over.
-	calm = 5 * time.Second
+	mostAfter  = 30 * time.Second // before spreading; a caller that is told more ignores it
+	// shortPart is the share of a second's requests that has to be refused for the
+	// shortage to go on. A stray refusal now and then is none: were it one, the
+	// first callers of an outage would be told to stay away for as long as
+	// there have been stray refusals.
+	shortPart = 0.05
 )
 
-// shortage follows since when requests have been refused.
+// shortage follows since when a good part of the requests is refused.
 type shortage struct {
-	began, last time.Time
+	began             time.Time // zero if there is none
+	second            time.Time // begin of the second that is counted
+	arrivals, refused int
 }
 
-func (s *shortage) age(now time.Time) time.Duration {
-	if s.last.IsZero() || now.Sub(s.last) > calm {
+func (s *shortage) arrive(now time.Time) {
+	s.roll(now)
+	s.arrivals++
+}
+
+func (s *shortage) refuse(now time.Time) (age time.Duration) {
+	s.roll(now)
+	s.refused++
+	if s.began.IsZero() {
 		s.began = now
 	}
-	s.last = now
 	return now.Sub(s.began)
 }
 
+// roll ends the shortage if a second has ended in which little was refused.
+func (s *shortage) roll(now time.Time) {
+	gone := now.Sub(s.second)
+	if gone < time.Second {
+		return
+	}
+	if gone >= 2*time.Second || float64(s.refused) < shortPart*float64(s.arrivals) {
+		s.began = time.Time{}
+	}
+	s.second, s.arrivals, s.refused = now, 0, 0
+}
+
 // After is when a caller that is refused now is to come back; it notes the refusal.
 // A process asks for it when it refuses for a reason of its own, such as that no server
-// can be reached. A shortage is expected to last
-// about as long again as it has lasted, and no less than the queue takes to empty.
-// The answer is spread evenly beyond that: callers that were
-// refused together would otherwise come back together and make the next shortage.
+// can be reached. A shortage is expected to last about as long again as it has
+// lasted, and no less than the queue takes to empty. The answer is spread evenly beyond
+// that: callers that were refused together would otherwise come back together and
+// make the next shortage.
 func (g *Gate) After(now time.Time) time.Duration {
-	base := max(g.shortage.age(now), g.backlog(), leastAfter)
+	base := max(g.shortage.refuse(now), g.backlog(), leastAfter)
 	base = min(base, mostAfter)
 	return base + time.Duration(g.rules.Spread*g.random.Float64()*float64(base))
 }
