--- a/cmd/exper/main.go
+++ b/cmd/exper/main.go
@@ -11,6 +11,7 @@
 	"github.com/alecthomas/kong"
 
 	"mangowinch/internal/exper/cases"
+	"mangowinch/internal/exper/flows"
 	"mangowinch/internal/exper/policy"
 	"mangowinch/internal/exper/table"
 	"mangowinch/internal/load/admit"
@@ -21,6 +22,7 @@
 	Service string `help:"Only the service of this name." default:"tracing-core"`
 	Policy  string `help:"Only the policy of this name."`
 	Seed    uint64 `help:"Seed of arrivals and choices." default:"1"`
+	Flows   bool   `help:"Compare the rules for the weights of new flows."`
 	Workers int    `help:"Runs at a time." default:"3"`
 
 	Wait    float64       `help:"admit: share of the time left that may be spent waiting." default:"${wait}"`
@@ -56,6 +58,10 @@
 func main() {
 	var a arguments
 	kong.Parse(&a, kong.Description("Runs the experiments with the decisions under load in virtual time."), defaults(policy.Tuned))
+	if a.Flows {
+		compareFlows(a)
+		return
+	}
 	for _, s := range cases.Services {
 		if a.Service != "all" && a.Service != s.Name {
 			continue
@@ -92,3 +98,28 @@
 	table.Callers(os.Stdout, rows)
 	fmt.Println()
 }
+
+// flowSeeds is how many runs make up a row: one alone is noisy.
+const flowSeeds = 10
+
+// compareFlows runs the cases of the weights of new flows with all rules.
+func compareFlows(a arguments) {
+	for _, c := range flows.All() {
+		if !strings.HasPrefix(c.Name, a.Case) {
+			continue
+		}
+		var names []string
+		var reports []flows.Report
+		for _, r := range flows.Rules() {
+			names = append(names, r.Name)
+			var seeds []flows.Report
+			for s := range uint64(flowSeeds) {
+				seeds = append(seeds, flows.Run(c, r.Rules, a.Seed+s))
+			}
+			reports = append(reports, flows.Mean(seeds))
+		}
+		fmt.Printf("### weights, %s\n\n%s. Means of %d seeds.\n\n", c.Name, c.Story, flowSeeds)
+		table.Flows(os.Stdout, names, reports)
+		fmt.Println()
+	}
+}
--- a/internal/exper/table/table.go
+++ b/internal/exper/table/table.go
@@ -10,6 +10,7 @@
 	"io"
 	"time"
 
+	"mangowinch/internal/exper/flows"
 	"mangowinch/internal/exper/meter"
 )
 
@@ -54,3 +55,13 @@
 func ms(d time.Duration) string {
 	return fmt.Sprintf("%.1f ms", float64(d)/float64(time.Millisecond))
 }
+
+// Flows writes what became of the weights of new flows.
+func Flows(w io.Writer, names []string, reports []flows.Report) {
+	fmt.Fprintln(w, "| rule | imbalance before | moved a minute | entries apart | peak of the healthy | time off | imbalance at the end | strays |")
+	fmt.Fprintln(w, "|---|---|---|---|---|---|---|---|")
+	for i, r := range reports {
+		fmt.Fprintf(w, "| %s | %.3f | %.1f%% | %.2f%% | %.2f | %.0f s | %.3f | %.0f |\n",
+			names[i], r.Before, 100*r.Moved, 100*r.Apart, r.Peak, r.Off.Seconds(), r.After, r.Strays)
+	}
+}
