Keep refused IDs in a few bits, so that they fill no memory

Cause: "not run" is final for a key, so each refusal took a record for two minutes. One caller over its share, refused by the thousand a second, would have filled the memory of 32,768 records in seconds, and all other callers' requests with keys would then have been refused for want of memory. And a full memory gave up all keys issued so far: under a steady flood no key would have lived long enough to be used.

Now, once half of the records are in use, a refused request leaves its ID only, in two generations of a Bloom filter; so do refusals by the memory itself and IDs barred by a question. A question that comes when the memory is full is now answered with "not run" in place of unknown.

Ruled out: asking admission before the memory, since the refusal would not be final; binding keys to callers, whose addresses change with a partition.

--- a/internal/work/memo/memo.go
+++ b/internal/work/memo/memo.go
@@ -6,6 +6,11 @@
 // full new requests are refused, and nothing is forgotten early. An answer that is
 // too big to keep is dropped, the fact that the request ran is not.
 //
+// "Not run" is final for an ID. Requests that ran are as many as the server had slots
+// for; refused ones may come by the thousand a second, and must neither push out the
+// others nor be forgotten. So in a memory that is half full, and for refusals by the
+// memory itself, only the ID is kept, in a few bits.
+//
 // The package runs nothing and knows no clock: the caller hands in the time, always
 // from the same process's monotonic clock. It does not decide who owns a request
 // (package token) and carries none (package hand).
@@ -33,19 +38,20 @@
 	Records int           // requests remembered at a time
 	Bytes   int           // bytes of all answers kept
 	Answer  int           // bytes of one answer kept
+	Barred  int           // bytes for each of two generations of IDs that may not run any more
 	Margin  time.Duration // kept beyond the deadline, for repeats that were on their way
 }
 
 // DefaultLimits suit one agent: 5 slots that are held for 20 ms a request end 250 of
-// them a second, 31,250 in a key's lifetime of 2 minutes and the margin.
-var DefaultLimits = Limits{Records: 32768, Bytes: 32 << 20, Answer: 64 << 10, Margin: 5 * time.Second}
+// them a second, 31,250 in a key's lifetime of 2 minutes and the margin. With 1 MB, 6
+// of a thousand fresh IDs are refused by mistake after 800,000 refusals (BenchmarkMistakes).
+var DefaultLimits = Limits{Records: 32768, Bytes: 32 << 20, Answer: 64 << 10, Barred: 1 << 20, Margin: 5 * time.Second}
 
 // Call is one arrival of a request.
 type Call struct {
-	ID     string
-	Head   Digest    // of method and path; a key with another head is refused
-	Until  time.Time // deadline of the request or end of its key's lifetime
-	Issued time.Time // of its key; zero if the ID can't come from a caller
+	ID    string
+	Head  Digest    // of method and path; a key with another head is refused
+	Until time.Time // deadline of the request or end of its key's lifetime
 }
 
 // Verdict says what to do with a call.
@@ -97,12 +103,12 @@
 	records map[string]*Record
 	ended   expiries
 	bytes   int
-	barred  time.Time // keys issued until then and not remembered never run
+	barred  *barred
 }
 
 // New gives an empty memory.
 func New(l Limits) *Memo {
-	return &Memo{limits: l, records: map[string]*Record{}}
+	return &Memo{limits: l, records: map[string]*Record{}, barred: newBarred(l.Barred)}
 }
 
 // Begin decides about an arrival: exactly one call of an ID is told to run.
@@ -110,7 +116,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if r, ok := m.records[c.ID]; ok {
-		if r.head != c.Head && r.head != (Digest{}) { // an ID barred by Ask has no head
+		if r.head != c.Head {
 			return refuse(result.NotRun, result.KeyReused)
 		}
 		return found(r)
@@ -124,16 +130,12 @@
 	if !now.Before(c.Until) {
 		return refuse(result.NotRun, result.Expired)
 	}
-	if !c.Issued.IsZero() && !c.Issued.After(m.barred) {
+	if m.barred.has(c.ID) {
 		return refuse(result.NotRun, result.KeyOld)
 	}
 	if m.full() {
-		// The refusal itself can't be remembered, and a copy of the request that was
-		// delayed on its way must not run after its caller was told "not run". So all
-		// unused keys issued so far are given up: that needs one time, not a record each.
-		if !c.Issued.IsZero() {
-			m.barred = now
-		}
+		// A copy that was delayed on its way must not run after this was said.
+		m.bar(now, c.ID, c.Until)
 		return refuse(result.NotRun, result.MemoryFull)
 	}
 	m.records[c.ID] = &Record{id: c.ID, head: c.Head, until: c.Until, done: make(chan struct{})}
@@ -152,13 +154,12 @@
 	if !now.Before(until.Add(m.limits.Margin)) {
 		return refuse(result.Unknown, result.Expired)
 	}
-	if m.full() {
-		return refuse(result.Unknown, result.MemoryFull)
-	}
-	r := &Record{id: id, until: until, done: make(chan struct{})}
-	m.records[id] = r
-	m.end(now, r, Outcome{Result: result.Result{Outcome: result.NotRun, Reason: result.PeerLost}})
-	return found(r)
+	m.bar(now, id, until)
+	return refuse(result.NotRun, result.PeerLost)
+}
+
+func (m *Memo) bar(now time.Time, id string, until time.Time) {
+	m.barred.add(now, id, until.Add(m.limits.Margin))
 }
 
 // Finish records the end of a request that Begin let run. The first end counts.
@@ -191,13 +192,18 @@
 	if o.Result.Outcome == result.Ran && o.Answer == nil {
 		o.Result.Reason = result.AnswerGone
 	}
-	m.bytes += o.Answer.size()
 	r.outcome, r.ended = o, true
 	if r.until.Before(now) {
 		r.until = now // it ran beyond its deadline: repeats may be on their way still
 	}
-	heap.Push(&m.ended, r)
 	close(r.done)
+	if o.Result.Outcome == result.NotRun && len(m.records) > m.limits.Records/2 {
+		m.bar(now, r.id, r.until)
+		delete(m.records, r.id)
+		return
+	}
+	m.bytes += o.Answer.size()
+	heap.Push(&m.ended, r)
 }
 
 // forget drops records whose time and margin are over. A running one is never among them.
--- a/internal/work/once/once.go
+++ b/internal/work/once/once.go
@@ -71,10 +71,9 @@
 	switch ruling.Place {
 	case token.Here:
 		return g.own(ctx, r, a, next, memo.Call{
-			ID:     key.ID(),
-			Head:   memo.HeadDigest(r.Method, r.Path),
-			Until:  ruling.Until,
-			Issued: ruling.Issued,
+			ID:    key.ID(),
+			Head:  memo.HeadDigest(r.Method, r.Path),
+			Until: ruling.Until,
 		})
 	case token.Pass:
 		return g.pass(ctx, v, ruling.Agent, r, a)
--- a/internal/work/token/owner.go
+++ b/internal/work/token/owner.go
@@ -53,7 +53,6 @@
 type Ruling struct {
 	Place  Place
 	Agent  netip.AddrPort // of the owner, for Pass
-	Issued time.Time      // by this process's clock, for Here
 	Until  time.Time      // the key's outcome is remembered at least so long, for Here
 	Result result.Result  // for Refuse; never "not run", since an earlier try may have run
 }
@@ -90,7 +89,7 @@
 	if !now.Before(until) {
 		return refuse(result.KeyOld, 0)
 	}
-	return Ruling{Place: Here, Issued: issued, Until: until}
+	return Ruling{Place: Here, Until: until}
 }
 
 func refuse(r result.Reason, after time.Duration) Ruling {
