Run the relay in entries and agents

Entries listen for drpc at their link, agents register the relay on the mux that hands requests over. Frames' newer revisions start a pull, waking late asks somebody at once, the platform's list reaches an agent by the entries that read it. /status has a section control.

An agent answers a comparing entry with its own document, so that an entry which restarts alone under a stale platform learns it from agents.

go test ./internal/stand/demo passes (8 s). TestCountersPage fails before and after for four counters that this change doesn't touch (agent_sided, keys, placed, retries); this change's rows are in.

--- a/internal/ctrl/budget/budget.go
+++ b/internal/ctrl/budget/budget.go
@@ -66,12 +66,12 @@
 
 // Usage is what control spent lately.
 type Usage struct {
-	BytesPerSecond float64 // mean of the last minute, sent and received, headers estimated
-	CPUShare       float64 // mean of the last minute, of one core
-	Memory         uint64  // of the whole process, bytes: an upper bound for control
-	Sent           uint64  // bytes since the start
-	Received       uint64  // bytes since the start
-	Over           []string
+	BytesPerSecond float64  `json:"bytes"`  // mean of the last minute, sent and received, headers estimated
+	CPUShare       float64  `json:"cpu"`    // mean of the last minute, of one core
+	Memory         uint64   `json:"memory"` // of the whole process, bytes: an upper bound for control
+	Sent           uint64   `json:"sent"`   // bytes since the start
+	Received       uint64   `json:"received"`
+	Over           []string `json:"over,omitempty"` // budgets that are exceeded
 }
 
 type sample struct {
@@ -202,7 +202,14 @@
 	return s[0].Value.Uint64() - s[1].Value.Uint64()
 }
 
-// Conn counts the bytes that pass a connection.
+// Answered counts a call that this process answered. Its connection may be shared
+// with calls that are not control's, so its bytes aren't counted by Conn.
+func (m *Meter) Answered(received, sent int) {
+	m.received.Add(uint64(received) + segment)
+	m.sent.Add(uint64(sent) + segment)
+}
+
+// Conn counts the bytes that pass a connection which this process opened.
 func (m *Meter) Conn(c net.Conn) net.Conn { return &conn{c, m} }
 
 type conn struct {
--- a/internal/ctrl/relay/attend.go
+++ b/internal/ctrl/relay/attend.go
@@ -60,7 +60,7 @@
 			n.Log.Info().Msg("leaves watching the platform to others")
 			stop()
 		case ask:
-			count("probes", "reason", "stale")
+			probesTotal.Inc()
 			if list, err := n.Platform.Documents(ctx); err == nil {
 				n.heardPlatform(time.Now())
 				_ = n.load(ctx, list)
--- a/internal/ctrl/relay/beat.go
+++ b/internal/ctrl/relay/beat.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"mangowinch/internal/conf/docs"
 	"mangowinch/internal/ctrl/digest"
 	"mangowinch/internal/ctrl/peers"
@@ -19,15 +21,15 @@
 // Mate is what an agent knows of another agent of its service. It's a hint: the
 // other one decides on its own what it takes.
 type Mate struct {
-	Server      uint32 // its ID in the document
-	Name        string // of its server section
-	Address     netip.AddrPort
-	Incarnation uint64
-	State       peers.State
-	Load        Load
-	Revision    uint64    // of the document in force there
-	Heard       time.Time // zero: never
-	Failures    int       // heartbeats in a row without an answer
+	Server      uint32         `json:"server"` // its ID in the document
+	Name        string         `json:"name"`   // of its server section
+	Address     netip.AddrPort `json:"address"`
+	Incarnation uint64         `json:"incarnation"`
+	State       peers.State    `json:"state"`
+	Load        Load           `json:"load"`
+	Revision    uint64         `json:"revision"`       // of the document in force there
+	Heard       time.Time      `json:"heard,omitzero"` // zero: never
+	Failures    int            `json:"failures"`       // heartbeats in a row without an answer
 }
 
 // Mates returns what is known of the other agents of the service, by server ID.
@@ -51,7 +53,7 @@
 			select {
 			case slots <- struct{}{}:
 			default:
-				count("refused", "reason", "beats")
+				refused("beats")
 				continue
 			}
 			running.Go(func() {
@@ -100,7 +102,7 @@
 	defer cancel()
 	in, err := n.Dial(m.Address).Beat(ctx, n.pulse())
 	if err != nil {
-		count("beats", "result", "failed")
+		beaten("failed")
 		n.mu.Lock()
 		defer n.mu.Unlock()
 		if k := n.mates[m.Server]; k != nil && k.Address == m.Address {
@@ -108,19 +110,20 @@
 		}
 		return
 	}
-	count("beats", "result", "done")
+	beaten("done")
 	n.feel(in)
 }
 
 // Beat answers the heartbeat of another agent of the service.
-func (n *Node) Beat(_ context.Context, in *wire.Pulse) (*wire.Pulse, error) {
+func (n *Node) Beat(_ context.Context, in *wire.Pulse) (out *wire.Pulse, err error) {
+	defer func() { n.Meter.Answered(proto.Size(in), proto.Size(out)) }()
 	if n.Service == "" || in.GetService() != n.Service {
 		// An address that was given to another service: the other side's document is old.
-		count("refused", "reason", "service")
+		refused("service")
 		return nil, ErrService
 	}
 	if !n.answers.Allow() {
-		count("refused", "reason", "rate")
+		refused("rate")
 		return nil, ErrBusy
 	}
 	n.feel(in)
@@ -131,7 +134,7 @@
 func (n *Node) feel(in *wire.Pulse) {
 	from, ok := memberOf(in.GetFrom())
 	if !ok || in.GetService() != n.Service {
-		count("refused", "reason", "service")
+		refused("service")
 		return
 	}
 	theirs := digest.Item{Name: n.Service, Revision: in.GetRevision(), Newest: max(in.GetNewest(), in.GetRevision())}
@@ -141,7 +144,7 @@
 	m := n.mates[in.GetServer()]
 	if m == nil || m.Address != from.Address || from.Incarnation < m.Incarnation {
 		// Not in the document here, or not yet; or the last words of an earlier life.
-		count("refused", "reason", "mate")
+		refused("mate")
 		return
 	}
 	m.Incarnation, m.State, m.Revision = from.Incarnation, from.State, in.GetRevision()
--- a/internal/ctrl/relay/exchange.go
+++ b/internal/ctrl/relay/exchange.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"mangowinch/internal/ctrl/digest"
 	"mangowinch/internal/ctrl/peers"
 	"mangowinch/internal/ctrl/wire"
@@ -28,13 +30,14 @@
 // Exchange answers another process: it takes in what that one knows and tells
 // what that one lacks.
 func (n *Node) Exchange(ctx context.Context, in *wire.Summary) (out *wire.Summary, err error) {
+	defer func() { n.Meter.Answered(proto.Size(in), proto.Size(out)) }()
 	if !n.answers.Allow() {
-		count("refused", "reason", "rate")
+		refused("rate")
 		return nil, ErrBusy
 	}
 	n.Meter.Work(func() { out = n.answer(in) })
 	if size := len(out.Items)*24 + len(out.Members)*48; size > 8192 && !n.Meter.Spend(ctx, size) {
-		count("refused", "reason", "budget")
+		refused("budget")
 		return nil, ErrBusy
 	}
 	return out, nil
@@ -59,6 +62,9 @@
 			out.Items = append(out.Items, itemTo(own))
 		}
 	}
+	if own := digest.Know(view, n.Service); n.Service != "" && in.GetRoot() != 0 && len(theirs) == 0 {
+		out.Items = append(out.Items, itemTo(own)) // an entry that restarted learns it from here
+	}
 	for _, part := range in.GetCompared() {
 		for _, i := range mine.Items[part%digest.Parts] {
 			if _, said := theirs[i.Name]; !said {
@@ -167,11 +173,11 @@
 	}
 	if len(in.GetBuckets()) == 0 {
 		n.mu.Lock()
-		n.met = true
+		n.met = n.met || in.GetFrom().GetRole() == string(peers.Entry) // an agent knows one document only
 		n.mu.Unlock()
 		return true
 	}
-	count("exchanges", "result", "differ")
+	exchanged("differ")
 	n.mu.Lock()
 	out = n.summaryLocked()
 	mine, _ = n.current()
@@ -196,11 +202,11 @@
 	defer cancel()
 	in, err := n.Dial(m.Address).Exchange(ctx, out)
 	if err != nil {
-		count("exchanges", "result", "failed")
+		exchanged("failed")
 		n.failed(m.Name)
 		return nil, false
 	}
-	count("exchanges", "result", "done")
+	exchanged("done")
 	n.Meter.Work(func() {
 		n.learn(in)
 		theirs := map[string]digest.Item{}
--- a/internal/ctrl/relay/pull.go
+++ b/internal/ctrl/relay/pull.go
@@ -82,7 +82,7 @@
 	w := n.pull.wants[i.Name]
 	if w == nil {
 		if len(n.pull.wants) >= store.MaxNames {
-			count("refused", "reason", "wants")
+			refused("wants")
 			return
 		}
 		w = &want{}
@@ -178,9 +178,9 @@
 func (n *Node) pullFrom(ctx context.Context, link netip.AddrPort, batch map[string]digest.Item) {
 	parts, err := n.ask(ctx, link, batch)
 	if err != nil {
-		count("pulls", "result", "failed")
+		pulled("failed")
 	} else {
-		count("pulls", "result", "done")
+		pulled("done")
 	}
 	got := map[string]taken{}
 	for _, p := range parts {
@@ -262,7 +262,7 @@
 // hedge lets others be asked for what this peer was slow to give. With a fifth of
 // the messages lost, one in sixty texts would else be late by three timeouts.
 func (n *Node) hedge(link netip.AddrPort, batch map[string]digest.Item) {
-	count("pulls", "result", "slow")
+	pulled("slow")
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for name := range batch {
@@ -309,7 +309,7 @@
 // join adds a piece to the text that it belongs to.
 func (n *Node) join(p *wire.Part) (text []byte, whole, ok bool) {
 	if p.GetSize() > store.MaxText || p.GetOffset()+uint64(len(p.GetData())) > p.GetSize() {
-		count("refused", "reason", "part")
+		refused("part")
 		return nil, false, false
 	}
 	if p.GetOffset() == 0 && uint64(len(p.GetData())) == p.GetSize() {
@@ -329,7 +329,7 @@
 		return nil, false, false // came by another call before
 	}
 	if q == nil || q.revision != p.GetRevision() || q.size != p.GetSize() || uint64(len(q.text)) != p.GetOffset() {
-		count("refused", "reason", "part")
+		refused("part")
 		delete(n.pull.partials, p.GetName())
 		return nil, false, false
 	}
@@ -343,8 +343,9 @@
 
 // Pull answers with the texts that the asker lacks, as many as the budget allows.
 func (n *Node) Pull(ctx context.Context, in *wire.Wants) (out *wire.Texts, err error) {
+	defer func() { n.Meter.Answered(proto.Size(in), proto.Size(out)) }()
 	if !n.answers.Allow() {
-		count("refused", "reason", "rate")
+		refused("rate")
 		return nil, ErrBusy
 	}
 	n.Meter.Work(func() { out, err = n.pack(in) })
@@ -352,7 +353,7 @@
 		return nil, err
 	}
 	if !n.Meter.Spend(ctx, len(out.GetDeflated())) {
-		count("refused", "reason", "budget")
+		refused("budget")
 		return nil, ErrBusy
 	}
 	return out, nil
--- a/internal/ctrl/relay/relay.go
+++ b/internal/ctrl/relay/relay.go
@@ -31,7 +31,6 @@
 	"sync"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 	"golang.org/x/time/rate"
@@ -62,8 +61,10 @@
 
 // Load is what an agent tells the other agents of its service.
 type Load struct {
-	Busy, Slots, Queue int
-	Draining           bool
+	Busy     int  `json:"busy"`
+	Slots    int  `json:"slots"`
+	Queue    int  `json:"queue"`
+	Draining bool `json:"draining"`
 }
 
 // Config is what a Node is made of. Platform, Load and Leave may be nil.
@@ -95,6 +96,8 @@
 	answersBurst     = 200
 )
 
+const refreshTries = 3
+
 // pause is how late a timer of a second must be to show that the process was
 // frozen; a busy machine makes it late by tenths.
 const pause = 5 * time.Second
@@ -219,6 +222,35 @@
 	return n.met
 }
 
+// Refresh asks somebody for news, and returns when what is lacking came, when
+// nobody answered, or with ctx. It is for a process that woke up late.
+func (n *Node) Refresh(ctx context.Context) {
+	for range refreshTries {
+		if n.askAnybody(ctx) {
+			break
+		}
+	}
+	for ctx.Err() == nil && n.lacking() {
+		sleep(ctx, pullRetry/10)
+	}
+}
+
+func (n *Node) askAnybody(ctx context.Context) bool {
+	if n.Self.Role == peers.Agent {
+		m, ok := n.anyEntry()
+		return ok && n.pollOne(ctx, m)
+	}
+	m, ok := n.partner(0)
+	return ok && n.meet(ctx, m)
+}
+
+// lacking says whether a peer is known to have something newer.
+func (n *Node) lacking() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.pull.wants) > 0
+}
+
 // sample lets the meter look once a second, and notices a pause of the process: it
 // was frozen, and wakes with beliefs of before. They count as those of a start
 // until it has talked to somebody.
@@ -228,7 +260,7 @@
 		if time.Since(last) < pause {
 			continue
 		}
-		count("refused", "reason", "pause")
+		refused("pause")
 		n.mu.Lock()
 		n.met, n.near = false, nil
 		n.mu.Unlock()
@@ -254,7 +286,3 @@
 		return true
 	}
 }
-
-func count(name, label, value string) {
-	metrics.GetOrCreateCounter("mangowinch_relay_" + name + `_total{` + label + `="` + value + `"}`).Inc()
-}
--- a/internal/ctrl/relay/status.go
+++ b/internal/ctrl/relay/status.go
@@ -9,32 +9,33 @@
 
 // Status is what /status shows of control.
 type Status struct {
-	Watching  bool          // holds a watch at the platform
-	Contact   time.Duration // since anybody known heard the platform; negative: never
-	Stale     int           // documents of which the platform serves an older revision
-	Members   int           // other entries known
-	Suspected int           // of them, those that did not answer
-	Documents int
-	Bytes     int // of their texts
-	Faulty    []Faulty
-	Wanted    int // documents that a peer has newer, not pulled yet
-	Mates     []Mate
-	Usage     budget.Usage
+	Watching  bool         `json:"watching"`  // holds a watch at the platform
+	Fresh     bool         `json:"fresh"`     // has talked to another process since it started or woke up
+	Contact   float64      `json:"contact"`   // seconds since anybody known heard the platform; -1: never
+	Stale     int          `json:"stale"`     // documents of which the platform serves an older revision
+	Members   int          `json:"members"`   // other entries known
+	Suspected int          `json:"suspected"` // of them, those that did not answer
+	Documents int          `json:"documents"`
+	Bytes     int          `json:"bytes"` // of their texts
+	Faulty    []Faulty     `json:"faulty,omitempty"`
+	Wanted    int          `json:"wanted"` // documents that a peer has newer, not pulled yet
+	Mates     []Mate       `json:"mates,omitempty"`
+	Usage     budget.Usage `json:"usage"`
 }
 
 // Faulty is a document of which the newest revision can't be read.
 type Faulty struct {
-	Name     string
-	Revision uint64 // the faulty one
-	InForce  uint64 // the last good one, 0 for none
-	Source   string
-	Reason   string
+	Name     string `json:"name"`
+	Revision uint64 `json:"revision"` // the faulty one
+	InForce  uint64 `json:"inforce"`  // the last good one, 0 for none
+	Source   string `json:"source"`
+	Reason   string `json:"reason"`
 }
 
 // Status returns what is the case now.
 func (n *Node) Status() Status {
 	view := n.Store.View()
-	s := Status{Documents: len(view.Entries), Usage: n.Meter.Usage(time.Now()), Contact: -1}
+	s := Status{Documents: len(view.Entries), Usage: n.Meter.Usage(time.Now()), Contact: -1, Fresh: n.Fresh()}
 	for _, e := range view.Entries {
 		s.Bytes += len(e.Text)
 	}
@@ -50,7 +51,7 @@
 	defer n.mu.Unlock()
 	s.Watching, s.Stale, s.Members, s.Wanted = n.watching, n.stale, n.table.Len(), len(n.pull.wants)
 	if !n.contact.IsZero() {
-		s.Contact = time.Since(n.contact)
+		s.Contact = time.Since(n.contact).Seconds()
 	}
 	for _, m := range n.table.Members(peers.Entries) {
 		if n.table.Suspected(m.Name) {
--- a/internal/ctrl/relay/tell.go
+++ b/internal/ctrl/relay/tell.go
@@ -89,7 +89,7 @@
 		for _, i := range items {
 			out.Items = append(out.Items, itemTo(i))
 		}
-		count("told", "to", role(m))
+		told(role(m))
 		for range sendTries {
 			if _, ok := n.exchange(ctx, m, out); ok || m.Name == "" {
 				return
@@ -135,7 +135,7 @@
 		return nil
 	}
 	if changes > maxRumours {
-		count("refused", "reason", "rumours")
+		refused("rumours")
 		return nil
 	}
 	n.mu.Lock()
@@ -174,7 +174,7 @@
 	for _, m := range leaving {
 		out := n.summary()
 		out.Members, out.Turned = []*wire.Member{memberTo(m)}, turned
-		count("told", "to", "leaving")
+		told("leaving")
 		n.exchange(ctx, m, out)
 	}
 }
@@ -186,7 +186,7 @@
 // toldToLeave takes the platform's word about this process, if it's about this life.
 func (n *Node) toldToLeave(m peers.Member, turned bool) {
 	if m.Address != n.Self.Address || !turned && time.Since(n.start) < leaveGrace {
-		count("refused", "reason", "leave")
+		refused("leave")
 		return
 	}
 	if n.Leave != nil {
--- a/internal/node/agent/leave.go
+++ b/internal/node/agent/leave.go
@@ -80,3 +80,7 @@
 	}
 	return strings.Join(words, ", ")
 }
+
+// LeaveByList makes the agent take nothing new: the platform's list says that its
+// server leaves. Nobody takes that back within the life of a process.
+func (a *Agent) LeaveByList() { a.standing.set(byList, true) }
--- /dev/null
+++ b/internal/node/start/relay.go
@@ -0,0 +1,44 @@
+package start
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"mangowinch/internal/ctrl/budget"
+	"mangowinch/internal/ctrl/fetch"
+	"mangowinch/internal/ctrl/link"
+	"mangowinch/internal/ctrl/peers"
+	"mangowinch/internal/ctrl/relay"
+)
+
+// control is the relay of a process with what it needs of its own.
+type control struct {
+	*relay.Node
+	dialer *link.Dialer
+}
+
+// newControl fills in what both roles have alike.
+func (p *parts) newControl(c relay.Config) *control {
+	c.Self.Name = p.settings.Process.Name
+	c.Self.Domain = p.settings.Process.Domain
+	c.Self.State = peers.Live
+	c.Self.Incarnation = uint64(time.Now().UnixNano())
+	c.Seeds = p.settings.Peers
+	c.Store = p.store
+	c.Platform = fetch.New(p.settings.Platform.Address.String())
+	c.Meter = budget.New()
+	c.Log = p.log
+	dialer := link.New(c.Meter)
+	c.Dial = func(a netip.AddrPort) relay.Peer { return dialer.Peer(a) }
+	n := relay.New(c)
+	p.admin.Section("control", func() any { return n.Status() })
+	return &control{n, dialer}
+}
+
+// run relays until ctx ends. The others are told once the process is being stopped.
+func (c *control) run(ctx, staying context.Context) error {
+	defer context.AfterFunc(staying, func() { c.SetState(peers.Leaving) })()
+	c.Run(ctx)
+	return c.dialer.Close()
+}
--- a/internal/node/start/start.go
+++ b/internal/node/start/start.go
@@ -21,7 +21,6 @@
 	"mangowinch/internal/conf/docs"
 	"mangowinch/internal/conf/prefs"
 	"mangowinch/internal/conf/store"
-	"mangowinch/internal/ctrl/fetch"
 	"mangowinch/internal/node/agent"
 	"mangowinch/internal/node/entry"
 	"mangowinch/internal/oper/admin"
@@ -60,7 +59,11 @@
 		return err
 	}
 	p.admin.Section("services", func() any { return e.Status() })
-	return p.run(ctx, e, nil)
+	control, err := p.relayEntry(ctx, e)
+	if err != nil {
+		return err
+	}
+	return p.run(ctx, e, control)
 }
 
 // Agent runs an agent until ctx ends and its planned stop is done.
@@ -81,12 +84,15 @@
 		return err
 	}
 	p.admin.Section("agent", func() any { return a.Status() })
-	own := settings.Agent.Service
-	return p.run(ctx, a, func(name string) bool { return name == own })
+	control, err := p.relayAgent(ctx, a)
+	if err != nil {
+		return err
+	}
+	return p.run(ctx, a, control)
 }
 
 // run keeps documents and the operators' server going until the process has ended.
-func (p *parts) run(ctx context.Context, r runner, only func(name string) bool) error {
+func (p *parts) run(ctx context.Context, r runner, control func(context.Context) error) error {
 	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	// A process that is being stopped works on for hours and is not ready for more.
@@ -94,10 +100,7 @@
 	staying.Set(true, "")
 	defer context.AfterFunc(ctx, func() { staying.Set(false, "planned stop") })()
 	var g errgroup.Group
-	g.Go(func() error {
-		fetch.Keep(inner, fetch.New(p.settings.Platform.Address.String()), p.store, only)
-		return nil
-	})
+	g.Go(func() error { return control(inner) })
 	g.Go(func() error {
 		p.watchReady(inner)
 		return nil
