--- a/internal/ctrl/link/link.go
+++ b/internal/ctrl/link/link.go
@@ -39,13 +39,20 @@
 // Dialer keeps connections. Its methods may be called from any goroutine.
 type Dialer struct {
 	meter *budget.Meter
+	wrap  func(net.Conn) net.Conn
 	pool  *drpcpool.Pool[netip.AddrPort, drpcpool.Conn]
 }
 
 // New returns a dialer without connections.
 func New(meter *budget.Meter) *Dialer {
+	return NewWith(meter, func(c net.Conn) net.Conn { return c })
+}
+
+// NewWith is New with connections that are wrapped once they are open, for measurements.
+func NewWith(meter *budget.Meter, wrap func(net.Conn) net.Conn) *Dialer {
 	return &Dialer{
 		meter: meter,
+		wrap:  wrap,
 		pool: drpcpool.New[netip.AddrPort, drpcpool.Conn](drpcpool.Options{
 			Expiration:  idle,
 			Capacity:    capacity,
@@ -68,7 +75,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return drpcconn.NewWithOptions(d.meter.Conn(c), drpcconn.Options{Manager: Options()}), nil
+	return drpcconn.NewWithOptions(d.meter.Conn(d.wrap(c)), drpcconn.Options{Manager: Options()}), nil
 }
 
 // Options bounds what one connection may buffer, on either side.
