Add the fault matrix, more pairs of faults, and a measurement of feeds under kills

docs/FAULTS.md is written from a registry: promises and steps of a request under single faults, and pairs.

bench feeds compares feeds with and without kill -9 of each entry in turn.

--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -19,6 +19,7 @@
 	Relay relayCommand `cmd:"" help:"Be a bare UDP relay."`
 	Entry entryCommand `cmd:"" help:"Measure an entry against a bare UDP relay."`
 	Flows flowsCommand `cmd:"" help:"Measure flows a second and memory for open flows."`
+	Feeds feedsCommand `cmd:"" help:"Measure what kill -9 of each entry in turn does to open feeds."`
 }
 
 type relayCommand struct {
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -17,6 +17,7 @@
 	Server   serverCommand   `cmd:"" help:"Be a backend server."`
 	Demo     demoCommand     `cmd:"" help:"Start a deployment, call it, kill an entry under a feed, say what happened."`
 	Faults   faultsCommand   `cmd:"" help:"Break parts of a deployment under load and compare what callers were told with what ran."`
+	Matrix   matrixCommand   `cmd:"" help:"Print docs/FAULTS.md from the registry of what is proved."`
 }
 
 func main() {
--- a/internal/stand/faults/steps.go
+++ b/internal/stand/faults/steps.go
@@ -129,11 +129,11 @@
 	return os.Rename(next, path)
 }
 
-// setState writes a server's state into its document.
-func (r *run) setState(agent *prefs.Settings, state string) error {
+// setLeaving makes a server leave by its document.
+func (r *run) setLeaving(agent *prefs.Settings) error {
 	section := "[server " + agent.Agent.Server + "]\n"
 	return r.edit(agent.Agent.Service+".ini", func(text string) string {
-		return strings.Replace(text, section, section+"state = "+state+"\n", 1)
+		return strings.Replace(text, section, section+"state = leaving\n", 1)
 	})
 }
 
--- /dev/null
+++ b/internal/stand/matrix/matrix_test.go
@@ -0,0 +1,66 @@
+package matrix
+
+import (
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"mangowinch/internal/stand/faults"
+)
+
+// The page is what people read; it must say what the registry says.
+func TestPageIsUpToDate(t *testing.T) {
+	page, err := os.ReadFile("../../../docs/FAULTS.md")
+	assert.NilError(t, err)
+	assert.Equal(t, string(page), Page(), "write it with: go run ./cmd/standin matrix > docs/FAULTS.md")
+}
+
+// A test that was renamed or removed proves nothing any more.
+func TestNamedTestsExist(t *testing.T) {
+	name := regexp.MustCompile(`(?m)^func (Test\w+)\(t \*testing\.T\)`)
+	found := map[string]bool{}
+	files, err := filepath.Glob("../../*/*/*_test.go")
+	assert.NilError(t, err)
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		assert.NilError(t, err)
+		directory := filepath.Dir(file)
+		for _, match := range name.FindAllSubmatch(text, -1) {
+			area := filepath.Base(filepath.Dir(directory))
+			found[area+"/"+filepath.Base(directory)+"."+string(match[1])] = true
+		}
+	}
+	for _, test := range Tests() {
+		assert.Assert(t, found[test], "%s is not in the tree", test)
+	}
+}
+
+func TestNamedScenariosExist(t *testing.T) {
+	var known []string
+	for _, s := range faults.Scenarios() {
+		known = append(known, s.Name)
+	}
+	for _, name := range Scenarios() {
+		assert.Assert(t, slices.Contains(known, name), "%s is no scenario", name)
+	}
+}
+
+// A row or fault that is misspelt would leave its cell out of the page silently.
+func TestCellsHaveTheirPlace(t *testing.T) {
+	inRows := func(rows []Promise, name string) bool {
+		return slices.ContainsFunc(rows, func(p Promise) bool { return p.Name == name })
+	}
+	inFaults := func(name string) bool {
+		return slices.ContainsFunc(kinds, func(f Fault) bool { return f.Name == name })
+	}
+	for _, c := range cells {
+		assert.Assert(t, inRows(promises, c.Row) && inFaults(c.Fault), "%s %s", c.Row, c.Fault)
+	}
+	for _, c := range steps {
+		assert.Assert(t, inRows(stepNames, c.Row) && inFaults(c.Fault), "%s %s", c.Row, c.Fault)
+	}
+}
