Hold lookups to the same rule as feeds in fault runs; let error answers name their request

A lookup that had come to a server which the fault did not hit must come to its end whole, as feeds and uploads must.

The rule of foreign answers reported "deadline", a frozen server's own 504: the stand-in's error answers did not name the request. They do now, so the rule stays as strict for errors as for answers.

--- a/cmd/standin/faults.go
+++ b/cmd/standin/faults.go
@@ -16,6 +16,7 @@
 	Binaries   string   `type:"path" default:"out" help:"Directory with the programs mangowinch and standin."`
 	Seeds      int      `default:"1" help:"Runs of each scenario."`
 	First      uint64   `default:"1" help:"The first seed."`
+	Verbose    bool     `help:"Print requests of unknown outcome."`
 	Only       []string `help:"Only scenarios whose name contains one of these."`
 }
 
@@ -28,6 +29,7 @@
 		First:      c.First,
 		Seeds:      c.Seeds,
 		Only:       c.Only,
+		Verbose:    c.Verbose,
 		Out:        os.Stdout,
 	})
 	attempts, executions, violations := 0, 0, 0
--- a/internal/stand/faults/faults.go
+++ b/internal/stand/faults/faults.go
@@ -42,7 +42,8 @@
 	Binaries   string
 	First      uint64   // first seed
 	Seeds      int      // runs of each scenario
-	Only       []string // names of scenarios; all if empty
+	Only       []string // parts of the names of scenarios; all if empty
+	Verbose    bool     // print requests of unknown outcome
 	Out        io.Writer
 }
 
@@ -58,6 +59,7 @@
 	Undialed   int           // handshakes that failed
 	Slowest    time.Duration // lookup, from asking to its end
 	Violations []check.Violation
+	Unknown    []string // requests of unknown outcome, each with what its caller saw
 }
 
 // Caught counts the requests in progress when the first fault struck, by step.
@@ -81,6 +83,11 @@
 				return results, errors.Wrapf(err, "%s seed %d", scenario.Name, seed)
 			}
 			printResult(s.Out, r)
+			if s.Verbose {
+				for _, u := range r.Unknown {
+					fmt.Fprintf(s.Out, "    unknown: %s\n", u)
+				}
+			}
 			results = append(results, r)
 		}
 	}
@@ -175,6 +182,10 @@
 		// Whatever had come to a server that the fault did not hit must end whole.
 		a.Steady = a.Steady && began && !r.hit[at.Service+"/"+at.Server]
 		answer.Outcomes[a.Outcome]++
+		if a.Outcome == result.Unknown {
+			answer.Unknown = append(answer.Unknown, fmt.Sprintf("%s (%s) after %s, ran at %q: %s %s",
+				a.Token, a.Want[:min(len(a.Want), 10)], a.Ended.Sub(a.Begun).Round(time.Millisecond), at.Server, a.Reason, a.Err))
+		}
 		if !a.Long {
 			answer.Slowest = max(answer.Slowest, a.Ended.Sub(a.Begun))
 		}
--- a/internal/stand/faults/load.go
+++ b/internal/stand/faults/load.go
@@ -187,7 +187,7 @@
 
 // choose draws a request. The function makes it anew for each sending.
 func (p *party) choose(token string) (check.Attempt, func() client.Request) {
-	a := check.Attempt{Token: token, Service: p.service.Name}
+	a := check.Attempt{Token: token, Service: p.service.Name, Steady: true}
 	work := time.Duration(p.random.Int64N(int64(longestWork))).Round(time.Millisecond)
 	switch n := p.random.IntN(100); {
 	case n < 50:
@@ -210,7 +210,7 @@
 }
 
 func (p *party) feed(a check.Attempt, path string) (check.Attempt, func() client.Request) {
-	a.Long, a.Steady = true, true
+	a.Long = true
 	var lines int
 	_, query, _ := strings.Cut(path, "?n=")
 	if _, err := fmt.Sscanf(query, "%d&", &lines); err != nil {
@@ -225,7 +225,7 @@
 }
 
 func (p *party) upload(a check.Attempt, path string, size int) (check.Attempt, func() client.Request) {
-	a.Long, a.Steady, a.Once = true, true, true
+	a.Long, a.Once = true, true
 	body := make([]byte, size)
 	for i := range body {
 		body[i] = byte(p.random.Uint32())
--- a/internal/stand/server/work.go
+++ b/internal/stand/server/work.go
@@ -56,7 +56,7 @@
 	s.mutex.Unlock()
 	if mode == FailFast {
 		s.end(e, "failed")
-		http.Error(w, "failed", http.StatusInternalServerError)
+		http.Error(w, e.Path+" failed", http.StatusInternalServerError)
 		return false
 	}
 	select {
@@ -84,7 +84,7 @@
 		return
 	}
 	s.end(e, "deadline")
-	http.Error(w, "deadline", http.StatusGatewayTimeout)
+	http.Error(w, e.Path+" deadline", http.StatusGatewayTimeout)
 }
 
 func (s *Server) serveUpload(w http.ResponseWriter, r *http.Request) {
