--- a/cmd/exper/main.go
+++ b/cmd/exper/main.go
@@ -97,6 +97,10 @@
 	fmt.Println()
 	table.Callers(os.Stdout, rows)
 	fmt.Println()
+	for _, r := range rows {
+		fmt.Printf("Refusals by reason, %s: %v\n\n", r.Name, r.Report.Reasons)
+	}
+	fmt.Println()
 }
 
 // flowSeeds is how many runs make up a row: one alone is noisy.
--- a/internal/exper/meter/meter.go
+++ b/internal/exper/meter/meter.go
@@ -37,6 +37,7 @@
 	"mangowinch/internal/conf/docs"
 	"mangowinch/internal/exper/fakes"
 	"mangowinch/internal/exper/policy"
+	"mangowinch/internal/work/result"
 )
 
 // Settings say what is measured.
@@ -54,8 +55,9 @@
 	counts   Counts
 	lookups  *hdrhistogram.Histogram // microseconds
 	refusals *hdrhistogram.Histogram // microseconds
-	after    []arrival               // those since the load's end
-	windows  [][]float64             // slot time per slot of each server in service, per second
+	reasons  map[result.Reason]int
+	after    []arrival   // those since the load's end
+	windows  [][]float64 // slot time per slot of each server in service, per second
 }
 
 // Counts are requests by end.
@@ -87,7 +89,7 @@
 
 // New returns a meter that has seen nothing.
 func New(s Settings) *Meter {
-	m := &Meter{settings: s, lookups: hdrhistogram.New(1, most, digits), refusals: hdrhistogram.New(1, most, digits)}
+	m := &Meter{settings: s, lookups: hdrhistogram.New(1, most, digits), refusals: hdrhistogram.New(1, most, digits), reasons: map[result.Reason]int{}}
 	for _, c := range s.Callers {
 		m.callers = append(m.callers, &caller{name: c.Name, weight: float64(max(c.Weight, 1)), lookups: hdrhistogram.New(1, most, digits)})
 	}
@@ -124,6 +126,7 @@
 	switch {
 	case a.End == fakes.Shed:
 		m.counts.Refused++
+		m.reasons[a.Reason]++
 		record(m.refusals, latency)
 	case a.End == fakes.Failed || a.End == fakes.Cut || a.End == fakes.Unreached:
 		m.counts.Failed++
--- a/internal/exper/meter/report.go
+++ b/internal/exper/meter/report.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"mangowinch/internal/work/result"
 )
 
 // Report sums up one run.
@@ -21,9 +23,10 @@
 	Worst      float64 // least share of its due that a caller got
 	Callers    []Caller
 	Recovered  time.Duration
-	Settled    time.Duration // set by who runs the experiment
-	Handed     float64       // share of requests that another server's agent ran or refused
-	Far        float64       // share of these that crossed a failure domain
+	Reasons    map[result.Reason]int // of refusals
+	Settled    time.Duration         // set by who runs the experiment
+	Handed     float64               // share of requests that another server's agent ran or refused
+	Far        float64               // share of these that crossed a failure domain
 }
 
 // Caller sums up what one caller got.
@@ -46,6 +49,7 @@
 func (m *Meter) Report() Report {
 	r := Report{
 		Counts:     m.counts,
+		Reasons:    m.reasons,
 		P50:        quantile(m.lookups, 50),
 		P99:        quantile(m.lookups, 99),
 		RefusalP99: quantile(m.refusals, 99),
--- a/internal/exper/policy/agents.go
+++ b/internal/exper/policy/agents.go
@@ -136,17 +136,18 @@
 	a := s.list[j.Home]
 	j.NoDeadline = s.unlimited
 	a.budget.Fresh()
-	a.place(j, nil, answer)
+	a.place(j, nil, result.LeavingServer, answer)
 }
 
 // place sends a request to a server, and tries again or answers when it comes back.
-func (a *agent) place(j *fakes.Job, tried []uint32, answer func(Answer)) {
+// reason is why it was refused last.
+func (a *agent) place(j *fakes.Job, tried []uint32, reason result.Reason, answer func(Answer)) {
 	choice := place.Choice{Server: uint32(a.server.ID)}
 	if !a.agents.byFlow {
 		choice = a.placer.Choose(a.now(), a.hint(), tried)
 	}
 	if choice.Server == 0 {
-		answer(Answer{End: fakes.Shed, Reason: result.LeavingServer, After: a.gate.After(a.now())})
+		answer(Answer{End: fakes.Shed, Reason: reason, After: a.gate.After(a.now())})
 		return
 	}
 	to := a.agents.list[choice.Server-1]
@@ -188,7 +189,7 @@
 		Service:  a.hint().Service,
 	}
 	if !a.agents.byFlow && a.budget.Decide(a.now(), attempt).Retry {
-		a.place(j, tried, answer)
+		a.place(j, tried, o.reason, answer)
 		return
 	}
 	answer(Answer{End: fakes.Shed, Reason: o.reason, After: o.after})
--- a/internal/load/admit/admit.go
+++ b/internal/load/admit/admit.go
@@ -195,7 +195,7 @@
 func (g *Gate) Expire(now time.Time) (c Change) {
 	for _, k := range kinds {
 		l := g.lanes[k]
-		for _, i := range l.waiting.Items() {
+		for _, i := range slices.Collect(l.waiting.All) {
 			if !now.Before(g.latest(i)) {
 				l.waiting.Remove(i.ID)
 				c.Refused = append(c.Refused, g.refused(now, i.ID, result.Expired))
@@ -208,7 +208,7 @@
 // NextExpiry returns when Expire is next due; the zero time if nothing waits.
 func (g *Gate) NextExpiry() (next time.Time) {
 	for _, k := range kinds {
-		for _, i := range g.lanes[k].waiting.Items() {
+		for i := range g.lanes[k].waiting.All {
 			if t := g.latest(i); next.IsZero() || t.Before(next) {
 				next = t
 			}
--- a/internal/load/admit/after.go
+++ b/internal/load/admit/after.go
@@ -67,7 +67,7 @@
 func (g *Gate) backlog() time.Duration {
 	cost := 0.0
 	for _, k := range kinds {
-		for _, i := range g.lanes[k].waiting.Items() {
+		for i := range g.lanes[k].waiting.All {
 			cost += i.Cost
 		}
 	}
--- a/internal/load/admit/limits.go
+++ b/internal/load/admit/limits.go
@@ -39,7 +39,7 @@
 }
 
 // Default are the thresholds in use; docs/design/load.md has the runs behind them.
-var Default = Rules{Wait: 0.2, Spread: 4, Long: 0.5}
+var Default = Rules{Wait: 0.3, Spread: 4, Long: 0.5}
 
 // most is how many slots a kind may hold. Feeds and uploads together leave one free
 // besides, so that lookups always find a slot that turns over quickly; a server with
--- a/internal/load/place/state.go
+++ b/internal/load/place/state.go
@@ -23,7 +23,7 @@
 	Slower:  2,
 	Even:    0.01,
 	Alike:   0.25,
-	Shorter: 0.7,
+	Shorter: 0.8,
 	Failing: 0.5,
 	Ceiling: 1.0 / 3,
 }
@@ -150,11 +150,14 @@
 	s.sampled = now
 }
 
-// eject takes a failing server out for a while, longer each time in a row. Not
+// eject takes a failing server out for a while, longer each time in a row; when it
+// comes back, its first outcome is the probe that decides. Not
 // beyond the ceiling: if most seem to fail, the fault is likely elsewhere, and the
 // few that are left would drown.
 func (p *Placer) eject(now time.Time, s *state) {
-	if s.outcomes < fewest || s.failures <= p.rules.Failing {
+	failing := s.outcomes >= fewest && s.failures > p.rules.Failing
+	relapse := s.ejects > 0 && s.outcomes == 1 && s.failures > 0
+	if !failing && !relapse {
 		return
 	}
 	out := 0
--- a/internal/load/queue/ahead.go
+++ b/internal/load/queue/ahead.go
@@ -134,7 +134,7 @@
 
 // Clear takes out everything, oldest first.
 func (f *Fair) Clear() []Item {
-	items := f.Items()
+	items := slices.Collect(f.All)
 	slices.SortStableFunc(items, func(a, b Item) int { return a.Arrived.Compare(b.Arrived) })
 	f.flows, f.size = nil, 0
 	return items
--- a/internal/load/queue/queue.go
+++ b/internal/load/queue/queue.go
@@ -151,13 +151,16 @@
 	return Item{}, false
 }
 
-// Items returns what waits, in no promised order but the same for the same events.
-func (f *Fair) Items() []Item {
-	items := make([]Item, 0, f.size)
+// All yields what waits, in no promised order but the same for the same events.
+// Nothing may be added or taken out meanwhile.
+func (f *Fair) All(yield func(Item) bool) {
 	for w := range f.all {
-		items = append(items, w.items...)
+		for _, i := range w.items {
+			if !yield(i) {
+				return
+			}
+		}
 	}
-	return items
 }
 
 // flow returns the backlog of a caller, created if need be.
--- a/internal/load/retry/retry.go
+++ b/internal/load/retry/retry.go
@@ -134,12 +134,10 @@
 	return ""
 }
 
-// final reports whether the reason holds at every server of the service. A caller
-// that is over its share is refused for good: trying its excess elsewhere would
-// take the other servers' queues from its rivals.
+// final reports whether the reason holds at every server of the service.
 func final(r result.Reason) bool {
 	switch r {
-	case result.NoClass, result.Expired, result.Gone, result.KeyBad, result.KeyReused, result.OwnerGone, result.Budget, result.ShedCaller:
+	case result.NoClass, result.Expired, result.Gone, result.KeyBad, result.KeyReused, result.OwnerGone, result.Budget:
 		return true
 	}
 	return false
