Let reports ride on replies only; keep open feeds out of the own server's load

The own server's load is what its gate says: counting what was sent there would make a server full for hours by a handful of open feeds.

--- a/internal/exper/policy/agents.go
+++ b/internal/exper/policy/agents.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"mangowinch/internal/conf/docs"
 	"mangowinch/internal/exper/fakes"
 	"mangowinch/internal/load/admit"
 	"mangowinch/internal/load/place"
@@ -82,7 +83,9 @@
 		}
 		s.list = append(s.list, a)
 	}
-	s.report()
+	if w.Tuning.Report > 0 {
+		s.report()
+	}
 	return s
 }
 
@@ -95,10 +98,7 @@
 }
 
 func (a *agent) tell() {
-	h := a.hint()
-	if a.server.Lie {
-		h = place.Hint{Service: time.Millisecond}
-	}
+	h := a.told()
 	for _, peer := range a.agents.list {
 		if peer != a && !a.server.Down {
 			a.send(peer, func() { peer.placer.Report(a.now(), uint32(a.server.ID), h) })
@@ -123,13 +123,18 @@
 
 func (a *agent) hint() place.Hint {
 	st := a.gate.Stats()
-	h := place.Hint{Running: st.Running, Waiting: st.Waiting, Busy: a.usage.Share(a.now()), Leaving: a.leaving || a.placer.Down(a.now())}
-	for _, c := range st.Classes {
-		if c.Runs > 0 && (h.Service == 0 || c.Mean < h.Service) {
-			h.Service = c.Mean // of the shortest class, which every server has
-		}
+	return place.Hint{
+		Running: st.Running, Waiting: st.Waiting, Busy: a.usage.Share(a.now()), Service: st.Service(),
+		Leaving: a.leaving || a.placer.Down(a.now()),
 	}
-	return h
+}
+
+// told is what the agent says of itself to others.
+func (a *agent) told() place.Hint {
+	if a.server.Lie {
+		return place.Hint{Service: time.Millisecond}
+	}
+	return a.hint()
 }
 
 func (s *agents) Submit(j *fakes.Job, answer func(Answer)) {
@@ -174,9 +179,13 @@
 		end = place.Failed
 	}
 	id := uint32(from.server.ID)
-	a.placer.Ended(a.now(), id, end, a.now().Sub(sent))
-	if from != a && !from.server.Lie {
-		a.placer.Report(a.now(), id, from.hint()) // rides on the reply
+	took := a.now().Sub(sent)
+	if j.Kind == docs.Upload {
+		took = 0
+	}
+	a.placer.Ended(a.now(), id, end, took)
+	if from != a {
+		a.placer.Report(a.now(), id, from.told()) // rides on the reply
 	}
 	if o.end != fakes.Shed && o.end != fakes.Unreached {
 		answer(Answer{End: o.end})
--- a/internal/exper/policy/direct.go
+++ b/internal/exper/policy/direct.go
@@ -13,6 +13,8 @@
 	tries     = 3 // of a refused request, the first included
 	news      = 3 * time.Second
 	reportLag = 500 * time.Millisecond
+
+	reportEvery = 250 * time.Millisecond
 )
 
 // direct is a set of balancers in front of first-come-first-served queues.
@@ -71,7 +73,7 @@
 			}
 		})
 	}
-	d.world.Loop.After(d.world.Tuning.Report, d.report)
+	d.world.Loop.After(reportEvery, d.report)
 }
 
 func (d *direct) Submit(j *fakes.Job, answer func(Answer)) {
--- a/internal/exper/policy/policy.go
+++ b/internal/exper/policy/policy.go
@@ -61,17 +61,16 @@
 	Admit  admit.Rules
 	Place  place.Rules
 	Retry  retry.Rules
-	Report time.Duration // between two reports of an agent to its peers
+	Report time.Duration // between two reports of an agent to its peers; 0: they only ride on replies
 	Usage  time.Duration // time constant of the share of slot time in a report
 }
 
 // Tuned are the thresholds in use.
 var Tuned = Tuning{
-	Admit:  admit.Default,
-	Place:  place.Default,
-	Retry:  retry.Default,
-	Report: 250 * time.Millisecond,
-	Usage:  time.Second,
+	Admit: admit.Default,
+	Place: place.Default,
+	Retry: retry.Default,
+	Usage: time.Second,
 }
 
 // Answer is what a caller gets.
--- a/internal/load/admit/after.go
+++ b/internal/load/admit/after.go
@@ -98,6 +98,18 @@
 	Runs  int
 }
 
+// Service is the service time to tell peers: the mean of the shortest class. A mean over
+// all classes would make a server look slow that happens to have got more uploads. 0 if
+// nothing has been measured.
+func (s Stats) Service() (shortest time.Duration) {
+	for _, c := range s.Classes {
+		if c.Runs > 0 && (shortest == 0 || c.Mean < shortest) {
+			shortest = c.Mean
+		}
+	}
+	return shortest
+}
+
 // Stats returns a copy of the gate's state.
 func (g *Gate) Stats() Stats {
 	s := Stats{Slots: g.limits.Slots, Running: len(g.running)}
--- a/internal/load/place/place.go
+++ b/internal/load/place/place.go
@@ -148,7 +148,7 @@
 	if mine == nil || own.Leaving || mine.Leaving || mine.ejected(now) || now.Before(mine.down) || slices.Contains(tried, p.self.ID) {
 		return p.leave(now, peers)
 	}
-	mine.hint, mine.heard, mine.since = own, now, 0
+	mine.hint, mine.heard, mine.exact = own, now, true
 	idle := p.idle(now, peers)
 	if mine.load(now, p.rules) >= mine.open(now, p.rules) {
 		return p.overflow(now, mine, peers, idle)
--- a/internal/load/place/place_test.go
+++ b/internal/load/place/place_test.go
@@ -148,6 +148,15 @@
 	assert.Equal(t, p.Choose(now.Add(firstDown), quiet, nil), Choice{1, Own}) // tried again
 }
 
+// Callers of this agent hold a hundred feeds open. They take no slot, so its server is not full.
+func TestOpenFeedsDoNotFillTheOwnServer(t *testing.T) {
+	p := seven()
+	for range 100 {
+		p.Sent(1)
+	}
+	assert.Equal(t, p.Choose(now, quiet, nil), Choice{1, Own})
+}
+
 // A server joins with empty caches. It gets one request at a time first, not as many as it has slots.
 func TestColdServerStartsSlowly(t *testing.T) {
 	p := seven()
--- a/internal/load/place/state.go
+++ b/internal/load/place/state.go
@@ -44,8 +44,9 @@
 // state is what is known of one server.
 type state struct {
 	Server
-	inflight int // sent by this agent and not ended
-	since    int // of these, sent after the last report
+	exact    bool // the agent's own server
+	inflight int  // sent by this agent and not ended
+	since    int  // of these, sent after the last report
 	hint     Hint
 	heard    time.Time // when the report came
 	measured float64   // seconds from sending to the answer, by this agent
@@ -88,7 +89,9 @@
 }
 
 // Ended says how a request that was given to a server ended, and how long after
-// it was sent.
+// it was sent; 0 for a request that is long by nature, which says nothing of how
+// slow the server is. A feed has ended with the first byte of its answer: it holds no slot
+// after that, and its server would count as full for hours.
 func (p *Placer) Ended(now time.Time, id uint32, end End, took time.Duration) {
 	s := p.state(id)
 	if s == nil {
@@ -108,7 +111,7 @@
 	failed := 0.0
 	if end == Failed {
 		failed = 1
-	} else {
+	} else if took > 0 {
 		s.sample(now, took)
 	}
 	s.failures += gain * (failed - s.failures)
@@ -198,8 +201,12 @@
 	return !s.heard.IsZero() && now.Sub(s.heard) < r.Fade
 }
 
-// load is how many requests the server has, as far as this agent can tell.
+// load is how many requests the server has, as far as this agent can tell. Of its own
+// server it knows, so its count of what it has sent there plays no part.
 func (s *state) load(now time.Time, r Rules) float64 {
+	if s.exact {
+		return float64(s.hint.Running + s.hint.Waiting)
+	}
 	hinted := 0.0
 	if s.fresh(now, r) {
 		fade := 1 - float64(now.Sub(s.heard))/float64(r.Fade)
