--- a/internal/node/agent/share_test.go
+++ b/internal/node/agent/share_test.go
@@ -1,7 +1,11 @@
 package agent_test
 
 import (
+	"cmp"
+	"context"
+	"encoding/json"
 	"fmt"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -16,6 +20,7 @@
 	"mangowinch/internal/stand/check"
 	"mangowinch/internal/stand/client"
 	"mangowinch/internal/stand/fleet"
+	"mangowinch/internal/stand/server"
 	"mangowinch/internal/work/result"
 )
 
@@ -111,6 +116,48 @@
 	assert.Assert(t, len(servers) > 1, "%v", servers)
 }
 
+// Story: a caller sends 12 claims on one connection and hangs up. Most of them run at
+// other agents' servers; all servers are to stop working on them at once, and none is
+// to go on until its deadline.
+func TestHangingUpReachesOtherServers(t *testing.T) {
+	z := start(t)
+	c := z.connect()
+	ctx, hangUp := context.WithCancel(t.Context())
+	var all sync.WaitGroup
+	for i := range 12 {
+		all.Go(func() {
+			c.Do(ctx, client.Request{Method: "POST", Path: fmt.Sprintf("/lookup/gone%d?time=1m", i), Body: strings.NewReader("claim")})
+		})
+	}
+	for z.ends(t)["open"] < 12 {
+		time.Sleep(10 * time.Millisecond)
+	}
+	hangUp()
+	all.Wait()
+	for z.ends(t)["open"] > 0 {
+		time.Sleep(10 * time.Millisecond)
+	}
+	assert.DeepEqual(t, z.ends(t), map[string]int{"cancelled": 12})
+}
+
+// ends counts the claims "gone" at all servers by how they ended, "open" while they run.
+func (z zagreb) ends(t *testing.T) map[string]int {
+	count := map[string]int{}
+	for _, n := range z.Agents(service) {
+		answer, err := http.Get(n.Agent.Backend.JoinPath("history").String())
+		assert.NilError(t, err)
+		var ran server.History
+		assert.NilError(t, json.NewDecoder(answer.Body).Decode(&ran))
+		assert.NilError(t, answer.Body.Close())
+		for _, e := range ran.Executions {
+			if strings.HasPrefix(e.Path, "/lookup/gone") {
+				count[cmp.Or(e.End, "open")]++
+			}
+		}
+	}
+	return count
+}
+
 // Story: a caller sends a key on five connections, which are at whichever agents; then the
 // owner is killed and started anew, and at last it is frozen with a claim under way.
 // The case is opened once; what nobody can know is unknown; the frozen owner does not
--- a/internal/work/memo/memo_test.go
+++ b/internal/work/memo/memo_test.go
@@ -142,10 +142,15 @@
 	assert.Equal(t, d.Result, result.Result{Outcome: result.NotRun, Reason: result.MemoryFull})
 	assert.Equal(t, m.Begin(start, call("a")).Verdict, Known)
 
+	// An ID that is asked about is barred although there is no room for a record.
+	asked := Call{ID: "h", Head: head, Until: start.Add(time.Minute)}
+	assert.Equal(t, m.Ask(start, asked.ID, asked.Until).Result.Outcome, result.NotRun)
+
 	// "e" was told "not run"; a copy of it that was under way must not run later.
 	later := start.Add(15 * time.Second)
 	d = m.Begin(later, fresh)
 	assert.Equal(t, d.Result, result.Result{Outcome: result.NotRun, Reason: result.KeyOld})
+	assert.Equal(t, m.Begin(later, asked).Result.Outcome, result.NotRun)
 	fresh.ID = "f"
 	assert.Equal(t, m.Begin(later, fresh).Verdict, Run)
 	records, _ := m.Size()
