Place all that a leaving server gives back

Cause: a server that starts to leave gives back its whole queue at once. Each request was then a retry and took from the budget (10 saved, a tenth of fresh requests), so most of a longer queue was refused to callers while other servers were idle.

Work given back because its server leaves took no slot, so it is placed again outside the budget, once per server. 100 requests given back: all placed; with the rule taken out the first over the budget is refused (not-run leaving in place of ran).

Tests of package spread, each with its guard taken out once: answers that have begun (ran in place of unknown), placed work (ran in place of shed), the body from its start (empty at the second server), the budget (3,000 tries of 1,000 requests, wanted under 1,200), unknown not tried again (ran in place of unknown).

--- a/internal/work/spread/spread.go
+++ b/internal/work/spread/spread.go
@@ -185,6 +185,13 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	// A server that leaves gives back all that waits for it at once. It took no slot, so
+	// placing it is no repeated load and not what the budget is for. Each server gives
+	// it back once.
+	if end.Outcome == result.NotRun && end.Reason == result.LeavingServer {
+		s.count("retries", string(retry.Left))
+		return true
+	}
 	v := s.budget.Decide(time.Now(), retry.Attempt{
 		Result:     end,
 		Idempotent: t.request.Idempotent,
