Seal what agents hand over to each other

Cause: an agent took requests from whoever reached its TCP address, as any caller's and past admission's shares, and answered questions that bar an ID. Frames on the same address are authenticated; drpc was not.

Heads and questions now carry an HMAC under the service's key material, apart by purpose and from request keys. A message that doesn't open is answered "not run, service", and not with an error: while keys are rotated, two agents may have none in common for a moment, and with an error the sender would ask six times and end as unknown.

Each guard was taken out once: without the check a stranger's claim ran; without the purpose a head opened as a question.

Not sealed: Greet (service, incarnation, clock, load), bodies and answers.

--- a/internal/node/agent/place.go
+++ b/internal/node/agent/place.go
@@ -21,6 +21,7 @@
 	"mangowinch/internal/work/once"
 	"mangowinch/internal/work/result"
 	"mangowinch/internal/work/spread"
+	"mangowinch/internal/work/token"
 )
 
 const (
@@ -58,7 +59,7 @@
 func (a *Agent) newShare(v *snapshot) {
 	s := &a.share
 	s.usage.Window = usageWindow
-	s.client = hand.NewClient(v.document.Name, hand.DialTCP, func(agent netip.AddrPort, h place.Hint) {
+	s.client = hand.NewClient(v.document.Name, a.ringNow, hand.DialTCP, func(agent netip.AddrPort, h place.Hint) {
 		s.spreader.Report(agent, h)
 	})
 	s.spreader = spread.New(place.Self{ID: v.own.ID, Domain: v.own.Domain}, demanding{a}, a.ownHint)
@@ -69,6 +70,9 @@
 	}
 }
 
+// ringNow gives the keys of the document in force; there is one when anybody asks.
+func (a *Agent) ringNow() *token.Ring { return a.now.Load().keys.Ring }
+
 // setPeers puts a document's servers in force.
 func (s *share) setPeers(d *docs.Service) {
 	s.spreader.SetServers(d)
@@ -159,6 +163,7 @@
 		Service:     a.settings.Agent.Service,
 		Incarnation: a.incarnation,
 		Start:       a.started,
+		Ring:        a.ringNow,
 		Runner:      handed{a},
 		Memory:      a.ids,
 		Load:        a.ownHint,
--- a/internal/work/hand/ask.go
+++ b/internal/work/hand/ask.go
@@ -54,7 +54,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	now := time.Now()
-	stream, err := l.client.Ask(ctx, &wire.Question{
+	question, err := seal(x.client.ring(), questionSeal, &wire.Question{
 		Id:          []byte(x.request.ID),
 		Incarnation: x.link.process,
 		Time:        l.deadline(now, x.request.Deadline.Sub(now)),
@@ -62,6 +62,10 @@
 	if err != nil {
 		return result.Result{}, false
 	}
+	stream, err := l.client.Ask(ctx, question)
+	if err != nil {
+		return result.Result{}, false
+	}
 	event("questions", x.client.service)
 	x.answer.rewind()
 	for {
--- a/internal/work/hand/bench_test.go
+++ b/internal/work/hand/bench_test.go
@@ -29,7 +29,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(b, err)
 	go func() { _ = drpcserver.New(f.mux).Serve(b.Context(), l) }()
-	c := NewClient("tracing-core", DialTCP, nil)
+	c := NewClient("tracing-core", f.server.Ring, DialTCP, nil)
 	to := netip.MustParseAddrPort(l.Addr().String())
 	b.ReportAllocs()
 	for b.Loop() {
--- a/internal/work/hand/client.go
+++ b/internal/work/hand/client.go
@@ -9,11 +9,13 @@
 
 	"mangowinch/internal/load/place"
 	"mangowinch/internal/work/result"
+	"mangowinch/internal/work/token"
 )
 
 // Client hands requests to other agents of one service.
 type Client struct {
 	service string
+	ring    func() *token.Ring
 	dial    Dial
 	report  Report
 
@@ -24,10 +26,10 @@
 // Report takes what an agent says of its server.
 type Report func(agent netip.AddrPort, h place.Hint)
 
-// NewClient gives a client of one service. It passes on what agents say of themselves
-// whenever they answer.
-func NewClient(service string, dial Dial, report Report) *Client {
-	return &Client{service: service, dial: dial, report: report, peers: map[netip.AddrPort]*peer{}}
+// NewClient gives a client of one service. Ring gives the keys of the document in force.
+// Report gets what agents say of themselves whenever they answer; it may be nil.
+func NewClient(service string, ring func() *token.Ring, dial Dial, report Report) *Client {
+	return &Client{service: service, ring: ring, dial: dial, report: report, peers: map[netip.AddrPort]*peer{}}
 }
 
 // Keep closes the idle links to all agents but the given ones. It is called with each
--- a/internal/work/hand/codec.go
+++ b/internal/work/hand/codec.go
@@ -5,9 +5,11 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
 
 	"mangowinch/internal/load/place"
 	"mangowinch/internal/work/result"
+	"mangowinch/internal/work/token"
 	"mangowinch/internal/work/wire"
 )
 
@@ -85,12 +87,37 @@
 	return h, nil
 }
 
-func encodeHead(r *Request, incarnation uint64, t *wire.Time) *wire.Up {
-	return &wire.Up{Part: &wire.Up_Head{Head: &wire.Head{
+// What seals are for.
+const (
+	headSeal     token.Purpose = 1
+	questionSeal token.Purpose = 2
+)
+
+var errForged = errors.New("not made by a process of the service")
+
+// seal authenticates a message. Without it whoever reaches an agent's address could
+// have requests run as any caller's, past every limit of the service's document.
+func seal(ring *token.Ring, p token.Purpose, m proto.Message) (*wire.Sealed, error) {
+	b, err := proto.Marshal(m)
+	if err != nil {
+		return nil, err
+	}
+	return &wire.Sealed{Message: b, Tag: ring.Tag(p, b)}, nil
+}
+
+func unseal(ring *token.Ring, p token.Purpose, s *wire.Sealed, m proto.Message) error {
+	if !ring.Check(p, s.GetMessage(), s.GetTag()) {
+		return errForged
+	}
+	return proto.Unmarshal(s.GetMessage(), m)
+}
+
+func encodeHead(r *Request, incarnation uint64, t *wire.Time) *wire.Head {
+	return &wire.Head{
 		Id: []byte(r.ID), Service: r.Service, Incarnation: incarnation, Time: t,
 		Class: r.Class, Method: r.Method, Path: r.Path, Headers: encodeFields(r.Header), Length: r.Length,
 		Caller: r.Caller, Hops: uint32(r.Hops + 1), Idempotent: r.Idempotent, Feed: r.Feed, Key: r.Key, Placed: r.Placed,
-	}}}
+	}
 }
 
 func decodeHead(h *wire.Head) (r *Request, err error) {
--- a/internal/work/hand/exchange.go
+++ b/internal/work/hand/exchange.go
@@ -43,8 +43,14 @@
 		return x.request.unsent(result.PeerLost)
 	}
 	x.stream = stream
-	head := encodeHead(x.request, x.link.process, x.link.deadline(now, left))
-	if err := stream.Send(head); err != nil {
+	head, err := seal(x.client.ring(), headSeal, encodeHead(x.request, x.link.process, x.link.deadline(now, left)))
+	if err != nil {
+		x.stop()
+		x.link.close()
+		event("damaged", x.client.service)
+		return x.request.unsent(result.PeerLost)
+	}
+	if err := stream.Send(&wire.Up{Part: &wire.Up_Head{Head: head}}); err != nil {
 		// Some of it may have arrived.
 		x.stop()
 		x.link.close()
--- a/internal/work/hand/fake_test.go
+++ b/internal/work/hand/fake_test.go
@@ -18,6 +18,7 @@
 
 	"mangowinch/internal/work/memo"
 	"mangowinch/internal/work/result"
+	"mangowinch/internal/work/token"
 )
 
 var address = netip.MustParseAddrPort("127.0.2.1:7000")
@@ -71,11 +72,17 @@
 func newFar(t assert.TestingT, service string, incarnation uint64) *far {
 	f := &far{runner: &runner{ran: map[string]int{}}, mux: drpcmux.New()}
 	f.handle = f.echo
-	f.server = &Server{Service: service, Incarnation: incarnation, Start: time.Now(), Runner: f, Memory: memo.New(memo.DefaultLimits)}
+	f.server = &Server{Service: service, Incarnation: incarnation, Start: time.Now(), Ring: ringOf(t, "0123456789abcdef"), Runner: f, Memory: memo.New(memo.DefaultLimits)}
 	assert.NilError(t, Register(f.mux, f.server))
 	return f
 }
 
+func ringOf(t assert.TestingT, material string) func() *token.Ring {
+	ring, err := token.NewRing("tracing-core", []byte(material))
+	assert.NilError(t, err)
+	return func() *token.Ring { return ring }
+}
+
 // network connects a client with whichever far agent answers at the address, over
 // links that can be cut after a number of bytes, and held back.
 type network struct {
@@ -234,5 +241,5 @@
 	t.Cleanup(func() { time.Sleep(2 * time.Minute) }) // for whatever still waits
 	f := newFar(t, "tracing-core", 1)
 	n := &network{ctx: t.Context(), far: f}
-	return NewClient("tracing-core", n.dial, nil), f, n
+	return NewClient("tracing-core", ringOf(t, "0123456789abcdef"), n.dial, nil), f, n
 }
--- a/internal/work/hand/fleet_test.go
+++ b/internal/work/hand/fleet_test.go
@@ -102,11 +102,12 @@
 	assert.NilError(t, err)
 	owner := token.Owner{Service: f.document.Name, Server: id, Incarnation: incarnation, Start: time.Now(), Lifetime: token.DefaultLifetime}
 	n.view = &once.View{Ring: ring, Owner: owner, Servers: f.document.Servers}
-	client := hand.NewClient(f.document.Name, n.dial, nil)
+	rings := func() *token.Ring { return ring }
+	client := hand.NewClient(f.document.Name, rings, n.dial, nil)
 	n.guard = &once.Guard{View: func() *once.View { return n.view }, Memory: memo.New(f.limits), Client: client}
 	n.spreader = spread.New(place.Self{ID: id}, client, func() place.Hint { return place.Hint{} })
 	n.spreader.SetServers(f.document)
-	server := &hand.Server{Service: f.document.Name, Incarnation: incarnation, Start: time.Now(), Runner: n, Memory: memo.New(f.limits)}
+	server := &hand.Server{Service: f.document.Name, Incarnation: incarnation, Start: time.Now(), Ring: rings, Runner: n, Memory: memo.New(f.limits)}
 	assert.NilError(t, hand.Register(n.mux, server))
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/work/hand/hand.go
+++ b/internal/work/hand/hand.go
@@ -20,9 +20,9 @@
 //
 // # Usage
 //
-//	err := hand.Register(mux, &hand.Server{Service: "tracing-core", Incarnation: n, Start: start, Runner: chain, Memory: memo.New(memo.DefaultLimits)})
+//	err := hand.Register(mux, &hand.Server{Service: "tracing-core", Incarnation: n, Start: start, Ring: ring, Runner: chain, Memory: memo.New(memo.DefaultLimits)})
 //
-//	client := hand.NewClient("tracing-core", hand.DialTCP, placer.heard)
+//	client := hand.NewClient("tracing-core", ring, hand.DialTCP, spreader.Report)
 //	end := client.Hand(ctx, peer, request, answer)
 package hand
 
--- a/internal/work/hand/hand_test.go
+++ b/internal/work/hand/hand_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"mangowinch/internal/work/result"
+	"mangowinch/internal/work/wire"
 )
 
 var ran = result.Result{Outcome: result.Ran}
@@ -206,6 +207,24 @@
 	})
 }
 
+// Story: somebody who is no process of the service reaches an agent's address and hands
+// over a claim, or asks about one so that it is barred. Nothing runs and nothing is barred.
+func TestForgedMessagesAreRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, f, n := world(t)
+		stranger := NewClient("tracing-core", ringOf(t, "fedcba9876543210"), n.dial, nil)
+		end := stranger.Hand(t.Context(), address, claim("/claim/7"), &taker{})
+		assert.Equal(t, end, notRun(result.OtherService))
+		assert.Equal(t, f.runs("/claim/7"), 0)
+		ring := ringOf(t, "0123456789abcdef")()
+		sealed, err := seal(ring, headSeal, &wire.Head{Path: "/claim/7"})
+		assert.NilError(t, err)
+		assert.ErrorIs(t, unseal(ring, questionSeal, sealed, &wire.Question{}), errForged)
+		sealed.Message[0] ^= 1
+		assert.ErrorIs(t, unseal(ring, headSeal, sealed, &wire.Head{}), errForged)
+	})
+}
+
 // Story: a feed's parts must reach the caller as they are written, for long after the
 // deadline, which is that of the first byte.
 func TestFeedStreams(t *testing.T) {
--- a/internal/work/hand/server.go
+++ b/internal/work/hand/server.go
@@ -10,6 +10,7 @@
 	"mangowinch/internal/load/place"
 	"mangowinch/internal/work/memo"
 	"mangowinch/internal/work/result"
+	"mangowinch/internal/work/token"
 	"mangowinch/internal/work/wire"
 )
 
@@ -17,7 +18,8 @@
 type Server struct {
 	Service     string
 	Incarnation uint64
-	Start       time.Time // of the process, with its monotonic reading
+	Start       time.Time          // of the process, with its monotonic reading
+	Ring        func() *token.Ring // of the document in force
 	Runner      Runner
 	Memory      *memo.Memo        // of IDs; another one than that of request keys
 	Load        func() place.Hint // of the own server, told with each end; nil: nothing is told
@@ -65,15 +67,21 @@
 	if err != nil {
 		return err
 	}
-	r, err := decodeHead(up.GetHead())
+	answer := &downAnswer{stream: stream, server: s}
+	head := &wire.Head{}
+	if err := unseal(s.Ring(), headSeal, up.GetHead(), head); err != nil {
+		// While keys are rotated two agents may not have one in common for a moment. The
+		// sender needs a proof that nothing ran; with an error it would have to ask.
+		_ = s.refuse(err)
+		return answer.end(notRun(result.OtherService), false)
+	}
+	r, err := decodeHead(head)
 	if err != nil {
-		event("damaged", s.Service)
-		return err
+		return s.refuse(err)
 	}
 	now := time.Now()
-	r.Deadline = s.deadline(now, up.GetHead().Time)
-	answer := &downAnswer{stream: stream, server: s}
-	end := s.accept(now, r, up.GetHead().Incarnation)
+	r.Deadline = s.deadline(now, head.Time)
+	end := s.accept(now, r, head.Incarnation)
 	if end != nil {
 		return answer.end(*end, false)
 	}
@@ -92,6 +100,16 @@
 	}
 }
 
+// refuse counts a message that can't be taken and gives its error.
+func (s *Server) refuse(err error) error {
+	if errors.Is(err, errForged) {
+		event("forged", s.Service)
+	} else {
+		event("damaged", s.Service)
+	}
+	return err
+}
+
 // until is when an ID may be forgotten. The outcome of a feed is settled long after
 // its deadline, but nobody asks once its first byte is there.
 func (s *Server) until(r *Request) time.Time {
@@ -166,15 +184,19 @@
 }
 
 // Ask implements the drpc service: what became of an ID.
-func (s *Server) Ask(q *wire.Question, stream wire.DRPCHand_AskStream) error {
-	event("asked", s.Service)
+func (s *Server) Ask(sealed *wire.Sealed, stream wire.DRPCHand_AskStream) error {
 	answer := &downAnswer{stream: stream, server: s, ctx: stream.Context()}
+	q := &wire.Question{}
+	if err := unseal(s.Ring(), questionSeal, sealed, q); err != nil {
+		_ = s.refuse(err)
+		return answer.end(unknown(result.OtherService), false)
+	}
+	event("asked", s.Service)
 	if q.Incarnation != s.Incarnation {
 		return answer.end(unknown(result.PeerLost), false)
 	}
 	if len(q.Id) != idSize || q.Time == nil {
-		event("damaged", s.Service)
-		return errors.New("question without ID or deadline")
+		return s.refuse(errors.New("question without ID or deadline"))
 	}
 	now := time.Now()
 	d := s.Memory.Ask(now, string(q.Id), s.deadline(now, q.Time))
--- a/internal/work/result/result.go
+++ b/internal/work/result/result.go
@@ -68,7 +68,7 @@
 	AnswerGone    Reason = "unkept"    // ran, but its answer was too big to keep for a repeat
 	Gone          Reason = "gone"      // the caller went away
 	Hops          Reason = "hops"      // handed on too often
-	OtherService  Reason = "service"   // arrived at an agent of another service
+	OtherService  Reason = "service"   // arrived at an agent of another service, or of other keys
 	StaleView     Reason = "stale"     // woken late: beliefs are refreshed first
 	Overloaded    Reason = "connlimit" // the agent holds as many connections as it may
 )
--- a/internal/work/token/token.go
+++ b/internal/work/token/token.go
@@ -150,6 +150,29 @@
 	return Key{}, ErrForged
 }
 
+// Purpose keeps the tags of different kinds of messages apart.
+type Purpose byte
+
+// Tag authenticates a message between the service's own processes.
+func (r *Ring) Tag(p Purpose, message []byte) []byte {
+	return tag(r.secrets[0], labelled(p, message))
+}
+
+// Check reports whether a process of the service made the tag for this message.
+func (r *Ring) Check(p Purpose, message, mac []byte) bool {
+	for _, s := range r.secrets {
+		if hmac.Equal(mac, tag(s, labelled(p, message))) {
+			return true
+		}
+	}
+	return false
+}
+
+// labelled can't be the body of a key, which begins with its version.
+func labelled(p Purpose, message []byte) []byte {
+	return append([]byte{0, byte(p)}, message...)
+}
+
 func tag(secret, body []byte) []byte {
 	h := hmac.New(sha256.New, secret)
 	h.Write(body)
