--- a/internal/work/result/result.go
+++ b/internal/work/result/result.go
@@ -64,7 +64,7 @@
 	MemoryFull    Reason = "memory"    // outcomes may not be forgotten, so no new request is taken
 	KeyBad        Reason = "key"       // the request key is damaged, forged or of another service
 	KeyReused     Reason = "reused"    // the request key came with another request
-	KeyOld        Reason = "old"       // the request key's lifetime is over, or it was given up unused
+	KeyOld        Reason = "old"       // the request key's lifetime is over, or it was refused before
 	AnswerGone    Reason = "unkept"    // ran, but its answer was too big to keep for a repeat
 	Gone          Reason = "gone"      // the caller went away
 	Hops          Reason = "hops"      // handed on too often
