--- a/cmd/capacity/main.go
+++ b/cmd/capacity/main.go
@@ -17,6 +17,7 @@
 type options struct {
 	Only   []string      `help:"Only these tables: entries, documents, agents, mates, changes, spread, calls."`
 	Window time.Duration `default:"20s" help:"How long each size is looked at."`
+	Base   int           `default:"100" help:"Addresses are 127.BASE.0.0 and 127.BASE+1.0.0 upwards."`
 }
 
 // table is one measurement.
@@ -38,6 +39,7 @@
 func main() {
 	var o options
 	kong.Parse(&o)
+	scale.Base = o.Base
 	for _, t := range tables {
 		if len(o.Only) > 0 && !slices.Contains(o.Only, t.name) {
 			continue
--- a/cmd/capacity/slopes.go
+++ b/cmd/capacity/slopes.go
@@ -161,7 +161,7 @@
 	for _, n := range []int{28, 56, 112, 224} {
 		s := healthy
 		s.Entries = n
-		if err := spreadOne("healthy", s, 20, false); err != nil {
+		if err := spreadOne("healthy", s, 10, false); err != nil {
 			return err
 		}
 	}
@@ -194,7 +194,7 @@
 	if s.Text > 100_000 {
 		time.Sleep(2 * time.Minute) // the budget that the start took has come back
 	}
-	times := f.Spread(changes, 2*time.Second, byOne)
+	times := f.Spread(changes, time.Second, byOne)
 	late := 0
 	for _, t := range times {
 		if t > 7*time.Second {
--- a/internal/ctrl/peers/peers.go
+++ b/internal/ctrl/peers/peers.go
@@ -65,7 +65,7 @@
 	forget         = 10 * time.Minute // unlisted and unheard: longer than a regional partition usually lasts
 	forgetFailures = 8                // in a row, which takes two minutes
 	retryBase      = time.Second      // after the first failure
-	retryCap       = time.Minute      // so a partition's end is noticed within a minute even by one process alone
+	retryCap       = time.Minute      // with half of the fleet cut off, most tries go to the other half
 	newsSends      = 8                // times a change is passed on, about twice the rounds that a rumour needs
 	maxNews        = 128
 )
@@ -274,6 +274,15 @@
 	return members[:min(n, len(members))]
 }
 
+// Suspect chooses one at random of those that did not answer, whether its retry is due or not.
+func (t *Table) Suspect(r *rand.Rand) (Member, bool) {
+	members := t.Members(func(m Member) bool { return t.records[m.Name].failures > 0 })
+	if len(members) == 0 {
+		return Member{}, false
+	}
+	return members[r.IntN(len(members))], true
+}
+
 // News returns up to n members to tell somebody about: first those about whom
 // something changed lately, then any, so that in time everybody knows all.
 func (t *Table) News(r *rand.Rand, n int, only Filter) []Member {
--- a/internal/ctrl/peers/peers_test.go
+++ b/internal/ctrl/peers/peers_test.go
@@ -77,6 +77,8 @@
 		now = now.Add(time.Second)
 	}
 	assert.Assert(t, table.Suspected("e1"))
+	suspect, ok := table.Suspect(r)
+	assert.Assert(t, ok && suspect.Name == "e1")
 	assert.Equal(t, len(table.Live(nil)), 1)
 	tried := false
 	for range 60 {
@@ -86,6 +88,8 @@
 	assert.Assert(t, tried)
 	table.Learn(now, member("e1", 3, 7001), true)
 	assert.Equal(t, len(table.Live(nil)), 2)
+	_, ok = table.Suspect(r)
+	assert.Assert(t, !ok)
 }
 
 // Processes come and go for months. The table stays bounded, makes room by those who
--- a/internal/ctrl/relay/exchange.go
+++ b/internal/ctrl/relay/exchange.go
@@ -21,7 +21,8 @@
 	again          = 250 * time.Millisecond // after an exchange that failed: half the peers may be gone
 	timeout        = 500 * time.Millisecond // of one call; a round trip takes milliseconds, one lost segment 200 ms
 	recentFor      = 10 * time.Second
-	membersSent    = 8 // with each message; 800 entries are told in some 100 exchanges
+	membersSent    = 8               // with each message; 800 entries are told in some 100 exchanges
+	seekEvery      = 4 * time.Second // a try of somebody who did not answer
 	meetAtOnce     = 4
 	maxItems       = 4096 // taken from one message
 	nearCount      = 8    // neighbours: enough that losing half leaves the graph whole
@@ -118,6 +119,20 @@
 	}
 }
 
+// seek is an entry's loop that tries one of those who did not answer. When a partition
+// ends, somebody on each side notices it within 5 s, however few they are; by the
+// retries alone it was over 7 s with three on each side.
+func (n *Node) seek(ctx context.Context) {
+	for sleep(ctx, n.jitter(seekEvery)) {
+		n.mu.Lock()
+		m, ok := n.table.Suspect(n.Rand)
+		n.mu.Unlock()
+		if ok {
+			n.meet(ctx, m)
+		}
+	}
+}
+
 // known says whether there is anybody to compare with.
 func (n *Node) known() bool {
 	n.mu.Lock()
--- a/internal/ctrl/relay/relay.go
+++ b/internal/ctrl/relay/relay.go
@@ -156,6 +156,7 @@
 	running.Go(func() { n.sample(ctx) })
 	if n.Self.Role == peers.Entry {
 		running.Go(func() { n.compare(ctx) })
+		running.Go(func() { n.seek(ctx) })
 		running.Go(func() { n.tell(ctx) })
 	} else {
 		running.Go(func() { n.poll(ctx) })
--- a/internal/ctrl/scale/fleet.go
+++ b/internal/ctrl/scale/fleet.go
@@ -47,10 +47,10 @@
 type Size struct {
 	Entries   int
 	Documents int
-	Text      int // bytes of one document
-	Services  int // of the documents, those that have agents
-	Agents    int // of each such service
-	Memory    bool
+	Text      int     // bytes of one document
+	Services  int     // of the documents, those that have agents
+	Agents    int     // of each such service
+	Memory    bool    // calls within the process instead of TCP
 	Loss      float64 // share of writes that arrive only after retransmission
 }
 
@@ -77,9 +77,13 @@
 // name returns the name of a document.
 func name(n int) string { return fmt.Sprintf("service-%04d", n) }
 
+// Base is the second byte of the loopback addresses of entries; agents have the next
+// one. It's to be set before the first fleet, so that two measurements can run at a time.
+var Base = 100
+
 // address gives each process an address of its own in 127/8.
 func address(role, n int) netip.AddrPort {
-	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, byte(100 + role), byte(n >> 8), byte(n)}), 7000)
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, byte(Base + role), byte(n >> 8), byte(n)}), 7000)
 }
 
 const (
