Count the platform's bytes as control's; measure failures and a partition

What an entry reads of the platform passes the meter as well. capacity has two more tables: entries that die at once, regions that lose each other.

--- /dev/null
+++ b/cmd/capacity/failures.go
@@ -0,0 +1,45 @@
+package main
+
+import (
+	"fmt"
+	"time"
+
+	"mangowinch/internal/ctrl/scale"
+)
+
+// failures: what entries that die at one moment cost the others, and how late a change
+// of the next second gets.
+func failures(o options) error {
+	var x, bytes, cpu, calls []float64
+	late := "\n| dead of 112 | p50 | p99 | max | not within 7 s |\n|---|---|---|---|---|\n"
+	for _, n := range []int{0, 8, 16, 32, 64} {
+		f, _, err := settled(scale.Size{Entries: 112, Documents: 50, Text: 2000})
+		if err != nil {
+			f.Stop()
+			return err
+		}
+		f.Kill(n)
+		time.Sleep(time.Second)
+		times := f.Spread(1, 0, false)
+		over := 0
+		for _, t := range times {
+			if t > 7*time.Second {
+				over++
+			}
+		}
+		late += fmt.Sprintf("| %d | %v | %v | %v | %d of %d |\n", n, scale.Quantile(times, 0.5).Round(time.Millisecond),
+			scale.Quantile(times, 0.99).Round(time.Millisecond), scale.Quantile(times, 1).Round(time.Millisecond), over, len(times))
+		c := f.Measure(o.Window)
+		f.Stop()
+		x = append(x, float64(n))
+		bytes = append(bytes, c.Entry.Bytes)
+		cpu = append(cpu, c.CPU/float64(112-n))
+		calls = append(calls, c.Calls)
+	}
+	head("Failures: entries of 112 that die at once; the others in the 20 s after a change", "dead", len(x))
+	show("bytes of an entry", "a second", x, bytes, 112./7)
+	show("processor time of an entry", "ms a second", x, cpu, 112./7)
+	show("calls to the platform", "a second", x, calls, 112./7)
+	fmt.Print(late)
+	return nil
+}
--- a/cmd/capacity/main.go
+++ b/cmd/capacity/main.go
@@ -15,7 +15,7 @@
 
 // options are the command line.
 type options struct {
-	Only   []string      `help:"Only these tables: entries, documents, agents, mates, changes, spread, calls."`
+	Only   []string      `help:"Only these tables: entries, documents, agents, mates, changes, spread, calls, failures, partition."`
 	Window time.Duration `default:"20s" help:"How long each size is looked at."`
 	Base   int           `default:"100" help:"Addresses are 127.BASE.0.0 and 127.BASE+1.0.0 upwards."`
 }
@@ -34,6 +34,8 @@
 	{"changes", changes},
 	{"spread", spread},
 	{"calls", calls},
+	{"failures", failures},
+	{"partition", partition},
 }
 
 func main() {
--- a/internal/ctrl/link/link.go
+++ b/internal/ctrl/link/link.go
@@ -16,6 +16,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"net/netip"
 	"time"
 
@@ -82,3 +83,17 @@
 func Options() drpcmanager.Options {
 	return drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxBytes}}
 }
+
+// Transport returns the way of HTTP calls to the platform, whose bytes are control's as well.
+func Transport(meter *budget.Meter) http.RoundTripper {
+	t := http.DefaultTransport.(*http.Transport).Clone()
+	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		var dialer net.Dialer
+		c, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return meter.Conn(c), nil
+	}
+	return t
+}
--- a/internal/ctrl/relay/real_test.go
+++ b/internal/ctrl/relay/real_test.go
@@ -35,7 +35,7 @@
 	dialer := link.New(meter)
 	n := relay.New(relay.Config{
 		Self:  peers.Member{Name: name, Role: peers.Entry, Domain: name, Address: address, Incarnation: 1, State: peers.Live},
-		Seeds: seeds, Store: s, Meter: meter, Platform: fetch.New(platform), Log: zerolog.Nop(),
+		Seeds: seeds, Store: s, Meter: meter, Platform: fetch.NewWith(platform, link.Transport(meter)), Log: zerolog.Nop(),
 		Dial: func(a netip.AddrPort) relay.Peer { return dialer.Peer(a) },
 	})
 	mux := drpcmux.New()
--- a/internal/ctrl/scale/fleet.go
+++ b/internal/ctrl/scale/fleet.go
@@ -274,3 +274,43 @@
 func (f *Fleet) Change(document int, revision uint64) {
 	f.Platform.Set(name(document), revision, f.text(document, revision))
 }
+
+// Kill ends the first entries at once, without a word.
+func (f *Fleet) Kill(entries int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var left []*Process
+	for _, p := range f.processes {
+		if entries > 0 && p.Member.Role == peers.Entry {
+			p.stop()
+			entries--
+			continue
+		}
+		left = append(left, p)
+	}
+	f.processes = left
+}
+
+// Part keeps the two regions from reaching each other, or ends that. It's for fleets in
+// memory. Failed is the number of calls that nobody has answered so far.
+func (f *Fleet) Part(parted bool) (failed int) {
+	f.network.mu.Lock()
+	defer f.network.mu.Unlock()
+	f.network.parted = parted
+	return f.network.failed
+}
+
+// Offer gives a revision to the first entry, as if it alone had seen it at the platform.
+func (f *Fleet) Offer(document int, revision uint64) {
+	_, _ = f.Processes()[0].Store.Offer(name(document), revision, f.text(document, revision), "platform")
+}
+
+// Have returns how many processes have at least a revision of a document.
+func (f *Fleet) Have(document int, revision uint64) (have int) {
+	for _, p := range f.Processes() {
+		if p.Store.View().Revision(name(document)) >= revision {
+			have++
+		}
+	}
+	return have
+}
--- a/internal/ctrl/scale/network.go
+++ b/internal/ctrl/scale/network.go
@@ -18,6 +18,8 @@
 type network struct {
 	mu        sync.Mutex
 	processes map[netip.AddrPort]*Process
+	parted    bool // the two regions don't reach each other
+	failed    int  // calls that nobody answered
 }
 
 func newNetwork() *network { return &network{processes: map[netip.AddrPort]*Process{}} }
@@ -47,17 +49,39 @@
 
 func (n *network) route(from *Process, to netip.AddrPort) *route { return &route{n, from, to} }
 
+// find returns the process at the other end. One in the other region of a
+// partition never answers.
+func (r *route) find(ctx context.Context) (*Process, error) {
+	n := r.network
+	n.mu.Lock()
+	p := n.processes[r.to]
+	cut := p != nil && n.parted && region(p.Member.Domain) != region(r.from.Member.Domain)
+	if p == nil || cut {
+		n.failed++
+	}
+	n.mu.Unlock()
+	if cut {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	if p == nil {
+		return nil, errGone
+	}
+	return p, nil
+}
+
+// region says which of the two regions a failure domain belongs to: 4 to the one, 3 to the other.
+func region(d string) bool { return d < domain(Domains/2+1) }
+
 // oneWay is how long a message takes between two failure domains of one region.
 const oneWay = time.Millisecond
 
-func pass[In, Out proto.Message](r *route, in In, handle func(*Process) (Out, error)) (out Out, err error) {
+func pass[In, Out proto.Message](ctx context.Context, r *route, in In, handle func(*Process) (Out, error)) (out Out, err error) {
 	time.Sleep(oneWay)
-	r.network.mu.Lock()
-	p := r.network.processes[r.to]
-	r.network.mu.Unlock()
 	var none Out
-	if p == nil {
-		return none, errGone
+	p, err := r.find(ctx)
+	if err != nil {
+		return none, err
 	}
 	out, err = handle(p)
 	time.Sleep(oneWay)
@@ -69,15 +93,15 @@
 }
 
 func (r *route) Exchange(ctx context.Context, in *wire.Summary) (*wire.Summary, error) {
-	return pass(r, in, func(p *Process) (*wire.Summary, error) { return p.Node.Exchange(ctx, in) })
+	return pass(ctx, r, in, func(p *Process) (*wire.Summary, error) { return p.Node.Exchange(ctx, in) })
 }
 
 func (r *route) Pull(ctx context.Context, in *wire.Wants) (*wire.Texts, error) {
-	return pass(r, in, func(p *Process) (*wire.Texts, error) { return p.Node.Pull(ctx, in) })
+	return pass(ctx, r, in, func(p *Process) (*wire.Texts, error) { return p.Node.Pull(ctx, in) })
 }
 
 func (r *route) Beat(ctx context.Context, in *wire.Pulse) (*wire.Pulse, error) {
-	return pass(r, in, func(p *Process) (*wire.Pulse, error) { return p.Node.Beat(ctx, in) })
+	return pass(ctx, r, in, func(p *Process) (*wire.Pulse, error) { return p.Node.Beat(ctx, in) })
 }
 
 // resend is how long TCP waits before it sends a lost segment again, at first.
--- a/internal/node/start/relay.go
+++ b/internal/node/start/relay.go
@@ -26,8 +26,8 @@
 	c.Self.Incarnation = uint64(time.Now().UnixNano())
 	c.Seeds = p.settings.Peers
 	c.Store = p.store
-	c.Platform = fetch.New(p.settings.Platform.Address.String())
 	c.Meter = budget.New()
+	c.Platform = fetch.NewWith(p.settings.Platform.Address.String(), link.Transport(c.Meter))
 	c.Log = p.log
 	dialer := link.New(c.Meter)
 	c.Dial = func(a netip.AddrPort) relay.Peer { return dialer.Peer(a) }
