--- a/internal/ctrl/scale/fleet.go
+++ b/internal/ctrl/scale/fleet.go
@@ -47,10 +47,10 @@
 type Size struct {
 	Entries   int
 	Documents int
-	Text      int // bytes of one document
-	Services  int // of the documents, those that have agents
-	Agents    int // of each such service
-	Memory    bool
+	Text      int     // bytes of one document
+	Services  int     // of the documents, those that have agents
+	Agents    int     // of each such service
+	Memory    bool    // calls within the process instead of TCP
 	Loss      float64 // share of writes that arrive only after retransmission
 }
 
@@ -77,9 +77,13 @@
 // name returns the name of a document.
 func name(n int) string { return fmt.Sprintf("service-%04d", n) }
 
+// Base is the second byte of the loopback addresses of entries; agents have the next
+// one. It's to be set before the first fleet, so that two measurements can run at a time.
+var Base = 100
+
 // address gives each process an address of its own in 127/8.
 func address(role, n int) netip.AddrPort {
-	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, byte(100 + role), byte(n >> 8), byte(n)}), 7000)
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, byte(Base + role), byte(n >> 8), byte(n)}), 7000)
 }
 
 const (
@@ -270,3 +274,43 @@
 func (f *Fleet) Change(document int, revision uint64) {
 	f.Platform.Set(name(document), revision, f.text(document, revision))
 }
+
+// Kill ends the first entries at once, without a word.
+func (f *Fleet) Kill(entries int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var left []*Process
+	for _, p := range f.processes {
+		if entries > 0 && p.Member.Role == peers.Entry {
+			p.stop()
+			entries--
+			continue
+		}
+		left = append(left, p)
+	}
+	f.processes = left
+}
+
+// Part keeps the two regions from reaching each other, or ends that. It's for fleets in
+// memory. Failed is the number of calls that nobody has answered so far.
+func (f *Fleet) Part(parted bool) (failed int) {
+	f.network.mu.Lock()
+	defer f.network.mu.Unlock()
+	f.network.parted = parted
+	return f.network.failed
+}
+
+// Offer gives a revision to the first entry, as if it alone had seen it at the platform.
+func (f *Fleet) Offer(document int, revision uint64) {
+	_, _ = f.Processes()[0].Store.Offer(name(document), revision, f.text(document, revision), "platform")
+}
+
+// Have returns how many processes have at least a revision of a document.
+func (f *Fleet) Have(document int, revision uint64) (have int) {
+	for _, p := range f.Processes() {
+		if p.Store.View().Revision(name(document)) >= revision {
+			have++
+		}
+	}
+	return have
+}
