--- a/internal/stand/client/client.go
+++ b/internal/stand/client/client.go
@@ -23,6 +23,7 @@
 	"net/http"
 	"net/netip"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -38,6 +39,10 @@
 	largestAnswer    = 8 << 20
 )
 
+// Unsent is the reason of a request that the other side has not looked at. It goes
+// on a new connection.
+const Unsent = "unsent"
+
 // Settings say who calls whom.
 type Settings struct {
 	Local   netip.Addr // the caller's own address
@@ -130,6 +135,9 @@
 		request.Header.Set("Deadline-Ms", itoa(r.Deadline.Milliseconds()))
 	}
 	response, err := c.conn.RoundTrip(request)
+	if unsent(err) {
+		return Answer{Outcome: result.NotRun, Reason: Unsent, Err: err}
+	}
 	if err != nil {
 		return Answer{Err: err}
 	}
@@ -150,6 +158,21 @@
 	return answer
 }
 
+// unsent says whether an error proves that the other side did not and will not look
+// at the request: it had said that it stops (GOAWAY), or it rejected the stream.
+func unsent(err error) bool {
+	if err == nil {
+		return false
+	}
+	var rejected *http3.Error
+	if errors.As(err, &rejected) {
+		return rejected.Remote && rejected.ErrorCode == http3.ErrCodeRequestRejected
+	}
+	// The library does not export the type of this error, which it gives when no
+	// stream was opened.
+	return strings.HasPrefix(err.Error(), "http3: conn unusable")
+}
+
 func parseOutcome(text string) result.Outcome {
 	for _, o := range []result.Outcome{result.Ran, result.NotRun} {
 		if text == o.String() {
--- a/internal/stand/faults/faults.go
+++ b/internal/stand/faults/faults.go
@@ -151,8 +151,7 @@
 	r.wait(warmFor + time.Duration(r.random.Int64N(int64(faultWith))))
 	r.struck = time.Now()
 	if err := scenario.Steps(r); err != nil {
-		r.load.stop()
-		return Result{}, err
+		r.extra = append(r.extra, check.Violation{Rule: check.Stuck, Token: scenario.Name, Detail: err.Error()})
 	}
 	r.wait(restFor)
 	attempts := r.load.stop()
--- a/internal/stand/faults/load.go
+++ b/internal/stand/faults/load.go
@@ -26,7 +26,7 @@
 	dialTime    = 5 * time.Second        // and a handshake
 	redialAfter = 50 * time.Millisecond  // pause after a handshake that failed
 	refusedWait = 50 * time.Millisecond  // after a request that was refused
-	repeats     = 2                      // of a request of unknown outcome that has a key
+	repeats     = 2                      // of a request that was not sent, or is unknown and has a key
 	feedEvery   = 20 * time.Millisecond  // between two lines
 	chunkEvery  = 10 * time.Millisecond  // pace of an upload
 	chunkSize   = 16 << 10               //
@@ -158,6 +158,9 @@
 		if answer.Status == 0 || answer.Err != nil {
 			p.hangUp() // the connection may be dead; the next request gets a new one
 		}
+		if answer.Reason == client.Unsent && i < repeats && p.connect(ctx, ctx) {
+			continue
+		}
 		if answer.Outcome != result.Unknown || !a.Once || key == "" || i == repeats || !p.connect(ctx, ctx) {
 			break
 		}
@@ -168,10 +171,14 @@
 }
 
 func (p *party) send(ctx context.Context, r client.Request, key string) client.Answer {
-	ctx, cancel := context.WithTimeout(ctx, requestTime)
+	limited, cancel := context.WithTimeout(ctx, requestTime)
 	defer cancel()
 	r.Key = key
-	return p.caller.Do(ctx, r)
+	answer := p.caller.Do(limited, r)
+	if answer.Reason == client.Unsent {
+		p.hangUp() // the agent stops; as any caller does, this one goes on by a new connection
+	}
+	return answer
 }
 
 func describe(answer client.Answer) string {
