--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -16,10 +16,11 @@
 )
 
 type command struct {
-	Relay relayCommand `cmd:"" help:"Be a bare UDP relay."`
-	Entry entryCommand `cmd:"" help:"Measure an entry against a bare UDP relay."`
-	Flows flowsCommand `cmd:"" help:"Measure flows a second and memory for open flows."`
-	Feeds feedsCommand `cmd:"" help:"Measure what kill -9 of each entry in turn does to open feeds."`
+	Relay     relayCommand     `cmd:"" help:"Be a bare UDP relay."`
+	Entry     entryCommand     `cmd:"" help:"Measure an entry against a bare UDP relay."`
+	Flows     flowsCommand     `cmd:"" help:"Measure flows a second and memory for open flows."`
+	Feeds     feedsCommand     `cmd:"" help:"Measure what kill -9 of each entry in turn does to open feeds."`
+	Documents documentsCommand `cmd:"" help:"Measure how long a document takes to be in force everywhere."`
 }
 
 type relayCommand struct {
--- a/internal/stand/faults/faults.go
+++ b/internal/stand/faults/faults.go
@@ -58,6 +58,7 @@
 	Dials      int           // handshakes begun
 	Undialed   int           // handshakes that failed
 	Slowest    time.Duration // lookup, from asking to its end
+	Left       time.Duration // from telling a server to leave to its last new request
 	Violations []check.Violation
 	Unknown    []string // requests of unknown outcome, each with what its caller saw
 }
@@ -107,10 +108,14 @@
 }
 
 func printResult(out io.Writer, r Result) {
-	fmt.Fprintf(out, "%-34s seed %-4d %4d attempts (%d ran, %d not run, %d unknown), %4d executions, caught %d waiting %d running %d midway, %d of %d handshakes failed, slowest lookup %s: %d violations\n",
+	left := ""
+	if r.Left > 0 {
+		left = ", last new work " + r.Left.Round(time.Millisecond).String() + " after the word to leave"
+	}
+	fmt.Fprintf(out, "%-34s seed %-4d %4d attempts (%d ran, %d not run, %d unknown), %4d executions, caught %d waiting %d running %d midway, %d of %d handshakes failed, slowest lookup %s%s: %d violations\n",
 		r.Scenario, r.Seed, r.Attempts, r.Outcomes[result.Ran], r.Outcomes[result.NotRun], r.Outcomes[result.Unknown],
 		r.Executions, r.Caught.Waiting, r.Caught.Running, r.Caught.Midway,
-		r.Undialed, r.Dials, r.Slowest.Round(time.Millisecond), len(r.Violations))
+		r.Undialed, r.Dials, r.Slowest.Round(time.Millisecond), left, len(r.Violations))
 	for _, v := range r.Violations {
 		fmt.Fprintf(out, "    %s\n", v)
 	}
@@ -190,6 +195,7 @@
 		}
 		answer.Caught.add(*a, at.At, began, r.struck)
 	}
+	answer.Left = lastNew(r.leaving, executions)
 	answer.Violations = append(check.Check(check.Run{
 		Attempts:   attempts,
 		Executions: executions,
@@ -198,6 +204,18 @@
 	return answer
 }
 
+// lastNew returns how long after being told to leave a server last took new work.
+func lastNew(leaving []check.Leave, executions []check.Execution) (last time.Duration) {
+	for _, l := range leaving {
+		for _, e := range executions {
+			if e.Service == l.Service && e.Server == l.Server {
+				last = max(last, e.At.Sub(l.At))
+			}
+		}
+	}
+	return last
+}
+
 func (c *Caught) add(a check.Attempt, at time.Time, began bool, struck time.Time) {
 	if a.Begun.After(struck) || a.Ended.Before(struck) {
 		return
