--- a/internal/stand/check/check.go
+++ b/internal/stand/check/check.go
@@ -64,6 +64,7 @@
 type Execution struct {
 	Service string
 	Server  string
+	Origin  string // server of the agent that holds the caller's connection
 	Token   string
 	At      time.Time
 }
--- a/internal/stand/faults/faults.go
+++ b/internal/stand/faults/faults.go
@@ -183,8 +183,10 @@
 	for i := range attempts {
 		a := &attempts[i]
 		at, began := places[a.Token]
-		// Whatever had come to a server that the fault did not hit must end whole.
-		a.Steady = a.Steady && began && !r.hit[at.Service+"/"+at.Server]
+		// Whatever had come to a server must end whole, unless the fault hit that
+		// server or the agent that holds the caller's connection.
+		hit := r.hit[at.Service+"/"+at.Server] || r.hit[at.Service+"/"+at.Origin]
+		a.Steady = a.Steady && began && !hit
 		answer.Outcomes[a.Outcome]++
 		if a.Outcome == result.Unknown {
 			answer.Unknown = append(answer.Unknown, fmt.Sprintf("%s (%s) after %s, ran at %q: %s %s",
--- a/internal/stand/faults/load.go
+++ b/internal/stand/faults/load.go
@@ -21,6 +21,7 @@
 
 const (
 	perNetwork  = 3                      // callers of each caller network of a document
+	heavyFactor = 4                      // times as many fill all slots, so that requests wait and are handed over
 	idleTimeout = 5 * time.Second        // a caller gives up a silent connection after this
 	requestTime = 20 * time.Second       // and a request after this
 	dialTime    = 5 * time.Second        // and a handshake
@@ -44,19 +45,27 @@
 	undialed int // dials that failed
 }
 
+// Heavy says whether the load of a seed is more than the servers have slots for:
+// that of each even seed.
+func Heavy(seed uint64) bool { return seed%2 == 0 }
+
 func startLoad(ctx context.Context, f *fleet.Fleet, seed uint64) *load {
 	l := &load{}
 	asking, cancel := context.WithCancel(ctx)
 	l.cancel = cancel
 	number := uint64(0)
+	callers := perNetwork
+	if Heavy(seed) {
+		callers *= heavyFactor
+	}
 	for _, s := range f.Services {
 		for _, c := range s.Callers {
 			address := c.Networks[0].Addr()
-			for range perNetwork {
+			for range callers {
 				address = address.Next()
 				number++
 				p := &party{load: l, fleet: f, service: s, local: address, name: fmt.Sprintf("%s-%d", c.Name, number),
-					random: rand.New(rand.NewPCG(seed, 100+number))}
+					random: rand.New(rand.NewPCG(seed, 100+number)), heavy: Heavy(seed)}
 				l.callers.Go(func() { p.run(asking, context.WithoutCancel(asking)) })
 			}
 		}
@@ -79,6 +88,7 @@
 	local   netip.Addr
 	name    string
 	random  *rand.Rand
+	heavy   bool
 	asked   int
 	key     string // of the last answer, for the next request
 	caller  *client.Caller
@@ -194,7 +204,8 @@
 
 // choose draws a request. The function makes it anew for each sending.
 func (p *party) choose(token string) (check.Attempt, func() client.Request) {
-	a := check.Attempt{Token: token, Service: p.service.Name, Steady: true}
+	// Under a heavy load a lookup may reach its deadline at its server.
+	a := check.Attempt{Token: token, Service: p.service.Name, Steady: !p.heavy}
 	work := time.Duration(p.random.Int64N(int64(longestWork))).Round(time.Millisecond)
 	switch n := p.random.IntN(100); {
 	case n < 50:
@@ -217,7 +228,7 @@
 }
 
 func (p *party) feed(a check.Attempt, path string) (check.Attempt, func() client.Request) {
-	a.Long = true
+	a.Long, a.Steady = true, true
 	var lines int
 	_, query, _ := strings.Cut(path, "?n=")
 	if _, err := fmt.Sscanf(query, "%d&", &lines); err != nil {
@@ -232,7 +243,7 @@
 }
 
 func (p *party) upload(a check.Attempt, path string, size int) (check.Attempt, func() client.Request) {
-	a.Long, a.Once = true, true
+	a.Long, a.Steady, a.Once = true, true, true
 	body := make([]byte, size)
 	for i := range body {
 		body[i] = byte(p.random.Uint32())
--- a/internal/stand/fleet/history.go
+++ b/internal/stand/fleet/history.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 
 	"github.com/cockroachdb/errors"
@@ -33,6 +34,7 @@
 			executions = append(executions, check.Execution{
 				Service: n.Agent.Service,
 				Server:  n.Agent.Server,
+				Origin:  f.origin(n.Agent.Service, e.ID),
 				Token:   Token(e.Path),
 				At:      e.At,
 			})
@@ -41,6 +43,18 @@
 	return executions, nil
 }
 
+// origin returns the server whose agent made a request's ID: the ID begins with
+// the server's.
+func (f *Fleet) origin(service, id string) string {
+	number, _, _ := strings.Cut(id, "-")
+	for _, s := range f.Service(service).Servers {
+		if strconv.FormatUint(uint64(s.ID), 10) == number {
+			return s.Name
+		}
+	}
+	return ""
+}
+
 // readJournal returns the executions that began.
 func readJournal(path string) (executions []server.Execution, err error) {
 	file, err := os.Open(path)
