--- a/internal/stand/faults/faults.go
+++ b/internal/stand/faults/faults.go
@@ -57,6 +57,7 @@
 	Caught     Caught
 	Dials      int           // handshakes begun
 	Undialed   int           // handshakes that failed
+	Repeated   int           // requests of unknown outcome sent again with their key
 	Slowest    time.Duration // lookup, from asking to its end
 	Left       time.Duration // from telling a server to leave to its last new request
 	Violations []check.Violation
@@ -112,10 +113,10 @@
 	if r.Left > 0 {
 		left = ", last new work " + r.Left.Round(time.Millisecond).String() + " after the word to leave"
 	}
-	fmt.Fprintf(out, "%-34s seed %-4d %4d attempts (%d ran, %d not run, %d unknown), %4d executions, caught %d waiting %d running %d midway, %d of %d handshakes failed, slowest lookup %s%s: %d violations\n",
+	fmt.Fprintf(out, "%-34s seed %-4d %4d attempts (%d ran, %d not run, %d unknown), %4d executions, caught %d waiting %d running %d midway, %d repeats, %d of %d handshakes failed, slowest lookup %s%s: %d violations\n",
 		r.Scenario, r.Seed, r.Attempts, r.Outcomes[result.Ran], r.Outcomes[result.NotRun], r.Outcomes[result.Unknown],
 		r.Executions, r.Caught.Waiting, r.Caught.Running, r.Caught.Midway,
-		r.Undialed, r.Dials, r.Slowest.Round(time.Millisecond), left, len(r.Violations))
+		r.Repeated, r.Undialed, r.Dials, r.Slowest.Round(time.Millisecond), left, len(r.Violations))
 	for _, v := range r.Violations {
 		fmt.Fprintf(out, "    %s\n", v)
 	}
@@ -179,6 +180,7 @@
 		Executions: len(executions),
 		Dials:      r.load.dials,
 		Undialed:   r.load.undialed,
+		Repeated:   r.load.repeated,
 	}
 	for i := range attempts {
 		a := &attempts[i]
--- a/internal/stand/faults/load.go
+++ b/internal/stand/faults/load.go
@@ -43,6 +43,7 @@
 	attempts []check.Attempt
 	dials    int
 	undialed int // dials that failed
+	repeated int // requests of unknown outcome sent again with their key
 }
 
 // Heavy says whether the load of a seed is more than the servers have slots for:
@@ -158,6 +159,7 @@
 	a, build := p.choose(token)
 	a.Begun = time.Now()
 	key := p.key
+	p.key = "" // a key is for one request
 	for i := 0; ; i++ {
 		answer := p.send(ctx, build(), key)
 		a.Outcome, a.Reason, a.Got = answer.Outcome, answer.Reason, answer.Body
@@ -174,8 +176,10 @@
 		if answer.Outcome != result.Unknown || !a.Once || key == "" || i == repeats || !p.connect(ctx, ctx) {
 			break
 		}
+		p.load.mutex.Lock()
+		p.load.repeated++
+		p.load.mutex.Unlock()
 	}
-	p.key = "" // a key is for one request
 	a.Ended = time.Now()
 	return a
 }
