Give a server's address to another service in fault runs

The instance of tracing-core's last server is killed and comes up as a server of doc-intake, while an entry is frozen and wakes with the old document. Nothing of tracing-core may run there.

--- a/internal/stand/faults/faults.go
+++ b/internal/stand/faults/faults.go
@@ -69,6 +69,7 @@
 	Waiting int // not at a server yet
 	Running int // at a server, nothing of the answer back
 	Midway  int // answer or upload half done
+	Handed  int // of these, at another agent than that of the caller's connection
 }
 
 // Run runs each scenario with each seed, one after the other.
@@ -113,9 +114,9 @@
 	if r.Left > 0 {
 		left = ", last new work " + r.Left.Round(time.Millisecond).String() + " after the word to leave"
 	}
-	fmt.Fprintf(out, "%-34s seed %-4d %4d attempts (%d ran, %d not run, %d unknown), %4d executions, caught %d waiting %d running %d midway, %d repeats, %d of %d handshakes failed, slowest lookup %s%s: %d violations\n",
+	fmt.Fprintf(out, "%-34s seed %-4d %4d attempts (%d ran, %d not run, %d unknown), %4d executions, caught %d waiting %d running %d midway (%d handed over), %d repeats, %d of %d handshakes failed, slowest lookup %s%s: %d violations\n",
 		r.Scenario, r.Seed, r.Attempts, r.Outcomes[result.Ran], r.Outcomes[result.NotRun], r.Outcomes[result.Unknown],
-		r.Executions, r.Caught.Waiting, r.Caught.Running, r.Caught.Midway,
+		r.Executions, r.Caught.Waiting, r.Caught.Running, r.Caught.Midway, r.Caught.Handed,
 		r.Repeated, r.Undialed, r.Dials, r.Slowest.Round(time.Millisecond), left, len(r.Violations))
 	for _, v := range r.Violations {
 		fmt.Fprintf(out, "    %s\n", v)
@@ -131,6 +132,7 @@
 	struck   time.Time // when the first fault struck
 	hit      map[string]bool
 	leaving  []check.Leave
+	moved    *move
 	extra    []check.Violation
 	scenario Scenario
 }
@@ -169,6 +171,7 @@
 }
 
 func (r *run) judge(seed uint64, attempts []check.Attempt, executions []check.Execution) Result {
+	r.moved.relabel(executions)
 	places := map[string]check.Execution{}
 	for _, e := range executions {
 		places[e.Token] = e
@@ -197,7 +200,7 @@
 		if !a.Long {
 			answer.Slowest = max(answer.Slowest, a.Ended.Sub(a.Begun))
 		}
-		answer.Caught.add(*a, at.At, began, r.struck)
+		answer.Caught.add(*a, at, began, r.struck)
 	}
 	answer.Left = lastNew(r.leaving, executions)
 	answer.Violations = append(check.Check(check.Run{
@@ -220,12 +223,15 @@
 	return last
 }
 
-func (c *Caught) add(a check.Attempt, at time.Time, began bool, struck time.Time) {
+func (c *Caught) add(a check.Attempt, at check.Execution, began bool, struck time.Time) {
 	if a.Begun.After(struck) || a.Ended.Before(struck) {
 		return
 	}
+	if began && at.Origin != at.Server {
+		c.Handed++
+	}
 	switch {
-	case !began || at.After(struck):
+	case !began || at.At.After(struck):
 		c.Waiting++
 	case a.Long:
 		c.Midway++
--- a/internal/stand/matrix/cells.go
+++ b/internal/stand/matrix/cells.go
@@ -63,7 +63,7 @@
 	{Row: established, Fault: partition, Tests: []string{"flow/paths.TestPartedCallerIsAnsweredByEntriesThatHearIt"}},
 	{Row: established, Fault: oneWay, Tests: []string{"flow/paths.TestHalfDeadEntryIsLeftByAlternating", "flow/paths.TestUploadLeavesEntryThatNoLongerAnswers"}},
 
-	{Row: isolated, Fault: uneven, Tests: []string{"flow/ident.TestIDOfAnotherServiceDoesNotOpen", "flow/frame.TestFrameOfAnotherServiceIsRefused", "work/hand.TestOtherServiceIsRefused"}},
+	{Row: isolated, Fault: uneven, Tests: []string{"flow/ident.TestIDOfAnotherServiceDoesNotOpen", "flow/frame.TestFrameOfAnotherServiceIsRefused", "work/hand.TestOtherServiceIsRefused"}, Scenarios: []string{"address-moves+entry-frozen"}},
 	{Row: isolated, Fault: racing, Tests: []string{"conf/store.TestDocumentOfAnotherServiceIsRefused"}},
 
 	{Row: whole, Fault: serverDies, Tests: []string{"work/hand.TestLinkLostAtEachStep"}},
@@ -117,6 +117,7 @@
 }
 
 var pairs = []Cell{
+	{Row: "a server's address is given to another service while a balancer is frozen and wakes with the old document", Scenarios: []string{"address-moves+entry-frozen"}},
 	{Row: "a balancer is killed while a server drains", Scenarios: []string{"entry-killed+server-drains"}},
 	{Row: "a balancer is frozen while a document changes", Scenarios: []string{"entry-frozen+document"}},
 	{Row: "an agent is killed while the platform is down", Scenarios: []string{"agent-killed+platform-down"}},
