End a process whose operators' address is taken

Cause: seen by hand. A second process with the settings of a running one found its operators' address taken and ran on without /metrics, /healthz and /status, since the group of its parts waits for all of them. Package admin now opens the address before anything else (Open), and start ends with the error.

Ruled out: ending the group on any error of its parts, which would cut flows if the operators' server failed later.

--- a/internal/oper/admin/admin.go
+++ b/internal/oper/admin/admin.go
@@ -11,6 +11,9 @@
 //	server := admin.New(settings.Process.Operator, logger)
 //	documents := server.Condition("documents")
 //	server.Section("documents", func() any { return store.Snapshot() })
+//	if err := server.Open(); err != nil {
+//		return err
+//	}
 //	group.Go(func() error { return server.Run(ctx) })
 //	documents.Set(true, "")
 package admin
@@ -55,11 +58,12 @@
 	logger  zerolog.Logger
 
 	mu         sync.Mutex
+	listener   net.Listener
 	conditions []*Condition
 	sections   map[string]func() any
 }
 
-// New returns a server that listens on address once it runs. Its /status has one
+// New returns a server that listens on address once it is opened. Its /status has one
 // section from the start: reasons, the counters that say why something was refused,
 // dropped or tried again.
 func New(address netip.AddrPort, logger zerolog.Logger) *Server {
@@ -77,15 +81,30 @@
 	s.sections[name] = get
 }
 
-// Run listens and serves until the context is done, then lets requests in progress
-// finish for two seconds. The error is nil after a stop by the context.
-func (s *Server) Run(ctx context.Context) (err error) {
+// Open opens the address. A process does so before anything else: one that nobody
+// can ask must not begin, and a second one of the same settings fails here before
+// it takes any traffic.
+func (s *Server) Open() (err error) {
 	defer func() { err = errors.Wrap(err, "operators' HTTP") }()
 
 	listener, err := net.Listen("tcp", s.address.String())
 	if err != nil {
 		return err
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listener = netutil.LimitListener(listener, maxConnections)
+	return nil
+}
+
+// Run serves at the opened address until the context is done, then lets requests in
+// progress finish for two seconds. The error is nil after a stop by the context.
+func (s *Server) Run(ctx context.Context) (err error) {
+	defer func() { err = errors.Wrap(err, "operators' HTTP") }()
+
+	s.mu.Lock()
+	listener := s.listener
+	s.mu.Unlock()
 	server := &http.Server{
 		Handler:           s.Handler(),
 		ReadHeaderTimeout: readTimeout,
@@ -100,7 +119,7 @@
 		defer cancel()
 		stopped <- server.Shutdown(late)
 	})
-	err = server.Serve(netutil.LimitListener(listener, maxConnections))
+	err = server.Serve(listener)
 	if release() {
 		return err // Serve ended by itself
 	}
--- a/internal/oper/verbs/verbs_test.go
+++ b/internal/oper/verbs/verbs_test.go
@@ -209,3 +209,19 @@
 		assert.Equal(t, code, exitDone, out+message)
 	}
 }
+
+// A process is started twice with the same settings. The second one used to run on
+// without its operators' pages, so that nobody could see that it was there; it now
+// ends before it takes any traffic.
+func TestOperatorAddressIsTaken(t *testing.T) {
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer taken.Close()
+	settings := filepath.Join(certified(t), "entry.ini")
+	text := "[process]\nname = e1\ndomain = a\noperator = " + taken.Addr().String() +
+		"\n[platform]\naddress = http://127.0.0.1:1\n[key k1]\nfile = k1.key\n[entry]\nbind = 127.0.0.1\nlink = 127.0.0.1:1\n"
+	assert.NilError(t, os.WriteFile(settings, []byte(text), 0o600))
+	code, _, message := run("entry", "--settings", settings)
+	assert.Equal(t, code, exitFault)
+	assert.Assert(t, strings.Contains(message, "operators' HTTP"), message)
+}
