--- a/internal/oper/verbs/tree.go
+++ b/internal/oper/verbs/tree.go
@@ -9,8 +9,8 @@
 	"text/tabwriter"
 )
 
-// tree writes decoded JSON for people: objects as indented lines, lists of flat
-// objects as tables.
+// tree writes decoded JSON for people: objects as indented lines, lists of objects
+// without lists as tables.
 type tree struct {
 	w io.Writer
 }
@@ -36,10 +36,9 @@
 }
 
 func (t *tree) list(depth int, name string, list []any) {
-	columns, ok := table(list)
-	if ok {
+	if rows, columns, ok := table(list); ok {
 		t.line(depth, name)
-		t.rows(depth+1, columns, list)
+		t.rows(depth+1, columns, rows)
 		return
 	}
 	if !slices.ContainsFunc(list, nested) {
@@ -69,12 +68,11 @@
 	t.value(depth, fmt.Sprint(i), x)
 }
 
-func (t *tree) rows(depth int, columns []string, list []any) {
+func (t *tree) rows(depth int, columns []string, rows []map[string]any) {
 	w := tabwriter.NewWriter(t.w, 0, 0, 2, ' ', 0)
 	prefix := strings.Repeat(indent, depth)
 	fmt.Fprintf(w, "%s%s\n", prefix, strings.Join(columns, "\t"))
-	for _, x := range list {
-		row := x.(map[string]any)
+	for _, row := range rows {
 		cells := make([]string, len(columns))
 		for i, c := range columns {
 			cells[i] = scalar(row[c])
@@ -84,27 +82,42 @@
 	_ = w.Flush() // writes to the same place as the lines, whose errors are not looked at either
 }
 
-// table returns the columns of a list of objects that hold nothing nested: name
+// table returns the rows and columns of a list of objects that hold no lists: name
 // first, the rest by letter.
-func table(list []any) (columns []string, ok bool) {
+func table(list []any) (rows []map[string]any, columns []string, ok bool) {
 	seen := map[string]any{}
 	for _, x := range list {
-		row, ok := x.(map[string]any)
-		if !ok {
-			return nil, false
-		}
-		for k, v := range row {
-			if nested(v) {
-				return nil, false
-			}
-			seen[k] = nil
+		object, ok := x.(map[string]any)
+		row := map[string]any{}
+		if !ok || !flatten(row, "", object) {
+			return nil, nil, false
 		}
+		maps.Copy(seen, row)
+		rows = append(rows, row)
 	}
 	columns = sorted(seen)
 	if i := slices.Index(columns, "name"); i > 0 {
 		columns = slices.Insert(slices.Delete(columns, i, i+1), 0, "name")
 	}
-	return columns, len(columns) > 0
+	return rows, columns, len(columns) > 0
+}
+
+// flatten copies an object's values to a row, those of an object in it as outer.inner.
+// It reports false if there is a list anywhere.
+func flatten(row map[string]any, prefix string, object map[string]any) bool {
+	for k, v := range object {
+		switch v := v.(type) {
+		case []any:
+			return false
+		case map[string]any:
+			if !flatten(row, prefix+k+".", v) {
+				return false
+			}
+		default:
+			row[prefix+k] = v
+		}
+	}
+	return true
 }
 
 func nested(v any) bool {
--- a/internal/oper/verbs/verbs_test.go
+++ b/internal/oper/verbs/verbs_test.go
@@ -75,7 +75,10 @@
 			Name     string `json:"name"`
 			Revision int    `json:"revision"`
 			From     string `json:"from"`
-		}{{"tracing-core", 3, "platform"}, {"doc-intake", 12, ""}}
+			Load     struct {
+				Busy int `json:"busy"`
+			} `json:"load"`
+		}{{Name: "tracing-core", Revision: 3, From: "platform"}, {Name: "doc-intake", Revision: 12}}
 	})
 	s.Section("reasons", func() any { return nil }) // the counters of this process depend on the tests before
 	s.Section("refused", func() any { return map[string]any{"queue": 4, "peers": []string{"e1", "e2"}} })
