--- a/internal/oper/verbs/call.go
+++ b/internal/oper/verbs/call.go
@@ -24,6 +24,9 @@
 	headerKey     = "Request-Key"
 )
 
+// keyPath is where an agent gives a request key before the first request.
+const keyPath = "/.well-known/request-key"
+
 // CallCmd is a caller for people.
 type CallCmd struct {
 	Lookup LookupCmd `cmd:"" help:"A short request: GET, or POST if it has a body."`
@@ -45,7 +48,8 @@
 	CA        string        `name:"ca" type:"existingfile" help:"PEM file of certificates to trust in place of the system's."`
 	Insecure  bool          `help:"Trust any certificate. For demonstrations only."`
 	Local     netip.Addr    `help:"IP number of this machine to call from; callers are told apart by it."`
-	RepeatKey string        `help:"Request key of an earlier answer: repeats that request, which is never run a second time."`
+	FreshKey  bool          `xor:"key" help:"Get a request key first and send it along, so that the request can be repeated."`
+	RepeatKey string        `xor:"key" help:"Key that a request was sent with: repeats that request, which is never run a second time."`
 	Timeout   time.Duration `default:"30s" help:"Give up after this time without an answer; 0 is never."`
 }
 
@@ -99,7 +103,8 @@
 	outcome string // as the answer said, or as it follows from how the call broke off
 	reason  string
 	after   string
-	key     string
+	sent    string // key that the request was sent with
+	key     string // fresh key for another request
 	bytes   int64
 	took    time.Duration
 	cause   error
@@ -118,11 +123,18 @@
 	if request.URL.Scheme != "https" {
 		return fail(exitUse, errors.Newf("%s: only https can be called", c.URL))
 	}
-	if c.RepeatKey != "" {
-		request.Header.Set(headerKey, c.RepeatKey)
+	key := c.RepeatKey
+	if c.FreshKey {
+		if key, err = client.freshKey(ctx, request.URL); err != nil {
+			return fail(exitUse, err)
+		}
+	}
+	if key != "" {
+		request.Header.Set(headerKey, key)
 	}
 	start := time.Now()
 	e := c.send(client, request, o.out)
+	e.sent = key
 	e.took = time.Since(start)
 	e.print(o.err)
 	return fail(e.code(client.connected.Load()), e.failure())
@@ -199,7 +211,8 @@
 	if e.after != "" {
 		show("retry-after", e.after+" s")
 	}
-	show("request-key", e.key)
+	show("sent-key", e.sent)
+	show("fresh-key", e.key)
 	show("bytes", strconv.FormatInt(e.bytes, 10))
 	show("took", e.took.Round(time.Millisecond).String())
 }
--- a/internal/oper/verbs/client.go
+++ b/internal/oper/verbs/client.go
@@ -5,6 +5,8 @@
 	"crypto/tls"
 	"crypto/x509"
 	"net"
+	"net/http"
+	"net/url"
 	"os"
 	"sync/atomic"
 	"time"
@@ -62,6 +64,33 @@
 	return conn, err
 }
 
+// keyTimeout bounds the question for a key.
+const keyTimeout = 10 * time.Second
+
+// freshKey asks the agent that the connection reaches for a request key. That agent
+// owns it: it decides about the request and every repeat of it.
+func (c *client) freshKey(ctx context.Context, of *url.URL) (key string, err error) {
+	defer func() { err = errors.Wrap(err, "get a request key") }()
+
+	ctx, cancel := context.WithTimeout(ctx, keyTimeout)
+	defer cancel()
+	where := url.URL{Scheme: of.Scheme, Host: of.Host, Path: keyPath}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, where.String(), nil)
+	if err != nil {
+		return "", err
+	}
+	response, err := c.transport.RoundTrip(request)
+	if err != nil {
+		return "", err
+	}
+	defer response.Body.Close()
+	key = response.Header.Get(headerKey)
+	if key == "" {
+		return "", errors.Newf("answer %s without a key", response.Status)
+	}
+	return key, nil
+}
+
 func (c *client) close() {
 	_ = c.transport.Close() // the call is over; what it says now changes nothing
 	_ = c.quic.Close()
--- a/internal/oper/verbs/verbs_test.go
+++ b/internal/oper/verbs/verbs_test.go
@@ -127,6 +127,10 @@
 		w.Header().Set(headerKey, r.Header.Get(headerKey)+"k")
 		_, _ = io.Copy(w, r.Body)
 	})
+	mux.HandleFunc(keyPath, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(headerKey, "first")
+		w.WriteHeader(http.StatusNoContent)
+	})
 	mux.HandleFunc("/refuse", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set(headerOutcome, "not-run")
 		w.Header().Set(headerReason, "queue")
@@ -160,7 +164,11 @@
 	code, out, err := run("call", "lookup", url+"/run", "--ca", ca, "--body", "hello", "--repeat-key", "a", "--local", "127.0.0.5")
 	assert.Equal(t, code, exitDone, err)
 	assert.Equal(t, out, "hello")
-	assert.Assert(t, strings.Contains(err, "request-key  ak\n"))
+	assert.Assert(t, strings.Contains(err, "sent-key     a\nfresh-key    ak\n"))
+
+	code, _, err = run("call", "lookup", url+"/run", "--ca", ca, "--fresh-key")
+	assert.Equal(t, code, exitDone, err)
+	assert.Assert(t, strings.Contains(err, "sent-key     first\n"), err)
 
 	code, out, _ = run("call", "upload", url+"/run", "--insecure", "--file", "-")
 	assert.Equal(t, code, exitDone)
