Call a process ready when it works by its documents, not when it has fetched one

Cause: an agent whose settings lack the key that its document names said ready though it served nobody, since the store held the document; an entry said ready with the first of its documents, and drops what callers of the other services send until their addresses are open. Ready now means that the process works by a document and lacks none that it knows of. Entry and agent say how many documents they work by (InForce).

Not covered: an entry that loads its documents from the platform, with no peer to tell it how many there are, is ready with the first one; the relay does not say yet that the first list was read whole.

--- a/internal/node/agent/status.go
+++ b/internal/node/agent/status.go
@@ -23,6 +23,14 @@
 	Entries     []paths.Status `json:"entries"`
 }
 
+// InForce is 1 once the agent works by a document, 0 before.
+func (a *Agent) InForce() int {
+	if a.now.Load() == nil {
+		return 0
+	}
+	return 1
+}
+
 // Status tells what the agent knows.
 func (a *Agent) Status() Status {
 	s := Status{
--- a/internal/node/entry/status.go
+++ b/internal/node/entry/status.go
@@ -24,6 +24,9 @@
 	Weight float64        `json:"weight"` // share of new flows, relative to the others
 }
 
+// InForce is the number of services in force.
+func (e *Entry) InForce() int { return len(*e.tags.Load()) }
+
 // Status lists the services in force and what is believed of their servers.
 func (e *Entry) Status() (list []Service) {
 	for _, s := range *e.tags.Load() {
--- /dev/null
+++ b/internal/node/start/ready_test.go
@@ -0,0 +1,31 @@
+package start
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"mangowinch/internal/conf/store"
+)
+
+// An agent's settings lack the key that its document names. The document was fetched and
+// is without fault, but the agent cannot work by it and serves nobody; called ready it
+// would be counted on. An entry with a part of its documents is no better: it drops
+// what callers of the other services send.
+func TestReadyMeansAtWork(t *testing.T) {
+	fetched := &store.View{Entries: map[string]*store.Entry{"tracing-core": {}}}
+	faulty := &store.View{Faults: map[string]*store.Fault{"tracing-core": {}}}
+	for _, c := range []struct {
+		view            *store.View
+		inForce, wanted int
+		want            string
+	}{
+		{&store.View{}, 0, 0, "no document is in force yet"},
+		{fetched, 0, 0, "no document can be used here; the log says why"},
+		{faulty, 0, 0, "no document is without fault; see section documents of /status"},
+		{fetched, 1, 3, "3 documents are still to come"},
+		{fetched, 1, 0, ""},
+	} {
+		assert.Equal(t, unready(c.view, c.inForce, c.wanted), c.want)
+	}
+}
--- a/internal/node/start/relay.go
+++ b/internal/node/start/relay.go
@@ -33,6 +33,7 @@
 	c.Dial = func(a netip.AddrPort) relay.Peer { return dialer.Peer(a) }
 	n := relay.New(c)
 	p.admin.Section("control", func() any { return n.Status() })
+	p.wanted = func() int { return n.Status().Wanted }
 	return &control{n, dialer}
 }
 
--- a/internal/node/start/start.go
+++ b/internal/node/start/start.go
@@ -33,11 +33,14 @@
 	log      zerolog.Logger
 	store    *store.Store
 	admin    *admin.Server
+	wanted   func() int // documents that a peer has newer
 }
 
 // runner is a process of either role.
 type runner interface {
 	Run(ctx context.Context) error
+	// InForce is the number of documents that the process works by.
+	InForce() int
 }
 
 func newParts(settings *prefs.Settings, role string) *parts {
@@ -108,7 +111,7 @@
 	var g errgroup.Group
 	g.Go(func() error { return control(inner) })
 	g.Go(func() error {
-		p.watchReady(inner)
+		p.watchReady(inner, r)
 		return nil
 	})
 	g.Go(func() error { return p.admin.Run(inner) })
@@ -118,20 +121,3 @@
 	})
 	return g.Wait()
 }
-
-// watchReady keeps the readiness condition: a process is ready once a document is in force.
-func (p *parts) watchReady(ctx context.Context) {
-	c := p.admin.Condition("document")
-	c.Set(false, "no document is in force yet")
-	for {
-		changed := p.store.Changed()
-		if len(p.store.View().Entries) > 0 {
-			c.Set(true, "")
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-changed:
-		}
-	}
-}
