--- a/internal/node/start/start.go
+++ b/internal/node/start/start.go
@@ -12,6 +12,7 @@
 	"context"
 	"crypto/tls"
 	"os"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
@@ -24,6 +25,7 @@
 	"mangowinch/internal/node/agent"
 	"mangowinch/internal/node/entry"
 	"mangowinch/internal/oper/admin"
+	"mangowinch/internal/oper/build"
 	"mangowinch/internal/oper/logs"
 )
 
@@ -50,6 +52,14 @@
 		store:    store.New(docs.Parse),
 	}
 	p.admin = admin.New(settings.Process.Operator, p.log)
+	own := Process{
+		Name:    settings.Process.Name,
+		Role:    role,
+		Domain:  settings.Process.Domain,
+		Version: build.Version(),
+		Since:   time.Now(),
+	}
+	p.admin.Section("process", func() any { return own })
 	p.admin.Section("documents", func() any { return listDocuments(p.store.View()) })
 	return p
 }
--- a/internal/node/start/status.go
+++ b/internal/node/start/status.go
@@ -8,6 +8,15 @@
 	"mangowinch/internal/conf/store"
 )
 
+// Process is what a process is, in /status.
+type Process struct {
+	Name    string    `json:"name"`
+	Role    string    `json:"role"`
+	Domain  string    `json:"domain"` // failure domain
+	Version string    `json:"version"`
+	Since   time.Time `json:"since"`
+}
+
 // Document is one document in /status.
 type Document struct {
 	Name     string    `json:"name"`
--- a/internal/oper/verbs/verbs.go
+++ b/internal/oper/verbs/verbs.go
@@ -21,6 +21,8 @@
 
 	"github.com/alecthomas/kong"
 	"github.com/cockroachdb/errors"
+
+	"mangowinch/internal/oper/build"
 )
 
 // Exit codes. Each verb's help says what they mean for it.
@@ -47,6 +49,8 @@
 	Status  StatusCmd  `cmd:"" help:"Ask a running process what it knows and why it decided so."`
 	Call    CallCmd    `cmd:"" help:"Send one request as a caller and show what became of it."`
 	Certify CertifyCmd `cmd:"" help:"Make a certificate and keys for a demonstration; never for real callers."`
+
+	Version kong.VersionFlag `help:"Print the version and end."`
 }
 
 // console is where a verb reads and writes.
@@ -87,6 +91,7 @@
 		kong.Name("mangowinch"),
 		kong.Description(description),
 		kong.ConfigureHelp(kong.HelpOptions{Compact: true, WrapUpperBound: 110}),
+		kong.Vars{"version": build.Version()},
 		kong.Writers(out, err),
 		kong.Exit(func(int) { shown = true }),
 		kong.Bind(c),
