--- a/internal/oper/verbs/verbs_test.go
+++ b/internal/oper/verbs/verbs_test.go
@@ -75,7 +75,10 @@
 			Name     string `json:"name"`
 			Revision int    `json:"revision"`
 			From     string `json:"from"`
-		}{{"tracing-core", 3, "platform"}, {"doc-intake", 12, ""}}
+			Load     struct {
+				Busy int `json:"busy"`
+			} `json:"load"`
+		}{{Name: "tracing-core", Revision: 3, From: "platform"}, {Name: "doc-intake", Revision: 12}}
 	})
 	s.Section("reasons", func() any { return nil }) // the counters of this process depend on the tests before
 	s.Section("refused", func() any { return map[string]any{"queue": 4, "peers": []string{"e1", "e2"}} })
@@ -124,6 +127,10 @@
 		w.Header().Set(headerKey, r.Header.Get(headerKey)+"k")
 		_, _ = io.Copy(w, r.Body)
 	})
+	mux.HandleFunc(keyPath, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(headerKey, "first")
+		w.WriteHeader(http.StatusNoContent)
+	})
 	mux.HandleFunc("/refuse", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set(headerOutcome, "not-run")
 		w.Header().Set(headerReason, "queue")
@@ -157,7 +164,11 @@
 	code, out, err := run("call", "lookup", url+"/run", "--ca", ca, "--body", "hello", "--repeat-key", "a", "--local", "127.0.0.5")
 	assert.Equal(t, code, exitDone, err)
 	assert.Equal(t, out, "hello")
-	assert.Assert(t, strings.Contains(err, "request-key  ak\n"))
+	assert.Assert(t, strings.Contains(err, "sent-key     a\nfresh-key    ak\n"))
+
+	code, _, err = run("call", "lookup", url+"/run", "--ca", ca, "--fresh-key")
+	assert.Equal(t, code, exitDone, err)
+	assert.Assert(t, strings.Contains(err, "sent-key     first\n"), err)
 
 	code, out, _ = run("call", "upload", url+"/run", "--insecure", "--file", "-")
 	assert.Equal(t, code, exitDone)
@@ -209,3 +220,19 @@
 		assert.Equal(t, code, exitDone, out+message)
 	}
 }
+
+// A process is started twice with the same settings. The second one used to run on
+// without its operators' pages, so that nobody could see that it was there; it now
+// ends before it takes any traffic.
+func TestOperatorAddressIsTaken(t *testing.T) {
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer taken.Close()
+	settings := filepath.Join(certified(t), "entry.ini")
+	text := "[process]\nname = e1\ndomain = a\noperator = " + taken.Addr().String() +
+		"\n[platform]\naddress = http://127.0.0.1:1\n[key k1]\nfile = k1.key\n[entry]\nbind = 127.0.0.1\nlink = 127.0.0.1:1\n"
+	assert.NilError(t, os.WriteFile(settings, []byte(text), 0o600))
+	code, _, message := run("entry", "--settings", settings)
+	assert.Equal(t, code, exitFault)
+	assert.Assert(t, strings.Contains(message, "operators' HTTP"), message)
+}
