Name the relay's tests in the fault matrix

Cause: package fetch lost its loop Keep when the relay took its place, and with it TestKeepSurvivesOutageAndStalePlatform. The relay's tests hold the same promises on a fleet instead of one process: TestPlatformDownAfterOneSawTheChange, TestLongOutage, TestRestartWithStalePlatform.

--- a/internal/stand/matrix/cells.go
+++ b/internal/stand/matrix/cells.go
@@ -105,14 +105,14 @@
 
 	{Row: inForce, Fault: entryKilled, Never: "what a balancer had in force dies with it; its successor is a balancer that joins"},
 	{Row: inForce, Fault: entryJoins, Scenarios: []string{"entry-joins"}},
-	{Row: inForce, Fault: serverDies, Scenarios: []string{"agent-killed+drain", "agent-killed+platform-down"}},
+	{Row: inForce, Fault: serverDies, Tests: []string{"ctrl/relay.TestManyFailures"}, Scenarios: []string{"agent-killed+drain", "agent-killed+platform-down"}},
 	{Row: inForce, Fault: drains, Never: "a drain changes no document; a drain by document is an update like any other"},
-	{Row: inForce, Fault: uneven, Tests: []string{"conf/store.TestNeverReverts"}},
-	{Row: inForce, Fault: down, Tests: []string{"ctrl/fetch.TestKeepSurvivesOutageAndStalePlatform"}, Scenarios: []string{"platform-down-entry-restarted"}},
-	{Row: inForce, Fault: stale, Tests: []string{"conf/store.TestNeverReverts"}, Scenarios: []string{"platform-stale-entry-restarted", "platform-stale+drain"}},
+	{Row: inForce, Fault: uneven, Tests: []string{"conf/store.TestNeverReverts", "ctrl/relay.TestNeverRevertsInFleet", "ctrl/relay.TestChangeReachesAll"}},
+	{Row: inForce, Fault: down, Tests: []string{"ctrl/relay.TestPlatformDownAfterOneSawTheChange", "ctrl/relay.TestLongOutage"}, Scenarios: []string{"platform-down-entry-restarted"}},
+	{Row: inForce, Fault: stale, Tests: []string{"conf/store.TestNeverReverts", "ctrl/relay.TestRestartWithStalePlatform"}, Scenarios: []string{"platform-stale-entry-restarted", "platform-stale+drain"}},
 	{Row: inForce, Fault: frozen, Scenarios: []string{"entry-frozen+document"}},
-	{Row: inForce, Fault: partition, Scenarios: []string{"partition+document"}},
-	{Row: inForce, Fault: oneWay, Scenarios: []string{"cut-back+document"}},
+	{Row: inForce, Fault: partition, Tests: []string{"ctrl/relay.TestPartitionHeals"}, Scenarios: []string{"partition+document"}},
+	{Row: inForce, Fault: oneWay, Tests: []string{"ctrl/relay.TestLoss"}, Scenarios: []string{"cut-back+document"}},
 	{Row: inForce, Fault: racing, Tests: []string{"conf/store.TestNeverReverts", "conf/store.TestFaultyDocumentLeavesTheLastGoodOne"}, Scenarios: []string{"two-documents-at-once"}},
 }
 
