Let a replaced process decide about its request keys

A planned replacement cut a lookup. Ruled out: handing the memory of outcomes over, since between the copy and the end of the old process both could decide.

--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -44,9 +44,9 @@
 	"mangowinch/internal/node/awake"
 	"mangowinch/internal/node/gate"
 	"mangowinch/internal/node/rings"
-	"mangowinch/internal/node/sock"
 	"mangowinch/internal/work/once"
 	"mangowinch/internal/work/result"
+	"mangowinch/internal/work/token"
 )
 
 const (
@@ -174,7 +174,7 @@
 	if err != nil {
 		return err
 	}
-	peers, err := sock.TCP(ctx, a.settings.Agent.Listen, a.link.use())
+	peers, err := a.link.listenPeers(ctx)
 	if err != nil {
 		return err
 	}
@@ -183,7 +183,9 @@
 	if s := a.link.side; s != nil {
 		g.Go(func() error { return a.link.read(inner, s.conn) })
 	}
-	g.Go(func() error { return a.servePeers(inner, peers) })
+	for _, l := range peers {
+		g.Go(func() error { return a.servePeers(inner, l) })
+	}
 	g.Go(func() error {
 		a.link.keepPaths(inner)
 		return nil
@@ -312,7 +314,7 @@
 		a.newShare(next)
 	}
 	a.now.Store(next)
-	a.setPeers(d.Service)
+	a.setPeers(d.Service, a.settings.Agent.Sides)
 	a.gate.SetLimits(admit.LimitsOf(d.Service, *next.own))
 	a.log.Info().Str("service", d.Name).Uint64("revision", d.Revision).Str("source", d.Source).Msg("document in force")
 	a.standing.set(byDocument, next.own.State == docs.Leaving)
@@ -357,7 +359,7 @@
 	go a.sayGoodbye(ctx)
 	started := time.Now()
 	for time.Since(started) < stopTime && ctx.Err() == nil {
-		if a.requests.Load() == 0 && time.Since(started) > leaveTime {
+		if a.requests.Load() == 0 && time.Since(started) > a.stayTime() {
 			break
 		}
 		time.Sleep(leaveTime / 10)
@@ -365,6 +367,17 @@
 	a.log.Info().Dur("after", time.Since(started)).Msg("left")
 }
 
+// stayTime is how long a stopping agent stays at least. Beside a successor that is
+// until the last request key it has issued has lapsed: a caller that uses the key, for
+// the first time or again, reaches the successor, which asks this process. Were it gone,
+// the outcome would be unknown, though nothing failed.
+func (a *Agent) stayTime() time.Duration {
+	if a.link.side.alive(time.Now()) {
+		return leaveTime + token.DefaultLifetime
+	}
+	return leaveTime
+}
+
 // sayGoodbye asks callers to open their next requests elsewhere.
 func (a *Agent) sayGoodbye(ctx context.Context) {
 	if err := a.server.Shutdown(ctx); err != nil && ctx.Err() == nil {
--- a/internal/node/agent/link.go
+++ b/internal/node/agent/link.go
@@ -121,6 +121,7 @@
 		r.takeDatagram(now, v, b, payload)
 	case frame.Probe:
 		if r.bySide && from == l.side.other {
+			l.side.incarnation.Store(h.Nonce)
 			l.side.heard.Store(now.UnixNano())
 			return
 		}
--- a/internal/node/agent/place.go
+++ b/internal/node/agent/place.go
@@ -67,6 +67,7 @@
 		View:   func() *once.View { return a.now.Load().keys },
 		Memory: memo.New(memo.DefaultLimits),
 		Client: s.client,
+		Beside: a.link.beside,
 	}
 }
 
@@ -74,12 +75,13 @@
 func (a *Agent) ringNow() *token.Ring { return a.now.Load().keys.Ring }
 
 // setPeers puts a document's servers in force.
-func (s *share) setPeers(d *docs.Service) {
+func (s *share) setPeers(d *docs.Service, sides []netip.AddrPort) {
 	s.spreader.SetServers(d)
 	agents := make([]netip.AddrPort, 0, len(d.Servers))
 	for _, v := range d.Servers {
 		agents = append(agents, v.Agent)
 	}
+	agents = append(agents, sides...)
 	s.client.Keep(agents)
 }
 
--- a/internal/node/agent/side.go
+++ b/internal/node/agent/side.go
@@ -12,6 +12,7 @@
 	"mangowinch/internal/flow/frame"
 	"mangowinch/internal/flow/ident"
 	"mangowinch/internal/node/sock"
+	"mangowinch/internal/work/once"
 )
 
 const (
@@ -35,7 +36,9 @@
 	conn  *net.UDPConn
 	other netip.AddrPort
 	heard atomic.Int64 // Unix nanoseconds of the other's last sign of life
-	doubt atomic.Int64 // Unix nanoseconds when its silence was first noticed; 0 if it is heard
+	// incarnation is the other process's, once it is heard.
+	incarnation atomic.Uint64
+	doubt       atomic.Int64 // Unix nanoseconds when its silence was first noticed; 0 if it is heard
 }
 
 // openSide takes the first address that is free. Without addresses there is no side.
@@ -109,6 +112,32 @@
 	l.agent.count.sided.Inc()
 }
 
+// beside names the other process, for the request keys that it owns.
+func (l *link) beside() (other once.Other, runs bool) {
+	if !l.side.alive(time.Now()) {
+		return once.Other{}, false
+	}
+	return once.Other{Incarnation: l.side.incarnation.Load(), Address: l.side.other}, true
+}
+
+// listenPeers opens what other processes connect to: the agent's address, which a
+// successor shares, and the side's own, which it does not.
+func (l *link) listenPeers(ctx context.Context) (listeners []net.Listener, err error) {
+	main, err := sock.TCP(ctx, l.agent.settings.Agent.Listen, l.use())
+	if err != nil {
+		return nil, err
+	}
+	if l.side == nil {
+		return []net.Listener{main}, nil
+	}
+	own := l.side.conn.LocalAddr().(*net.UDPAddr).AddrPort()
+	side, err := sock.TCP(ctx, own, sock.Alone)
+	if err != nil {
+		return nil, errors.CombineErrors(err, main.Close())
+	}
+	return []net.Listener{main, side}, nil
+}
+
 // index is the side that connection IDs carry.
 func (l *link) index() uint8 {
 	if l.side == nil {
--- a/internal/stand/faults/scenario.go
+++ b/internal/stand/faults/scenario.go
@@ -36,6 +36,7 @@
 		{Name: "agent-frozen", Steps: agentFrozen},
 		{Name: "agent-frozen-past-deadline", Steps: agentFrozenLong},
 		{Name: "agent-replaced", Steps: agentReplaced},
+		{Name: "agent-succeeded", Steps: agentSucceeded},
 		{Name: "server-killed", Steps: serverKilled},
 		{Name: "server-dies-after-running", Steps: func(r *run) error { return serverFault(r, "die") }},
 		{Name: "server-frozen", Steps: func(r *run) error { return serverFault(r, "freeze") }},
--- a/internal/stand/matrix/cells.go
+++ b/internal/stand/matrix/cells.go
@@ -57,7 +57,7 @@
 var cells = []Cell{
 	{Row: established, Fault: entryKilled, Tests: []string{"flow/paths.TestOneWayFeedLeavesDeadEntry", "stand/demo.TestWholePathAsSeparateProcesses"}},
 	{Row: established, Fault: entryJoins, Tests: []string{"flow/ident.TestOpenGivesTheSealedServer"}},
-	{Row: established, Fault: drains, Scenarios: []string{"agent-replaced"}},
+	{Row: established, Fault: drains, Scenarios: []string{"agent-replaced", "agent-succeeded"}},
 	{Row: established, Fault: uneven, Tests: []string{"flow/ident.TestRotatedKeyStillRoutes", "flow/route.TestFormerChoiceIsNamed", "flow/table.TestSecondHalfOfFirstFlightFindsItsServer"}},
 	{Row: established, Fault: frozen, Tests: []string{"flow/paths.TestPauseLosesNobody"}},
 	{Row: established, Fault: partition, Tests: []string{"flow/paths.TestPartedCallerIsAnsweredByEntriesThatHearIt"}},
--- a/internal/work/once/once.go
+++ b/internal/work/once/once.go
@@ -49,6 +49,15 @@
 	View   func() *View
 	Memory *memo.Memo
 	Client Passer
+	// Beside names the other process at this agent's address, its predecessor or
+	// its successor, while it runs; nil if there can be none.
+	Beside func() (other Other, runs bool)
+}
+
+// Other is a process that shares this agent's address.
+type Other struct {
+	Incarnation uint64
+	Address     netip.AddrPort // its own
 }
 
 // Applies reports whether a request's key is looked at.
@@ -67,7 +76,7 @@
 		return result.Result{Outcome: result.Unknown, Reason: result.KeyBad}
 	}
 	now := time.Now()
-	ruling := v.Owner.Rule(now, key, v.Servers)
+	ruling := g.rule(v, now, key)
 	switch ruling.Place {
 	case token.Here:
 		return g.own(ctx, r, a, next, memo.Call{
@@ -83,6 +92,21 @@
 	}
 }
 
+// rule decides who decides. An agent's process that is being replaced still owns the
+// keys it issued; the two know each other's incarnations, so that a key of a third
+// goes to neither.
+func (g *Guard) rule(v *View, now time.Time, key token.Key) token.Ruling {
+	ruling := v.Owner.Rule(now, key, v.Servers)
+	if ruling.Place != token.Refuse || key.Server != v.Owner.Server || g.Beside == nil {
+		return ruling
+	}
+	other, runs := g.Beside()
+	if !runs || other.Incarnation != key.Incarnation {
+		return ruling
+	}
+	return token.Ruling{Place: token.Pass, Agent: other.Address}
+}
+
 // pass gives a request to the owner of its key. The owner may be unreachable for a
 // while only, so the caller is told when to come back.
 func (g *Guard) pass(ctx context.Context, v *View, owner netip.AddrPort, r *hand.Request, a hand.Answer) result.Result {
