Tell placement of failures by status, and of feeds by their first byte

A server or peer that could not be reached is told as such, so that it is out beyond the ejection ceiling; the time that an upload takes is not told as a service time.

Touches internal/work/spread only.

--- a/internal/work/spread/spread.go
+++ b/internal/work/spread/spread.go
@@ -48,6 +48,7 @@
 	service  string
 	agents   map[uint32]netip.AddrPort
 	agentIDs map[netip.AddrPort]uint32
+	kinds    map[string]docs.Kind // by class
 }
 
 // New gives a spreader that knows of no server yet. Own tells the state of the own server.
@@ -70,6 +71,10 @@
 	s.placer.SetServers(time.Now(), place.ServersOf(d))
 	s.agents = make(map[uint32]netip.AddrPort, len(d.Servers))
 	s.agentIDs = make(map[netip.AddrPort]uint32, len(d.Servers))
+	s.kinds = make(map[string]docs.Kind, len(d.Classes))
+	for _, c := range d.Classes {
+		s.kinds[c.Name] = c.Kind
+	}
 	for _, v := range d.Servers {
 		s.agents[v.ID] = v.Agent
 		s.agentIDs[v.Agent] = v.ID
@@ -131,7 +136,14 @@
 		r.Body = reader
 	}
 	started := time.Now()
-	defer func() { s.ended(server, end, time.Since(started)) }()
+	var once sync.Once
+	note := func(end result.Result) {
+		once.Do(func() { s.ended(server, t, end, time.Since(started)) })
+	}
+	if r.Feed { // holds no slot after its first byte, and may be open for hours
+		t.answer.first = func() { note(result.Result{Outcome: result.Ran}) }
+	}
+	defer func() { note(end) }()
 	if server == s.self {
 		return own.Run(ctx, &r, t.answer)
 	}
@@ -157,19 +169,29 @@
 	return c.Server, s.agents[c.Server]
 }
 
-func (s *Spreader) ended(server uint32, end result.Result, took time.Duration) {
+func (s *Spreader) ended(server uint32, t *attempt, end result.Result, took time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	how := place.Good
+	if s.kinds[t.request.Class] == docs.Upload {
+		took = 0 // long by nature
+	}
+	s.placer.Ended(time.Now(), server, howEnded(end, t.answer.status.Load()), took)
+}
+
+// howEnded says what an end tells of the server. A server that fails each request within a
+// millisecond gives whole answers and looks idle; its status says that they are failures.
+func howEnded(end result.Result, status int32) place.End {
 	switch {
 	case end.Reason == result.Gone:
-		how = place.Good // the caller's doing; the time it took is a lower bound
-	case end.Outcome == result.NotRun && end.Reason != result.PeerLost && end.Reason != result.ServerDown:
-		how = place.Shed
-	case end.Outcome != result.Ran:
-		how = place.Failed
+		return place.Good // the caller's doing; the time it took is a lower bound
+	case end.Outcome == result.NotRun && (end.Reason == result.PeerLost || end.Reason == result.ServerDown):
+		return place.Missed
+	case end.Outcome == result.NotRun:
+		return place.Shed
+	case end.Outcome != result.Ran || status >= http.StatusInternalServerError:
+		return place.Failed
 	}
-	s.placer.Ended(time.Now(), server, how, took)
+	return place.Good
 }
 
 // again decides whether one more try is made.
@@ -212,10 +234,16 @@
 type begun struct {
 	hand.Answer
 	started atomic.Bool
+	status  atomic.Int32
+	first   func() // called when an answer starts, if set
 }
 
 // Start implements hand.Answer.
 func (b *begun) Start(status int, header http.Header) error {
 	b.started.Store(true)
+	b.status.Store(int32(status))
+	if b.first != nil {
+		b.first()
+	}
 	return b.Answer.Start(status, header)
 }
--- a/internal/work/spread/spread_test.go
+++ b/internal/work/spread/spread_test.go
@@ -129,3 +129,61 @@
 	}
 	assert.Assert(t, len(s.log) < 1200, "%d tries", len(s.log))
 }
+
+// failing answers 500 at once on the own server and 200 elsewhere.
+type failing struct{ own, other int }
+
+func (f *failing) Run(_ context.Context, _ *hand.Request, a hand.Answer) result.Result {
+	f.own++
+	_ = a.Start(http.StatusInternalServerError, nil)
+	return ran
+}
+
+func (f *failing) Hand(_ context.Context, _ netip.AddrPort, _ *hand.Request, a hand.Answer) result.Result {
+	f.other++
+	_ = a.Start(http.StatusOK, nil)
+	return ran
+}
+
+// Story: a backend server answers 500 within a millisecond. It always has idle slots, so all its
+// agent's callers got 500 for as long as it lasted. After a few, others get the requests.
+func TestFailFastServerIsLeftAlone(t *testing.T) {
+	f := &failing{}
+	sp := New(place.Self{ID: 1}, f, func() place.Hint { return place.Hint{} })
+	sp.SetServers(&docs.Service{Servers: []docs.Server{{ID: 1, Slots: 4}, {ID: 2, Slots: 4}, {ID: 3, Slots: 4}}})
+	for range 50 {
+		sp.Run(context.Background(), request(false), nowhere{}, f)
+	}
+	assert.Assert(t, f.own < 10 && f.other > 40, "own %d, others %d", f.own, f.other)
+}
+
+// opening hands feeds over; each opens the next one while it is open itself.
+type opening struct {
+	sp    *Spreader
+	depth int
+	log   []string
+}
+
+func (o *opening) Run(_ context.Context, _ *hand.Request, _ hand.Answer) result.Result {
+	o.log = append(o.log, "own")
+	return ran
+}
+
+func (o *opening) Hand(ctx context.Context, _ netip.AddrPort, r *hand.Request, a hand.Answer) result.Result {
+	o.log = append(o.log, "other")
+	_ = a.Start(http.StatusOK, nil)
+	if o.depth--; o.depth > 0 {
+		return o.sp.Run(ctx, &hand.Request{Feed: true, Deadline: r.Deadline}, nowhere{}, o)
+	}
+	return ran
+}
+
+// Story: a full server's agent hands feeds to its peers, where they stay open for hours. They
+// hold no slot there, so the tenth one still finds its peers idle, not full.
+func TestOpenFeedsDoNotFillPeers(t *testing.T) {
+	o := &opening{depth: 10}
+	o.sp = New(place.Self{ID: 1}, o, func() place.Hint { return place.Hint{Running: 4, Waiting: 4} })
+	o.sp.SetServers(&docs.Service{Servers: []docs.Server{{ID: 1, Slots: 4}, {ID: 2, Slots: 4}, {ID: 3, Slots: 4}}})
+	o.sp.Run(context.Background(), &hand.Request{Feed: true, Deadline: time.Now().Add(time.Minute)}, nowhere{}, o)
+	assert.Equal(t, strings.Count(strings.Join(o.log, " "), "other"), 10)
+}
