--- a/internal/node/agent/place.go
+++ b/internal/node/agent/place.go
@@ -32,7 +32,7 @@
 	// the largest, with a whole document.
 	maxMessage = 1 << 20
 	// usageWindow is the time over which the own server's use is averaged for others.
-	usageWindow = 2 * time.Second
+	usageWindow = time.Second
 )
 
 // place runs a request on the own server or at another agent, and places elsewhere
@@ -91,16 +91,13 @@
 	a.usage.Set(now, s.Running, s.Slots)
 	busy := a.usage.Share(now)
 	a.usageMu.Unlock()
-	h := place.Hint{Running: s.Running, Waiting: s.Waiting, Busy: busy, Leaving: !a.standing.accepting()}
-	runs := 0
-	for _, c := range s.Classes {
-		h.Service += c.Mean * time.Duration(c.Runs)
-		runs += c.Runs
+	return place.Hint{
+		Running: s.Running,
+		Waiting: s.Waiting,
+		Busy:    busy,
+		Service: s.Service(),
+		Leaving: !a.standing.accepting(),
 	}
-	if runs > 0 {
-		h.Service /= time.Duration(runs)
-	}
-	return h
 }
 
 // demanding hands requests over and counts the slot time that they take elsewhere
