--- a/cmd/capacity/slopes.go
+++ b/cmd/capacity/slopes.go
@@ -32,7 +32,7 @@
 
 // documents: what an entry spends with more documents, and its start.
 func documents(o options) error {
-	var x, bytes, cpu, memory, fill, got []float64
+	var x, bytes, cpu, memory, fill, got, silent []float64
 	for _, n := range []int{160, 325, 650, 1300} {
 		f, m, err := settled(scale.Size{Entries: 28, Documents: n, Text: 2000})
 		if err != nil {
@@ -40,6 +40,10 @@
 			return err
 		}
 		c := f.Measure(o.Window)
+		suspected := 0.0
+		for _, p := range f.Processes() {
+			suspected += float64(p.Node.Status().Suspected) / 28
+		}
 		again := f.RestartDomain("domain-1")
 		took, err := f.Await(again, time.Minute)
 		if err != nil {
@@ -57,12 +61,14 @@
 		memory = append(memory, m/1024)
 		fill = append(fill, took.Seconds())
 		got = append(got, received/1024)
+		silent = append(silent, suspected)
 	}
 	head("Documents: one of 28 entries, documents of 2 KB", "documents", len(x))
 	show("bytes of an entry", "a second", x, bytes, 1300)
 	show("processor time of an entry", "ms a second", x, cpu, 1300)
 	show("memory of an entry", "KB", x, memory, 1300)
 	show("until all entries of a restarted domain are full", "s", x, fill, 1300)
+	show("members that an entry believes silent after the start", "of 27", x, silent, 1300)
 	show("received by an entry until full", "KB", x, got, 1300)
 	return nil
 }
--- a/internal/ctrl/relay/pull.go
+++ b/internal/ctrl/relay/pull.go
@@ -1,17 +1,11 @@
 package relay
 
 import (
-	"bytes"
-	"compress/flate"
 	"context"
-	"io"
 	"net/netip"
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
-	"google.golang.org/protobuf/proto"
-
 	"mangowinch/internal/conf/store"
 	"mangowinch/internal/ctrl/digest"
 	"mangowinch/internal/ctrl/wire"
@@ -23,12 +17,9 @@
 	pullHedge   = 600 * time.Millisecond // then another one is asked as well; the first may have waited half a second for its budget
 	pullsAtOnce = 6                      // so that slow peers don't hold up all
 	namesAtOnce = 256                    // of one call
-	largeAnswer = 64 << 10               // bytes of text in one answer, before deflating
-	smallAnswer = 16 << 10               // when the budget is nearly spent; passes in 1.4 s even if it can't be deflated
-	maxAnswer   = 256 << 10
-	maxPartial  = 4 << 20 // of texts that came in part
-	linksOfWant = 4       // peers that are known to have one document
-	failsOfWant = 6       // then comparing brings it up again
+	maxPartial  = 4 << 20                // of texts that came in part
+	linksOfWant = 4                      // peers that are known to have one document
+	failsOfWant = 6                      // then comparing brings it up again
 	triedFor    = 30 * time.Second
 	pullRetry   = 250 * time.Millisecond
 )
@@ -340,99 +331,3 @@
 	delete(n.pull.partials, p.GetName())
 	return q.text, true, true
 }
-
-// Pull answers with the texts that the asker lacks, as many as the budget allows.
-func (n *Node) Pull(ctx context.Context, in *wire.Wants) (out *wire.Texts, err error) {
-	defer func() { n.Meter.Answered(proto.Size(in), proto.Size(out)) }()
-	if !n.answers.Allow() {
-		refused("rate")
-		return nil, ErrBusy
-	}
-	n.Meter.Work(func() { out, err = n.pack(in) })
-	if err != nil {
-		return nil, err
-	}
-	if !n.Meter.Spend(ctx, len(out.GetDeflated())) {
-		refused("budget")
-		return nil, ErrBusy
-	}
-	return out, nil
-}
-
-// pack collects texts up to the size of one answer.
-func (n *Node) pack(in *wire.Wants) (*wire.Texts, error) {
-	left := smallAnswer
-	if n.Meter.Room() > largeAnswer {
-		left = largeAnswer
-	}
-	view := n.Store.View()
-	parts := &wire.Parts{}
-	for _, w := range in.GetWants() {
-		if left <= 0 {
-			break
-		}
-		revision, text := lacked(view, w)
-		if text == nil {
-			continue
-		}
-		p := &wire.Part{Name: w.GetName(), Revision: revision, Size: uint64(len(text))}
-		if w.GetPartial() == revision && w.GetOffset() < p.GetSize() {
-			p.Offset = w.GetOffset()
-		}
-		p.Data = text[p.GetOffset():min(p.GetOffset()+uint64(left), p.GetSize())]
-		left -= len(p.GetData())
-		parts.Parts = append(parts.Parts, p)
-	}
-	b, err := deflate(parts)
-	return &wire.Texts{Deflated: b}, err
-}
-
-// lacked returns the text that brings an asker forward: first the newest, then,
-// if it could not read that one, the one in force.
-func lacked(view *store.View, w *wire.Want) (revision uint64, text []byte) {
-	f, e := view.Faults[w.GetName()], view.Entries[w.GetName()]
-	if f != nil && f.Revision > w.GetNewest() {
-		return f.Revision, f.Text
-	}
-	if e != nil && e.Revision > w.GetRevision() && e.Revision != w.GetNewest() {
-		return e.Revision, e.Text
-	}
-	return 0, nil
-}
-
-// writers keeps deflaters, which take most of a megabyte each.
-var writers = sync.Pool{New: func() any {
-	w, _ := flate.NewWriter(nil, flate.DefaultCompression) // fails for a wrong level only
-	return w
-}}
-
-func deflate(parts *wire.Parts) (deflated []byte, err error) {
-	defer func() { err = errors.Wrap(err, "deflate") }()
-	b, err := proto.Marshal(parts)
-	if err != nil {
-		return nil, err
-	}
-	var out bytes.Buffer
-	w := writers.Get().(*flate.Writer)
-	defer writers.Put(w)
-	w.Reset(&out)
-	if _, err := w.Write(b); err != nil {
-		return nil, err
-	}
-	err = w.Close()
-	return out.Bytes(), err
-}
-
-func inflate(deflated []byte) (parts []*wire.Part, err error) {
-	defer func() { err = errors.Wrap(err, "inflate") }()
-	b, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(deflated)), maxAnswer+1))
-	if err != nil {
-		return nil, err
-	}
-	if len(b) > maxAnswer {
-		return nil, errors.Newf("more than %d bytes", maxAnswer)
-	}
-	var all wire.Parts
-	err = proto.Unmarshal(b, &all)
-	return all.GetParts(), err
-}
