--- a/internal/node/start/start.go
+++ b/internal/node/start/start.go
@@ -12,6 +12,7 @@
 	"context"
 	"crypto/tls"
 	"os"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
@@ -24,6 +25,7 @@
 	"mangowinch/internal/node/agent"
 	"mangowinch/internal/node/entry"
 	"mangowinch/internal/oper/admin"
+	"mangowinch/internal/oper/build"
 	"mangowinch/internal/oper/logs"
 )
 
@@ -33,11 +35,14 @@
 	log      zerolog.Logger
 	store    *store.Store
 	admin    *admin.Server
+	wanted   func() int // documents that a peer has newer
 }
 
 // runner is a process of either role.
 type runner interface {
 	Run(ctx context.Context) error
+	// InForce is the number of documents that the process works by.
+	InForce() int
 }
 
 func newParts(settings *prefs.Settings, role string) *parts {
@@ -47,6 +52,14 @@
 		store:    store.New(docs.Parse),
 	}
 	p.admin = admin.New(settings.Process.Operator, p.log)
+	own := Process{
+		Name:    settings.Process.Name,
+		Role:    role,
+		Domain:  settings.Process.Domain,
+		Version: build.Version(),
+		Since:   time.Now(),
+	}
+	p.admin.Section("process", func() any { return own })
 	p.admin.Section("documents", func() any { return listDocuments(p.store.View()) })
 	return p
 }
@@ -54,6 +67,9 @@
 // Entry runs an entry until ctx ends and its planned stop is done.
 func Entry(ctx context.Context, settings *prefs.Settings) (err error) {
 	p := newParts(settings, "entry")
+	if err := p.admin.Open(); err != nil {
+		return err
+	}
 	e, err := entry.New(settings, p.store, p.log)
 	if err != nil {
 		return err
@@ -72,6 +88,9 @@
 	if settings.Agent == nil {
 		return errors.New("the settings have no section agent")
 	}
+	if err := p.admin.Open(); err != nil {
+		return err
+	}
 	pair, err := certs.Open(settings.Agent.Certificate, settings.Agent.Private, p.log)
 	if err != nil {
 		return err
@@ -102,7 +121,7 @@
 	var g errgroup.Group
 	g.Go(func() error { return control(inner) })
 	g.Go(func() error {
-		p.watchReady(inner)
+		p.watchReady(inner, r)
 		return nil
 	})
 	g.Go(func() error { return p.admin.Run(inner) })
@@ -112,20 +131,3 @@
 	})
 	return g.Wait()
 }
-
-// watchReady keeps the readiness condition: a process is ready once a document is in force.
-func (p *parts) watchReady(ctx context.Context) {
-	c := p.admin.Condition("document")
-	c.Set(false, "no document is in force yet")
-	for {
-		changed := p.store.Changed()
-		if len(p.store.View().Entries) > 0 {
-			c.Set(true, "")
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-changed:
-		}
-	}
-}
--- a/internal/stand/faults/faults.go
+++ b/internal/stand/faults/faults.go
@@ -57,7 +57,9 @@
 	Caught     Caught
 	Dials      int           // handshakes begun
 	Undialed   int           // handshakes that failed
+	Repeated   int           // requests of unknown outcome sent again with their key
 	Slowest    time.Duration // lookup, from asking to its end
+	Left       time.Duration // from telling a server to leave to its last new request
 	Violations []check.Violation
 	Unknown    []string // requests of unknown outcome, each with what its caller saw
 }
@@ -67,6 +69,7 @@
 	Waiting int // not at a server yet
 	Running int // at a server, nothing of the answer back
 	Midway  int // answer or upload half done
+	Handed  int // of these, at another agent than that of the caller's connection
 }
 
 // Run runs each scenario with each seed, one after the other.
@@ -107,10 +110,14 @@
 }
 
 func printResult(out io.Writer, r Result) {
-	fmt.Fprintf(out, "%-34s seed %-4d %4d attempts (%d ran, %d not run, %d unknown), %4d executions, caught %d waiting %d running %d midway, %d of %d handshakes failed, slowest lookup %s: %d violations\n",
+	left := ""
+	if r.Left > 0 {
+		left = ", last new work " + r.Left.Round(time.Millisecond).String() + " after the word to leave"
+	}
+	fmt.Fprintf(out, "%-34s seed %-4d %4d attempts (%d ran, %d not run, %d unknown), %4d executions, caught %d waiting %d running %d midway (%d handed over), %d repeats, %d of %d handshakes failed, slowest lookup %s%s: %d violations\n",
 		r.Scenario, r.Seed, r.Attempts, r.Outcomes[result.Ran], r.Outcomes[result.NotRun], r.Outcomes[result.Unknown],
-		r.Executions, r.Caught.Waiting, r.Caught.Running, r.Caught.Midway,
-		r.Undialed, r.Dials, r.Slowest.Round(time.Millisecond), len(r.Violations))
+		r.Executions, r.Caught.Waiting, r.Caught.Running, r.Caught.Midway, r.Caught.Handed,
+		r.Repeated, r.Undialed, r.Dials, r.Slowest.Round(time.Millisecond), left, len(r.Violations))
 	for _, v := range r.Violations {
 		fmt.Fprintf(out, "    %s\n", v)
 	}
@@ -125,6 +132,7 @@
 	struck   time.Time // when the first fault struck
 	hit      map[string]bool
 	leaving  []check.Leave
+	moved    *move
 	extra    []check.Violation
 	scenario Scenario
 }
@@ -151,8 +159,7 @@
 	r.wait(warmFor + time.Duration(r.random.Int64N(int64(faultWith))))
 	r.struck = time.Now()
 	if err := scenario.Steps(r); err != nil {
-		r.load.stop()
-		return Result{}, err
+		r.extra = append(r.extra, check.Violation{Rule: check.Stuck, Token: scenario.Name, Detail: err.Error()})
 	}
 	r.wait(restFor)
 	attempts := r.load.stop()
@@ -164,6 +171,7 @@
 }
 
 func (r *run) judge(seed uint64, attempts []check.Attempt, executions []check.Execution) Result {
+	r.moved.relabel(executions)
 	places := map[string]check.Execution{}
 	for _, e := range executions {
 		places[e.Token] = e
@@ -175,12 +183,15 @@
 		Executions: len(executions),
 		Dials:      r.load.dials,
 		Undialed:   r.load.undialed,
+		Repeated:   r.load.repeated,
 	}
 	for i := range attempts {
 		a := &attempts[i]
 		at, began := places[a.Token]
-		// Whatever had come to a server that the fault did not hit must end whole.
-		a.Steady = a.Steady && began && !r.hit[at.Service+"/"+at.Server]
+		// Whatever had come to a server must end whole, unless the fault hit that
+		// server or the agent that holds the caller's connection.
+		hit := r.hit[at.Service+"/"+at.Server] || r.hit[at.Service+"/"+at.Origin]
+		a.Steady = a.Steady && began && !hit
 		answer.Outcomes[a.Outcome]++
 		if a.Outcome == result.Unknown {
 			answer.Unknown = append(answer.Unknown, fmt.Sprintf("%s (%s) after %s, ran at %q: %s %s",
@@ -189,8 +200,9 @@
 		if !a.Long {
 			answer.Slowest = max(answer.Slowest, a.Ended.Sub(a.Begun))
 		}
-		answer.Caught.add(*a, at.At, began, r.struck)
+		answer.Caught.add(*a, at, began, r.struck)
 	}
+	answer.Left = lastNew(r.leaving, executions)
 	answer.Violations = append(check.Check(check.Run{
 		Attempts:   attempts,
 		Executions: executions,
@@ -199,12 +211,27 @@
 	return answer
 }
 
-func (c *Caught) add(a check.Attempt, at time.Time, began bool, struck time.Time) {
+// lastNew returns how long after being told to leave a server last took new work.
+func lastNew(leaving []check.Leave, executions []check.Execution) (last time.Duration) {
+	for _, l := range leaving {
+		for _, e := range executions {
+			if e.Service == l.Service && e.Server == l.Server {
+				last = max(last, e.At.Sub(l.At))
+			}
+		}
+	}
+	return last
+}
+
+func (c *Caught) add(a check.Attempt, at check.Execution, began bool, struck time.Time) {
 	if a.Begun.After(struck) || a.Ended.Before(struck) {
 		return
 	}
+	if began && at.Origin != at.Server {
+		c.Handed++
+	}
 	switch {
-	case !began || at.After(struck):
+	case !began || at.At.After(struck):
 		c.Waiting++
 	case a.Long:
 		c.Midway++
--- a/internal/stand/faults/load.go
+++ b/internal/stand/faults/load.go
@@ -21,12 +21,13 @@
 
 const (
 	perNetwork  = 3                      // callers of each caller network of a document
+	heavyFactor = 4                      // times as many fill all slots, so that requests wait and are handed over
 	idleTimeout = 5 * time.Second        // a caller gives up a silent connection after this
 	requestTime = 20 * time.Second       // and a request after this
 	dialTime    = 5 * time.Second        // and a handshake
 	redialAfter = 50 * time.Millisecond  // pause after a handshake that failed
 	refusedWait = 50 * time.Millisecond  // after a request that was refused
-	repeats     = 2                      // of a request of unknown outcome that has a key
+	repeats     = 2                      // of a request that was not sent, or is unknown and has a key
 	feedEvery   = 20 * time.Millisecond  // between two lines
 	chunkEvery  = 10 * time.Millisecond  // pace of an upload
 	chunkSize   = 16 << 10               //
@@ -42,21 +43,30 @@
 	attempts []check.Attempt
 	dials    int
 	undialed int // dials that failed
+	repeated int // requests of unknown outcome sent again with their key
 }
 
+// Heavy says whether the load of a seed is more than the servers have slots for:
+// that of each even seed.
+func Heavy(seed uint64) bool { return seed%2 == 0 }
+
 func startLoad(ctx context.Context, f *fleet.Fleet, seed uint64) *load {
 	l := &load{}
 	asking, cancel := context.WithCancel(ctx)
 	l.cancel = cancel
 	number := uint64(0)
+	callers := perNetwork
+	if Heavy(seed) {
+		callers *= heavyFactor
+	}
 	for _, s := range f.Services {
 		for _, c := range s.Callers {
 			address := c.Networks[0].Addr()
-			for range perNetwork {
+			for range callers {
 				address = address.Next()
 				number++
 				p := &party{load: l, fleet: f, service: s, local: address, name: fmt.Sprintf("%s-%d", c.Name, number),
-					random: rand.New(rand.NewPCG(seed, 100+number))}
+					random: rand.New(rand.NewPCG(seed, 100+number)), heavy: Heavy(seed)}
 				l.callers.Go(func() { p.run(asking, context.WithoutCancel(asking)) })
 			}
 		}
@@ -79,6 +89,7 @@
 	local   netip.Addr
 	name    string
 	random  *rand.Rand
+	heavy   bool
 	asked   int
 	key     string // of the last answer, for the next request
 	caller  *client.Caller
@@ -148,6 +159,7 @@
 	a, build := p.choose(token)
 	a.Begun = time.Now()
 	key := p.key
+	p.key = "" // a key is for one request
 	for i := 0; ; i++ {
 		answer := p.send(ctx, build(), key)
 		a.Outcome, a.Reason, a.Got = answer.Outcome, answer.Reason, answer.Body
@@ -158,20 +170,29 @@
 		if answer.Status == 0 || answer.Err != nil {
 			p.hangUp() // the connection may be dead; the next request gets a new one
 		}
+		if answer.Reason == client.Unsent && i < repeats && p.connect(ctx, ctx) {
+			continue
+		}
 		if answer.Outcome != result.Unknown || !a.Once || key == "" || i == repeats || !p.connect(ctx, ctx) {
 			break
 		}
+		p.load.mutex.Lock()
+		p.load.repeated++
+		p.load.mutex.Unlock()
 	}
-	p.key = "" // a key is for one request
 	a.Ended = time.Now()
 	return a
 }
 
 func (p *party) send(ctx context.Context, r client.Request, key string) client.Answer {
-	ctx, cancel := context.WithTimeout(ctx, requestTime)
+	limited, cancel := context.WithTimeout(ctx, requestTime)
 	defer cancel()
 	r.Key = key
-	return p.caller.Do(ctx, r)
+	answer := p.caller.Do(limited, r)
+	if answer.Reason == client.Unsent {
+		p.hangUp() // the agent stops; as any caller does, this one goes on by a new connection
+	}
+	return answer
 }
 
 func describe(answer client.Answer) string {
@@ -187,7 +208,8 @@
 
 // choose draws a request. The function makes it anew for each sending.
 func (p *party) choose(token string) (check.Attempt, func() client.Request) {
-	a := check.Attempt{Token: token, Service: p.service.Name, Steady: true}
+	// Under a heavy load a lookup may reach its deadline at its server.
+	a := check.Attempt{Token: token, Service: p.service.Name, Steady: !p.heavy}
 	work := time.Duration(p.random.Int64N(int64(longestWork))).Round(time.Millisecond)
 	switch n := p.random.IntN(100); {
 	case n < 50:
@@ -210,7 +232,7 @@
 }
 
 func (p *party) feed(a check.Attempt, path string) (check.Attempt, func() client.Request) {
-	a.Long = true
+	a.Long, a.Steady = true, true
 	var lines int
 	_, query, _ := strings.Cut(path, "?n=")
 	if _, err := fmt.Sscanf(query, "%d&", &lines); err != nil {
@@ -225,7 +247,7 @@
 }
 
 func (p *party) upload(a check.Attempt, path string, size int) (check.Attempt, func() client.Request) {
-	a.Long, a.Once = true, true
+	a.Long, a.Steady, a.Once = true, true, true
 	body := make([]byte, size)
 	for i := range body {
 		body[i] = byte(p.random.Uint32())
