--- a/internal/stand/check/check.go
+++ b/internal/stand/check/check.go
@@ -40,6 +40,7 @@
 	Late     Rule = "late"     // new work at a server that had been told to leave
 	Stranger Rule = "stranger" // ran, and no caller asked for it
 	Reverted Rule = "reverted" // an accepted document is not in force; found by runs, not by Check
+	Grown    Rule = "grown"    // a process took more memory than it may; found by runs, not by Check
 	Stuck    Rule = "stuck"    // a process did not start or stop as it must; found by runs, not by Check
 )
 
--- a/internal/stand/faults/faults.go
+++ b/internal/stand/faults/faults.go
@@ -60,6 +60,7 @@
 	Repeated   int           // requests of unknown outcome sent again with their key
 	Slowest    time.Duration // lookup, from asking to its end
 	Left       time.Duration // from telling a server to leave to its last new request
+	Note       string        // what the scenario measured besides
 	Violations []check.Violation
 	Unknown    []string // requests of unknown outcome, each with what its caller saw
 }
@@ -114,6 +115,9 @@
 	if r.Left > 0 {
 		left = ", last new work " + r.Left.Round(time.Millisecond).String() + " after the word to leave"
 	}
+	if r.Note != "" {
+		left += ", " + r.Note
+	}
 	fmt.Fprintf(out, "%-34s seed %-4d %4d attempts (%d ran, %d not run, %d unknown), %4d executions, caught %d waiting %d running %d midway (%d handed over), %d repeats, %d of %d handshakes failed, slowest lookup %s%s: %d violations\n",
 		r.Scenario, r.Seed, r.Attempts, r.Outcomes[result.Ran], r.Outcomes[result.NotRun], r.Outcomes[result.Unknown],
 		r.Executions, r.Caught.Waiting, r.Caught.Running, r.Caught.Midway, r.Caught.Handed,
@@ -133,6 +137,7 @@
 	hit      map[string]bool
 	leaving  []check.Leave
 	moved    *move
+	note     string // what the scenario measured besides
 	extra    []check.Violation
 	scenario Scenario
 }
@@ -202,6 +207,7 @@
 		}
 		answer.Caught.add(*a, at, began, r.struck)
 	}
+	answer.Note = r.note
 	answer.Left = lastNew(r.leaving, executions)
 	answer.Violations = append(check.Check(check.Run{
 		Attempts:   attempts,
--- a/internal/stand/faults/scenario.go
+++ b/internal/stand/faults/scenario.go
@@ -50,6 +50,7 @@
 		{Name: "partition", Steps: partition},
 		{Name: "two-documents-at-once", Steps: twoDocuments},
 		{Name: "document-and-drain-at-once", Steps: documentAndDrain},
+		{Name: "first-flight-flood", Steps: flood},
 		{Name: "address-moves+entry-frozen", Steps: addressMoves},
 		{Name: "entry-killed+server-drains", Steps: entryKilledServerDrains},
 		{Name: "entry-frozen+document", Steps: entryFrozenDocument},
