--- a/internal/stand/faults/load.go
+++ b/internal/stand/faults/load.go
@@ -148,6 +148,7 @@
 	if p.caller != nil {
 		p.caller.Close()
 		p.caller = nil
+		p.key = "" // its owner may be gone; the next connection brings another
 	}
 }
 
--- a/internal/stand/matrix/cells.go
+++ b/internal/stand/matrix/cells.go
@@ -39,14 +39,14 @@
 }
 
 var kinds = []Fault{
-	{entryKilled, "a balancer is killed", []string{"entry-killed", "entries-killed-in-turn"}},
+	{entryKilled, "a balancer is killed", []string{"entry-killed", "entries-killed-in-turn", "entry-killed-twice"}},
 	{entryJoins, "a balancer joins", []string{"entry-joins"}},
-	{serverDies, "an agent or a server is killed", []string{"agent-killed", "server-killed", "server-dies-after-running"}},
+	{serverDies, "an agent or a server is killed", []string{"agent-killed", "server-killed", "server-dies-after-running", "agent-killed-twice"}},
 	{drains, "a server drains", []string{"drain-by-document", "drain-by-server", "drain-by-list", "drain-by-signal"}},
 	{uneven, "updates reach processes unevenly", []string{"entry-frozen+document"}},
 	{down, "the platform is down", []string{"platform-down", "platform-down-entry-restarted"}},
 	{stale, "the platform serves an old revision", []string{"platform-stale-entry-restarted"}},
-	{frozen, "a process is frozen and woken late", []string{"entry-frozen", "agent-frozen", "agent-frozen-past-deadline", "server-frozen"}},
+	{frozen, "a process is frozen and woken late", []string{"entry-frozen", "entries-all-frozen", "agent-frozen", "agent-frozen-past-deadline", "server-frozen"}},
 	{partition, "callers and entries are parted", []string{"partition"}},
 	{oneWay, "loss in one direction", []string{"cut-toward-entry", "cut-back-from-entry", "loss-both-ways"}},
 	{racing, "two documents, or a document and a drain, at once", []string{"two-documents-at-once", "document-and-drain-at-once"}},
@@ -91,7 +91,7 @@
 	{Row: leaving, Fault: racing, Scenarios: []string{"document-and-drain-at-once"}},
 
 	{Row: planned, Fault: entryKilled, Scenarios: []string{"entry-stopped+entry-killed"}},
-	{Row: planned, Fault: drains, Tests: []string{"flow/paths.TestLeavingEntryIsNotUsed"}, Scenarios: []string{"entry-stopped", "agent-replaced", "drain-by-signal"}},
+	{Row: planned, Fault: drains, Tests: []string{"flow/paths.TestLeavingEntryIsNotUsed"}, Scenarios: []string{"entry-stopped", "agent-replaced", "drain-by-signal", "all-replaced"}},
 
 	{Row: planned, Fault: entryJoins, Scenarios: []string{"entry-stopped+entry-joins"}},
 	{Row: planned, Fault: serverDies, Scenarios: []string{"entry-stopped+agent-killed"}},
@@ -133,5 +133,9 @@
 	{Row: "a balancer makes its planned stop while callers are parted, or the way back from another is cut", Scenarios: []string{"entry-stopped+partition", "entry-stopped+cut-back"}},
 	{Row: "an agent is replaced while the platform is down or stale, or documents change", Scenarios: []string{"agent-replaced+platform-down", "agent-replaced+platform-stale", "agent-replaced+documents"}},
 	{Row: "documents change while callers are parted, or the way back from a balancer is cut", Scenarios: []string{"partition+document", "cut-back+document"}},
+	{Row: "two of three balancers are killed at once", Scenarios: []string{"two-entries-killed"}},
+	{Row: "every process of a failure domain is killed at once", Scenarios: []string{"domain-lost"}},
+	{Row: "balancers and agents are replaced one after the other, at the same time", Scenarios: []string{"all-replaced"}},
+	{Row: "first flights flood the service while callers call (memory is bounded as well)", Scenarios: []string{"first-flight-flood"}},
 	{Row: "links break, agents restart, the fleet is parted, servers shed and die, in any order (hand-over and request keys)", Tests: []string{"work/hand.TestHistories"}},
 }
--- a/internal/stand/matrix/text.go
+++ b/internal/stand/matrix/text.go
@@ -17,5 +17,5 @@
 - A partition between entries and agents, or between agents: the stand-in for the fabric parts callers from entries only. With agents
   parted it is shown for hand-over and request keys by ` + "`work/hand.TestHistories`" + `, with fakes.
 - Clocks that are apart: all processes of a run share one clock.
-- Faults that come twice at the same process within a second, and three faults together.
+- Three faults together, but for the loss of a failure domain.
 `
