--- a/internal/stand/faults/faults.go
+++ b/internal/stand/faults/faults.go
@@ -67,6 +67,7 @@
 
 // Caught counts the requests in progress when the first fault struck, by step.
 type Caught struct {
+	Opening int // handshake half done
 	Waiting int // not at a server yet
 	Running int // at a server, nothing of the answer back
 	Midway  int // answer or upload half done
@@ -118,9 +119,9 @@
 	if r.Note != "" {
 		left += ", " + r.Note
 	}
-	fmt.Fprintf(out, "%-34s seed %-4d %4d attempts (%d ran, %d not run, %d unknown), %4d executions, caught %d waiting %d running %d midway (%d handed over), %d repeats, %d of %d handshakes failed, slowest lookup %s%s: %d violations\n",
+	fmt.Fprintf(out, "%-34s seed %-4d %4d attempts (%d ran, %d not run, %d unknown), %4d executions, caught %d opening %d waiting %d running %d midway (%d handed over), %d repeats, %d of %d handshakes failed, slowest lookup %s%s: %d violations\n",
 		r.Scenario, r.Seed, r.Attempts, r.Outcomes[result.Ran], r.Outcomes[result.NotRun], r.Outcomes[result.Unknown],
-		r.Executions, r.Caught.Waiting, r.Caught.Running, r.Caught.Midway, r.Caught.Handed,
+		r.Executions, r.Caught.Opening, r.Caught.Waiting, r.Caught.Running, r.Caught.Midway, r.Caught.Handed,
 		r.Repeated, r.Undialed, r.Dials, r.Slowest.Round(time.Millisecond), left, len(r.Violations))
 	for _, v := range r.Violations {
 		fmt.Fprintf(out, "    %s\n", v)
@@ -186,7 +187,7 @@
 		Seed:       seed,
 		Attempts:   len(attempts),
 		Executions: len(executions),
-		Dials:      r.load.dials,
+		Dials:      len(r.load.dials),
 		Undialed:   r.load.undialed,
 		Repeated:   r.load.repeated,
 	}
@@ -207,6 +208,7 @@
 		}
 		answer.Caught.add(*a, at, began, r.struck)
 	}
+	answer.Caught.Opening = r.load.opening(r.struck)
 	answer.Note = r.note
 	answer.Left = lastNew(r.leaving, executions)
 	answer.Violations = append(check.Check(check.Run{
--- a/internal/stand/faults/load.go
+++ b/internal/stand/faults/load.go
@@ -26,6 +26,7 @@
 	requestTime = 20 * time.Second       // and a request after this
 	dialTime    = 5 * time.Second        // and a handshake
 	redialAfter = 50 * time.Millisecond  // pause after a handshake that failed
+	reconnects  = 4                      // one in so many requests is the last of its connection
 	refusedWait = 50 * time.Millisecond  // after a request that was refused
 	repeats     = 2                      // of a request that was not sent, or is unknown and has a key
 	feedEvery   = 20 * time.Millisecond  // between two lines
@@ -41,7 +42,7 @@
 
 	mutex    sync.Mutex
 	attempts []check.Attempt
-	dials    int
+	dials    []dialing
 	undialed int // dials that failed
 	repeated int // requests of unknown outcome sent again with their key
 }
@@ -81,6 +82,21 @@
 	return l.attempts
 }
 
+// dialing is the time that a handshake took.
+type dialing struct {
+	begun, ended time.Time
+}
+
+// opening counts the handshakes that were half done at a time.
+func (l *load) opening(at time.Time) (n int) {
+	for _, d := range l.dials {
+		if d.begun.Before(at) && d.ended.After(at) {
+			n++
+		}
+	}
+	return n
+}
+
 // party is one caller with a connection of its own.
 type party struct {
 	load    *load
@@ -108,6 +124,9 @@
 		if a.Outcome == result.NotRun {
 			time.Sleep(refusedWait)
 		}
+		if p.random.IntN(reconnects) == 0 {
+			p.hangUp()
+		}
 	}
 }
 
@@ -117,12 +136,13 @@
 		if asking.Err() != nil {
 			return false
 		}
+		begun := time.Now()
 		ctx, cancel := context.WithTimeout(ctx, dialTime)
 		caller, err := client.Dial(ctx, client.Settings{
 			Local: p.local, Service: p.service.Address, Name: p.service.Name, Roots: p.fleet.Roots, Idle: idleTimeout,
 		})
 		cancel()
-		p.load.dialed(err)
+		p.load.dialed(begun, err)
 		if err == nil {
 			p.caller = caller
 			return true
@@ -135,10 +155,10 @@
 	return true
 }
 
-func (l *load) dialed(err error) {
+func (l *load) dialed(begun time.Time, err error) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.dials++
+	l.dials = append(l.dials, dialing{begun: begun, ended: time.Now()})
 	if err != nil {
 		l.undialed++
 	}
