Hold the page of settings and documents against the keys that are read

A key came into the settings that the page did not have; it was found by hand. With the page's key changed the test fails (tried).

--- a/internal/oper/pages/pages_test.go
+++ b/internal/oper/pages/pages_test.go
@@ -167,6 +167,38 @@
 	assert.DeepEqual(t, got, slices.Compact(want))
 }
 
+var (
+	opened = regexp.MustCompile(`\.(?:One|Maybe|Each)\("[a-z]+"\)`) // a section, not a key
+	asked  = regexp.MustCompile(`(?:\.[A-Z]\w+\(|read[A-Z]\w*\(\w+, )"([a-z]+)"`)
+	keys   = regexp.MustCompile(`(?m)^\| [^|]*\| ([^|]+) \|`)
+	mark   = regexp.MustCompile("`([a-z]+)`")
+)
+
+// A key that the program reads and the page does not have is found by nobody; one that
+// only the page has is refused, with the page in the reader's hand.
+func TestSettingsPage(t *testing.T) {
+	for heading, file := range map[string]string{
+		"Settings":          "internal/conf/prefs/load.go",
+		"Service documents": "internal/conf/docs/parse.go",
+	} {
+		_, section, ok := strings.Cut(read(t, "docs/operate/run.md"), "\n## "+heading+"\n")
+		assert.Assert(t, ok, heading)
+		section, _, _ = strings.Cut(section, "\n## ")
+		var got, want []string
+		for _, cell := range keys.FindAllStringSubmatch(section, -1) {
+			for _, m := range mark.FindAllStringSubmatch(cell[1], -1) {
+				got = append(got, m[1])
+			}
+		}
+		for _, m := range asked.FindAllStringSubmatch(opened.ReplaceAllString(read(t, file), ""), -1) {
+			want = append(want, m[1])
+		}
+		slices.Sort(got)
+		slices.Sort(want)
+		assert.DeepEqual(t, slices.Compact(got), slices.Compact(want))
+	}
+}
+
 var link = regexp.MustCompile(`\]\(([^)#]+)(#[^)]*)?\)`)
 
 // Every page is reached by links, and a link to nowhere loses the reader.
