Ask several processes whether they are ready with the same documents

The runbook told operators to compare revisions, one process at a time. compare asks all that it is given, 16 at a time, and lists who holds which revision where they differ, who cannot use a newer one, and who does not answer.

--- a/internal/conf/docs/docs.go
+++ b/internal/conf/docs/docs.go
@@ -50,7 +50,7 @@
 	Classes []Class        // ordered as declared; the first match counts
 	Callers []Caller       // ordered as declared
 	Current string         // name of the key that new connection IDs are sealed with
-	Former  []string       // names of keys whose connection IDs are still routed
+	Former  []string       // names of keys that open connection IDs besides: former ones and the next one
 }
 
 // Server is one backend server instance and the agent beside it.
--- /dev/null
+++ b/internal/oper/verbs/compare.go
@@ -0,0 +1,136 @@
+package verbs
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/netip"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"mangowinch/internal/node/start"
+	"mangowinch/internal/oper/admin"
+)
+
+// maxAsked is how many processes are asked at a time.
+const maxAsked = 16
+
+// CompareCmd asks several processes.
+type CompareCmd struct {
+	Addresses []netip.AddrPort `arg:"" name:"address" help:"Operators' addresses of processes."`
+}
+
+// Help is shown under the verb's own --help.
+func (*CompareCmd) Help() string {
+	return `Shows which processes are ready, which version they run, and the revisions of documents that are not the same
+everywhere. After a document was published, or before a key is put to use, this says whether all have it.
+
+Exit codes: 0 all answer, are ready and have the same revisions; 1 not so; 2 wrong use.`
+}
+
+// answer is what compare reads of one /status.
+type answer struct {
+	Ready      bool          `json:"ready"`
+	Conditions []admin.State `json:"conditions"`
+	Sections   struct {
+		Process   start.Process    `json:"process"`
+		Documents []start.Document `json:"documents"`
+	} `json:"sections"`
+
+	failed error
+}
+
+// Run asks and prints.
+func (c *CompareCmd) Run(ctx context.Context, o *console) error {
+	answers := make([]answer, len(c.Addresses))
+	var g errgroup.Group
+	g.SetLimit(maxAsked)
+	for i, a := range c.Addresses {
+		g.Go(func() error {
+			answers[i] = askStatus(ctx, a)
+			return nil
+		})
+	}
+	_ = g.Wait() // each answer holds its own failure
+	printAnswers(o.out, c.Addresses, answers)
+	differing := differ(answers)
+	for _, d := range differing {
+		fmt.Fprintln(o.out, d)
+	}
+	unready := slices.ContainsFunc(answers, func(a answer) bool { return a.failed != nil || !a.Ready })
+	if unready || len(differing) > 0 {
+		return fail(exitFault, errors.New("not all are ready with the same documents"))
+	}
+	return nil
+}
+
+func askStatus(ctx context.Context, address netip.AddrPort) (a answer) {
+	text, err := ask(ctx, "http://"+address.String()+"/status")
+	if err == nil {
+		err = json.Unmarshal(text, &a)
+	}
+	a.failed = err
+	return a
+}
+
+func printAnswers(out io.Writer, addresses []netip.AddrPort, answers []answer) {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "address\tname\trole\tdomain\tversion\tdocuments\tstate")
+	for i := range answers {
+		a := &answers[i]
+		p := a.Sections.Process
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%s\n", addresses[i], p.Name, p.Role, p.Domain, p.Version, len(a.Sections.Documents), a.state())
+	}
+	_ = w.Flush() // as in tree
+}
+
+// state is ready, or why not.
+func (a *answer) state() string {
+	switch {
+	case a.failed != nil:
+		return "does not answer"
+	case a.Ready:
+		return "ready"
+	}
+	var reasons []string
+	for _, c := range a.Conditions {
+		if !c.Met {
+			reasons = append(reasons, c.Name+": "+c.Reason)
+		}
+	}
+	return strings.Join(reasons, "; ")
+}
+
+// differ lists the documents that processes hold in different revisions, and those of
+// which one holds a newer revision that it cannot use. A process that does not hold a
+// document at all is no difference: agents hold their own service's only.
+func differ(answers []answer) (lines []string) {
+	holders := map[string]map[uint64][]string{} // document, revision, names of processes
+	for i := range answers {
+		s := &answers[i].Sections
+		for _, d := range s.Documents {
+			if d.Fault != "" {
+				lines = append(lines, fmt.Sprintf("%s: %s cannot use revision %d", d.Name, s.Process.Name, d.Refused))
+			}
+			if holders[d.Name] == nil {
+				holders[d.Name] = map[uint64][]string{}
+			}
+			holders[d.Name][d.Revision] = append(holders[d.Name][d.Revision], s.Process.Name)
+		}
+	}
+	for name, revisions := range holders {
+		if len(revisions) < 2 {
+			continue
+		}
+		for revision, names := range revisions {
+			lines = append(lines, fmt.Sprintf("%s: revision %d at %s", name, revision, strings.Join(names, ", ")))
+		}
+	}
+	slices.Sort(lines)
+	return lines
+}
--- a/internal/oper/verbs/verbs.go
+++ b/internal/oper/verbs/verbs.go
@@ -47,6 +47,7 @@
 	Agent   AgentCmd   `cmd:"" help:"Run an agent beside a backend server: end connections, let requests in, place them."`
 	Check   CheckCmd   `cmd:"" help:"Check settings files and service documents and list every fault."`
 	Status  StatusCmd  `cmd:"" help:"Ask a running process what it knows and why it decided so."`
+	Compare CompareCmd `cmd:"" help:"Ask several processes whether they are ready with the same documents."`
 	Call    CallCmd    `cmd:"" help:"Send one request as a caller and show what became of it."`
 	Certify CertifyCmd `cmd:"" help:"Make a certificate and keys for a demonstration; never for real callers."`
 
--- a/internal/oper/verbs/verbs_test.go
+++ b/internal/oper/verbs/verbs_test.go
@@ -18,6 +18,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/golden"
 
+	"mangowinch/internal/node/start"
 	"mangowinch/internal/oper/admin"
 )
 
@@ -38,7 +39,7 @@
 }
 
 func TestHelp(t *testing.T) {
-	for _, verb := range []string{"", "entry", "agent", "check", "status", "call", "call upload", "certify"} {
+	for _, verb := range []string{"", "entry", "agent", "check", "status", "compare", "call", "call upload", "certify"} {
 		code, out, _ := run(append(strings.Fields(verb), "--help")...)
 		assert.Equal(t, code, exitDone)
 		golden.Assert(t, out, strings.ReplaceAll("help "+verb, " ", "-")+".golden")
@@ -103,6 +104,35 @@
 	assert.Equal(t, code, exitUse)
 }
 
+// running is the operators' server of a process that holds one revision of a document.
+func running(t *testing.T, name string, revision uint64, fault string) (address string) {
+	t.Helper()
+	s := admin.New(netip.AddrPort{}, zerolog.Nop())
+	s.Section("process", func() any { return start.Process{Name: name, Role: "entry", Domain: "zg-a", Version: "v1"} })
+	s.Section("documents", func() any {
+		return []start.Document{{Name: "tracing-core", Revision: revision, Fault: fault, Refused: 9}}
+	})
+	s.Condition("document").Set(true, "")
+	server := httptest.NewServer(s.Handler())
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// A team publishes a document and one process stays behind. Nobody looks at a process
+// that says nothing; the operator has to see which one it is among all.
+func TestCompare(t *testing.T) {
+	a, b := running(t, "e1", 4, ""), running(t, "e2", 4, "")
+	code, out, _ := run("compare", a, b)
+	assert.Equal(t, code, exitDone, out)
+
+	code, out, _ = run("compare", a, b, running(t, "e3", 3, "no such key"), "127.0.0.1:1")
+	assert.Equal(t, code, exitFault)
+	_, differences, ok := strings.Cut(out, "does not answer\n")
+	assert.Assert(t, ok, out)
+	assert.Equal(t, differences, "tracing-core: e3 cannot use revision 9\n"+
+		"tracing-core: revision 3 at e3\ntracing-core: revision 4 at e1, e2\n")
+}
+
 func TestCertifyKeepsWhatIsThere(t *testing.T) {
 	directory := certified(t)
 	before, err := os.ReadFile(filepath.Join(directory, "k1.key"))
