Probe entries only while one in use lacks a sign of life

Cause, found while working out what the return path costs at the size to design for: an agent probed its four active entries five times a second each whenever they were quiet. 6,800 agents over 800 entries make 170 probes and echoes a second for an entry, 37 KB, twice control's whole budget (computed). A caller that was silent, is sent a datagram by an entry, and speaks within 100 ms by any other has got it; that counts as the entry's sign of life. Probes go out only when an entry in use has none. Ruled out: fewer active entries or slower probes, which make a dead entry's feeds wait longer.

--- a/internal/flow/paths/paths.go
+++ b/internal/flow/paths/paths.go
@@ -17,9 +17,12 @@
 // partition that is one of its own side. Within a stream of datagrams the entry
 // stays the same, for alternating would reorder them.
 //
-// An agent answers by a small active set of entries and probes only these. With 800
-// entries each one is heard too seldom for traffic alone to be its sign of life,
-// and probing all of them would cost 6,800 agents times 800 entries.
+// An agent answers by a small active set of entries. With 800 entries each is
+// heard too seldom for its own datagrams to be its sign of life, and probing even
+// four of them for each of 6,800 agents five times a second would cost an entry
+// 37 KB a second. So a caller's reaction counts too: who was silent, is sent a datagram
+// by an entry, and speaks at once by any other, has got it. Entries are probed only
+// while one that is in use lacks any such sign.
 //
 // It does no input or output; time is handed in.
 //
@@ -41,7 +44,7 @@
 const (
 	// ProbeEvery is how often Probes is to be called.
 	ProbeEvery = 100 * time.Millisecond
-	// quietAfter is how long an active entry may be quiet before it is probed.
+	// quietAfter is how long an entry in use may be quiet before it is probed.
 	quietAfter = 150 * time.Millisecond
 	// LostAfter is how long an entry may be quiet before flows leave it: a quiet
 	// time, then two probes and a round trip of some milliseconds.
@@ -58,6 +61,12 @@
 	// that a stream never changes; under the second retransmission, so that an
 	// upload has six or more tries before an idle timeout of 5 s.
 	pauseAfter = 50 * time.Millisecond
+	// usedFor is how long after a datagram was sent by it an entry counts as in use.
+	usedFor = time.Second
+	// reactAfter is how long a caller must have been silent before a datagram for
+	// its next word to be a reaction. Callers that stream, as in an upload, speak
+	// all the time and prove nothing.
+	reactAfter = 10 * time.Millisecond
 	// owedCount is how many datagrams must be owed, so that a last datagram that
 	// needs no acknowledgement starts nothing.
 	owedCount = 2
@@ -80,14 +89,16 @@
 
 type entry struct {
 	heard   time.Time
+	used    time.Time // when a datagram was last sent by it
 	leaving bool
 }
 
 type caller struct {
 	heard time.Time
-	owed  time.Time // first datagram sent since heard
-	count int       // datagrams sent since heard
-	place int       // where in the active set its datagrams go
+	owed  time.Time      // first datagram sent since heard
+	count int            // datagrams sent since heard
+	place int            // where in the active set its datagrams go
+	by    netip.AddrPort // the entry of all datagrams sent since heard; not valid if there were several
 	// via brought the caller's first word after its last pause, and is answered by
 	// while it lives. Not valid while the caller owes an acknowledgement.
 	via netip.AddrPort
@@ -115,6 +126,11 @@
 		c = &caller{place: b.turn}
 		b.callers[from] = c
 	}
+	if c.reacts(now) {
+		if e := b.entries[c.by]; e != nil {
+			e.heard = now
+		}
+	}
 	if now.Sub(c.heard) > pauseAfter {
 		c.via = via
 	}
@@ -122,6 +138,11 @@
 	c.count = 0
 }
 
+// reacts says whether a caller that speaks now reacts to what it was sent.
+func (c *caller) reacts(now time.Time) bool {
+	return c.count > 0 && c.owed.Sub(c.heard) > reactAfter && now.Sub(c.owed) < owedAfter
+}
+
 // Sign notes a sign of life of an entry.
 func (b *Book) Sign(now time.Time, via netip.AddrPort, leaving bool) {
 	e := b.entries[via]
@@ -148,8 +169,16 @@
 	c := b.callers[to]
 	if c == nil {
 		b.turn++
-		return b.from(now, b.turn), true
+		via = b.from(now, b.turn)
+	} else {
+		via = b.forCaller(now, c)
 	}
+	b.entries[via].used = now
+	return via, true
+}
+
+// forCaller names the entry for a datagram to a caller, and notes the sending.
+func (b *Book) forCaller(now time.Time, c *caller) (via netip.AddrPort) {
 	if c.count == 0 {
 		c.owed = now
 	}
@@ -158,10 +187,16 @@
 		c.via = netip.AddrPort{}
 		c.place++
 	}
-	if e := b.entries[c.via]; e != nil && e.live(now) {
-		return c.via, true
+	via = c.via
+	if e := b.entries[via]; e == nil || !e.live(now) {
+		via = b.from(now, c.place)
+	}
+	if c.count == 1 {
+		c.by = via
+	} else if c.by != via {
+		c.by = netip.AddrPort{}
 	}
-	return b.from(now, c.place), true
+	return via
 }
 
 // from names the first live entry of the active set from a place on. With none
@@ -190,12 +225,19 @@
 	return !e.leaving && now.Sub(e.heard) < LostAfter
 }
 
-// Probes mends the active set and names the entries to be probed now: the active
-// ones that are quiet. It also forgets what has had no traffic for long.
+// Probes mends the active set and names the entries to be probed now: once one of
+// those in use is quiet, all active ones that are, so that a live one is known before
+// the quiet one is given up. It also forgets what has had no traffic for long.
 func (b *Book) Probes(now time.Time) (quiet []netip.AddrPort) {
+	doubt := false
+	for _, a := range b.active {
+		e := b.entries[a]
+		silent := now.Sub(e.heard) > quietAfter
+		doubt = doubt || silent && e.used.After(e.heard) && now.Sub(e.used) < usedFor
+	}
 	b.forget(now)
 	b.mend(now)
-	if len(b.callers) == 0 {
+	if !doubt {
 		return nil
 	}
 	for _, a := range b.active {
