--- a/cmd/exper/main.go
+++ b/cmd/exper/main.go
@@ -15,6 +15,7 @@
 	Compare compareCommand `cmd:"" default:"withargs" help:"Run cases with all policies and print the tables."`
 	Weights weightsCommand `cmd:"" help:"Compare the rules for the weights of new flows."`
 	Aims    aimsCommand    `cmd:"" help:"Print the figures that the aims name."`
+	Sweep   sweepCommand   `cmd:"" help:"Vary one threshold at a time under the loads that it is for."`
 	Charts  chartsCommand  `cmd:"" help:"Draw goodput and p99 over the load into a directory."`
 
 	Seed    uint64 `help:"Seed of arrivals and choices." default:"1"`
--- a/internal/exper/cases/list.go
+++ b/internal/exper/cases/list.go
@@ -67,6 +67,20 @@
 	return c
 }
 
+// FailHalf is a fault that several servers share: each fails every other request.
+func FailHalf(sevenths int) Case {
+	c := minute(fmt.Sprintf("failhalf %d/7", sevenths),
+		fmt.Sprintf("60%% of capacity, %d of 7 servers (or as many of fewer) fail every other request in 1 ms from 10 s", sevenths), alike(0.6))
+	c.Faults = func(r *run) {
+		r.loop.At(10*time.Second, func() {
+			for _, s := range r.servers[:len(r.servers)*sevenths/7] {
+				s.FailHalf = true
+			}
+		})
+	}
+	return c
+}
+
 // Lying is a server that reports that it is idle and quick.
 func Lying() Case {
 	c := minute("lying", "90% of capacity, one server reports that it is idle and quick", alike(0.9))
--- a/internal/load/place/state.go
+++ b/internal/load/place/state.go
@@ -25,7 +25,7 @@
 	Alike:   0.25,
 	Shorter: 0.8,
 	Failing: 0.5,
-	Ceiling: 1.0 / 3,
+	Ceiling: 0.5,
 }
 
 const (
--- a/internal/load/retry/retry.go
+++ b/internal/load/retry/retry.go
@@ -17,6 +17,11 @@
 //     quiet service may retry at all.
 //   - Only while the deadline leaves room for a whole service time, and only twice.
 //
+// Why the thresholds are what they are: with 3 of 7 servers unreachable, in time are 95.5%
+// without retries, 95.6% with a tenth and 95.8% without a bound, which hands over 7 points more
+// for it (seeds 1 and 2, docs/design/load/thresholds.md): retries buy little once placement
+// knows better, so the smallest share that serves a stray refusal is enough.
+//
 // The package does not say where the next try goes (package place) nor wait: there
 // is no backoff inside the system, since what is given up on is answered at once.
 //
