Find the process that got a request beside its successor

Cause: a question after a lost link is for one process. While an agent is replaced, its successor shares the address, and a connection reaches either; the question then ended as unknown although the first process still knew. Up to 5 new connections are opened to meet the right one; a restarted agent costs them too, some ms, before it is unknown.

TestQuestionFindsTheProcessBesideItsSuccessor, successor met twice first: with one try unknown in place of ran.

--- a/internal/work/hand/ask.go
+++ b/internal/work/hand/ask.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"mangowinch/internal/work/result"
 	"mangowinch/internal/work/wire"
 )
@@ -41,15 +43,14 @@
 
 // ask puts the question once. It reports false if no answer came.
 func (x *exchange) ask(ctx context.Context) (end result.Result, known bool) {
-	l, err := x.link.peer.take(ctx)
-	if err != nil {
-		return result.Result{}, false
-	}
-	if l.process != x.link.process {
+	l, err := x.link.peer.same(ctx, x.link.process)
+	if errors.Is(err, errOther) {
 		// Restarted: its memory went with the process that may have run the request.
-		l.giveBack()
 		return unknown(result.PeerLost), true
 	}
+	if err != nil {
+		return result.Result{}, false
+	}
 	defer l.close()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/internal/work/hand/fake_test.go
+++ b/internal/work/hand/fake_test.go
@@ -88,8 +88,9 @@
 type network struct {
 	ctx   context.Context
 	mu    sync.Mutex
-	far   *far  // nil: connection refused
-	cuts  []cut // for the links to come, the first dialled first; the others last
+	far   *far   // nil: connection refused
+	turns []*far // answer the links to come, the first dialled first; then far
+	cuts  []cut  // for the links to come, the first dialled first; the others last
 	links []*FakeLink
 }
 
@@ -109,9 +110,13 @@
 	if len(n.links) < len(n.cuts) {
 		c = n.cuts[len(n.links)]
 	}
+	answers := n.far
+	if len(n.turns) > 0 {
+		answers, n.turns = n.turns[0], n.turns[1:]
+	}
 	near, far := net.Pipe()
 	up, down := NewLink(near, c.up), NewLink(far, c.down)
-	server := drpcserver.New(n.far.mux)
+	server := drpcserver.New(answers.mux)
 	go func() { _ = server.ServeOne(n.ctx, down) }()
 	n.links = append(n.links, up)
 	return up, nil
--- a/internal/work/hand/hand_test.go
+++ b/internal/work/hand/hand_test.go
@@ -115,6 +115,25 @@
 	})
 }
 
+// Story: an agent is being replaced when the link to it breaks. Its successor has the same
+// address and gets the question's connection. The old process still knows; it is found.
+func TestQuestionFindsTheProcessBesideItsSuccessor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, f, n := world(t)
+		successor := newFar(t, "tracing-core", 2)
+		f.handle = func(ctx context.Context, r *Request, a Answer) result.Result {
+			_, _ = io.ReadAll(r.Body)
+			n.turns = []*far{successor, successor, f}
+			n.cutAll()
+			return f.echo(ctx, r, a)
+		}
+		a := &taker{}
+		assert.Equal(t, c.Hand(t.Context(), address, claim("/claim/7"), a), ran)
+		assert.Equal(t, a.got(), "/claim/7 ")
+		assert.Equal(t, f.runs("/claim/7")+successor.runs("/claim/7"), 1)
+	})
+}
+
 // Story: a caller hangs up while its lookup runs at another agent. The far server's slot
 // must be free at once, not at the deadline.
 func TestCancelTravels(t *testing.T) {
--- a/internal/work/hand/link.go
+++ b/internal/work/hand/link.go
@@ -19,6 +19,7 @@
 	dialTimeout  = time.Second      // a peer is a few ms away; one that takes longer is as good as gone
 	greetEvery   = 30 * time.Second // clocks that run 200 ppm apart have moved 6 ms by then
 	idleLinks    = 8                // kept per peer: about as many as a server has slots
+	sameTries    = 5                // connections opened to meet one of two processes: 1 in 32 misses it
 	openLinks    = 512              // per peer, feeds included
 	maxMessage   = 256 << 10        // bytes; a head with all its fields is well below
 	drainTimeout = time.Second      // for the end of a request that was cancelled
@@ -35,6 +36,7 @@
 var (
 	errTooMany = errors.New("too many links to this agent")
 	errService = errors.New("the agent serves another service")
+	errOther   = errors.New("another process answers at the agent's address")
 )
 
 // link is one drpc connection. drpc carries one call at a time on it.
@@ -70,6 +72,25 @@
 		}
 		l.close()
 	}
+	return p.connect(ctx)
+}
+
+// same gives a link to one process. At the address of an agent that is being replaced
+// two processes answer, and a new connection reaches either.
+func (p *peer) same(ctx context.Context, process uint64) (l *link, err error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	for range sameTries {
+		l, err = p.connect(ctx)
+		if err != nil || l.process == process {
+			return l, err
+		}
+		l.giveBack()
+	}
+	return nil, errOther
+}
+
+func (p *peer) connect(ctx context.Context) (l *link, err error) {
 	if !p.reserve() {
 		return nil, errTooMany
 	}
