Split the agent by what its parts do

The entry's belief by the platform's list went: nothing ever set it, since an agent hears the list and says itself that it leaves. No behaviour changed; tests of internal/node pass under race.

--- /dev/null
+++ b/internal/node/agent/inforce.go
@@ -0,0 +1,113 @@
+package agent
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	"mangowinch/internal/conf/docs"
+	"mangowinch/internal/conf/store"
+	"mangowinch/internal/flow/ident"
+	"mangowinch/internal/load/admit"
+	"mangowinch/internal/node/rings"
+	"mangowinch/internal/work/once"
+)
+
+// snapshot is what the document in force says; it is immutable.
+type snapshot struct {
+	document *docs.Service
+	revision uint64
+	ring     *ident.Ring
+	own      *docs.Server
+	keys     *once.View
+}
+
+// awaitDocument waits for the first usable document of the own service.
+func (a *Agent) awaitDocument(ctx context.Context) error {
+	for a.now.Load() == nil {
+		changed := a.store.Changed()
+		a.apply(a.store.View())
+		if a.now.Load() != nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		}
+	}
+	return nil
+}
+
+// keepDocument is the controller that takes new documents into force.
+func (a *Agent) keepDocument(ctx context.Context) {
+	for {
+		changed := a.store.Changed()
+		a.apply(a.store.View())
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+func (a *Agent) apply(v *store.View) {
+	d := v.Entries[a.settings.Agent.Service]
+	old := a.now.Load()
+	if d == nil || old != nil && old.revision == d.Revision {
+		return
+	}
+	next, err := a.snapshot(d)
+	if err != nil {
+		a.count.unusable.Inc()
+		a.log.Error().Err(err).Uint64("revision", d.Revision).Msg("document cannot be used here; the last good one stays")
+		return
+	}
+	if next.own == nil {
+		// The server is no longer in the document: it leaves, under its last settings.
+		a.standing.set(byDocument, true)
+		return
+	}
+	if old == nil {
+		a.newShare(next)
+	}
+	a.now.Store(next)
+	a.setPeers(d.Service, a.settings.Agent.Sides)
+	a.gate.SetLimits(admit.LimitsOf(d.Service, *next.own))
+	a.log.Info().Str("service", d.Name).Uint64("revision", d.Revision).Str("source", d.Source).Msg("document in force")
+	a.standing.set(byDocument, next.own.State == docs.Leaving)
+}
+
+// snapshot reads what a document says of this agent. Its own is nil when the
+// document does not have the server.
+func (a *Agent) snapshot(d *store.Entry) (s *snapshot, err error) {
+	ring, err := rings.New(a.settings.Keys, d.Service)
+	if err != nil {
+		return nil, err
+	}
+	s = &snapshot{document: d.Service, revision: d.Revision, ring: ring}
+	for i := range d.Service.Servers {
+		o := &d.Service.Servers[i]
+		if o.Name != a.settings.Agent.Server {
+			continue
+		}
+		if o.Agent != a.settings.Agent.Listen {
+			return nil, errors.Newf("server %q has agent %s in the document and listens at %s by the settings", o.Name, o.Agent, a.settings.Agent.Listen)
+		}
+		s.own = o
+	}
+	old := a.now.Load()
+	if s.own == nil {
+		if old == nil {
+			return nil, errors.Newf("the document has no server %q", a.settings.Agent.Server)
+		}
+		return s, nil
+	}
+	var before *once.View
+	if old != nil {
+		before = old.keys
+	}
+	s.keys, err = a.keysOf(d.Service, s.own, before)
+	return s, err
+}
--- a/internal/node/agent/leave.go
+++ b/internal/node/agent/leave.go
@@ -5,12 +5,17 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/rs/zerolog"
 
 	"mangowinch/internal/work/result"
 )
 
+// comeBack is when a caller is to try again that met a server which leaves: other
+// servers take its flows as soon as entries know, within 3 s.
+const comeBack = time.Second
+
 // cause is who says that the server takes no new work.
 type cause string
 
--- a/internal/node/agent/wire.go
+++ b/internal/node/agent/wire.go
@@ -26,6 +26,8 @@
 	woken    chan struct{} // closed when the deadline changes
 }
 
+var _ net.PacketConn = (*wire)(nil)
+
 type arrival struct {
 	payload []byte
 	caller  netip.AddrPort
--- a/internal/node/entry/services.go
+++ b/internal/node/entry/services.go
@@ -42,7 +42,6 @@
 	weights *shift.Weights
 	stepped time.Time       // when weights last moved
 	leaving map[uint32]bool // by the servers' own word
-	listed  map[uint32]bool // by the platform's list
 	before  []route.Server
 	changed time.Time // when the servers last changed by document
 }
@@ -108,7 +107,6 @@
 		watch:   route.NewWatch(),
 		weights: shift.New(shift.Default),
 		leaving: make(map[uint32]bool),
-		listed:  make(map[uint32]bool),
 		count:   newCounters(name),
 	}
 }
@@ -161,7 +159,7 @@
 		next.table.Now = append(next.table.Now, route.Server{
 			ID:      d.ID,
 			Weight:  coarse(shares, d.ID),
-			Leaving: d.State == docs.Leaving || s.leaving[d.ID] || s.listed[d.ID],
+			Leaving: d.State == docs.Leaving || s.leaving[d.ID],
 			Silent:  s.watch.Silent(now, d.ID),
 		})
 	}
--- a/internal/node/entry/status.go
+++ b/internal/node/entry/status.go
@@ -47,8 +47,6 @@
 		switch {
 		case s.leaving[d.ID]:
 			server.State, server.Reason = "leaving", "its own word"
-		case s.listed[d.ID]:
-			server.State, server.Reason = "leaving", "the platform's list"
 		case r.Leaving:
 			server.State, server.Reason = "leaving", "document"
 		case r.Silent:
