--- a/internal/load/place/place.go
+++ b/internal/load/place/place.go
@@ -31,8 +31,8 @@
 // the p99 of lookups beside a slow server is 147 ms in place of 114 ms. All being full, a peer
 // is better from 0.8 of the own time: with 0.5, p99 at 90% load beside a lying server is 203 ms in
 // place of 187 ms, with 1 it is 167 ms for nine points more handed over. At most half are ejected:
-// with a third, 13.5% of requests fail when 3 of 7 servers fail every other one, with half 6.0%;
-// without a ceiling 17.5% are answered when all 7 do, with one 50.0%. A slow start of 10 s takes
+// with a third, 13.7% of requests fail when 3 of 7 servers fail every other one, with half 6.0%;
+// without a ceiling 17.4% are answered when all 7 do, with one 50.0%. A slow start of 10 s takes
 // p99 while a cold server joins from 106 to 103 ms. How fast reports fade (0.5 to 5 s)
 // changed nothing that could be measured, nor did reports beside those on replies.
 //
