--- a/internal/oper/admin/admin_test.go
+++ b/internal/oper/admin/admin_test.go
@@ -84,10 +84,11 @@
 
 func TestRun(t *testing.T) {
 	s := New(netip.MustParseAddrPort("127.0.0.1:0"), zerolog.Nop())
+	assert.NilError(t, s.Open())
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
 	assert.NilError(t, s.Run(ctx))
 
 	s = New(netip.MustParseAddrPort("192.0.2.1:1"), zerolog.Nop()) // no address of this machine
-	assert.ErrorContains(t, s.Run(t.Context()), "operators' HTTP")
+	assert.ErrorContains(t, s.Open(), "operators' HTTP")
 }
--- a/internal/oper/verbs/verbs_test.go
+++ b/internal/oper/verbs/verbs_test.go
@@ -18,6 +18,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/golden"
 
+	"mangowinch/internal/node/start"
 	"mangowinch/internal/oper/admin"
 )
 
@@ -38,7 +39,7 @@
 }
 
 func TestHelp(t *testing.T) {
-	for _, verb := range []string{"", "entry", "agent", "check", "status", "call", "call upload", "certify"} {
+	for _, verb := range []string{"", "entry", "agent", "check", "status", "compare", "call", "call upload", "certify"} {
 		code, out, _ := run(append(strings.Fields(verb), "--help")...)
 		assert.Equal(t, code, exitDone)
 		golden.Assert(t, out, strings.ReplaceAll("help "+verb, " ", "-")+".golden")
@@ -75,7 +76,10 @@
 			Name     string `json:"name"`
 			Revision int    `json:"revision"`
 			From     string `json:"from"`
-		}{{"tracing-core", 3, "platform"}, {"doc-intake", 12, ""}}
+			Load     struct {
+				Busy int `json:"busy"`
+			} `json:"load"`
+		}{{Name: "tracing-core", Revision: 3, From: "platform"}, {Name: "doc-intake", Revision: 12}}
 	})
 	s.Section("reasons", func() any { return nil }) // the counters of this process depend on the tests before
 	s.Section("refused", func() any { return map[string]any{"queue": 4, "peers": []string{"e1", "e2"}} })
@@ -100,6 +104,35 @@
 	assert.Equal(t, code, exitUse)
 }
 
+// running is the operators' server of a process that holds one revision of a document.
+func running(t *testing.T, name string, revision uint64, fault string) (address string) {
+	t.Helper()
+	s := admin.New(netip.AddrPort{}, zerolog.Nop())
+	s.Section("process", func() any { return start.Process{Name: name, Role: "entry", Domain: "zg-a", Version: "v1"} })
+	s.Section("documents", func() any {
+		return []start.Document{{Name: "tracing-core", Revision: revision, Fault: fault, Refused: 9}}
+	})
+	s.Condition("document").Set(true, "")
+	server := httptest.NewServer(s.Handler())
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// A team publishes a document and one process stays behind. Nobody looks at a process
+// that says nothing; the operator has to see which one it is among all.
+func TestCompare(t *testing.T) {
+	a, b := running(t, "e1", 4, ""), running(t, "e2", 4, "")
+	code, out, _ := run("compare", a, b)
+	assert.Equal(t, code, exitDone, out)
+
+	code, out, _ = run("compare", a, b, running(t, "e3", 3, "no such key"), "127.0.0.1:1")
+	assert.Equal(t, code, exitFault)
+	_, differences, ok := strings.Cut(out, "does not answer\n")
+	assert.Assert(t, ok, out)
+	assert.Equal(t, differences, "tracing-core: e3 cannot use revision 9\n"+
+		"tracing-core: revision 3 at e3\ntracing-core: revision 4 at e1, e2\n")
+}
+
 func TestCertifyKeepsWhatIsThere(t *testing.T) {
 	directory := certified(t)
 	before, err := os.ReadFile(filepath.Join(directory, "k1.key"))
@@ -124,6 +157,10 @@
 		w.Header().Set(headerKey, r.Header.Get(headerKey)+"k")
 		_, _ = io.Copy(w, r.Body)
 	})
+	mux.HandleFunc(keyPath, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(headerKey, "first")
+		w.WriteHeader(http.StatusNoContent)
+	})
 	mux.HandleFunc("/refuse", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set(headerOutcome, "not-run")
 		w.Header().Set(headerReason, "queue")
@@ -157,7 +194,11 @@
 	code, out, err := run("call", "lookup", url+"/run", "--ca", ca, "--body", "hello", "--repeat-key", "a", "--local", "127.0.0.5")
 	assert.Equal(t, code, exitDone, err)
 	assert.Equal(t, out, "hello")
-	assert.Assert(t, strings.Contains(err, "request-key  ak\n"))
+	assert.Assert(t, strings.Contains(err, "sent-key     a\nfresh-key    ak\n"))
+
+	code, _, err = run("call", "lookup", url+"/run", "--ca", ca, "--fresh-key")
+	assert.Equal(t, code, exitDone, err)
+	assert.Assert(t, strings.Contains(err, "sent-key     first\n"), err)
 
 	code, out, _ = run("call", "upload", url+"/run", "--insecure", "--file", "-")
 	assert.Equal(t, code, exitDone)
@@ -209,3 +250,19 @@
 		assert.Equal(t, code, exitDone, out+message)
 	}
 }
+
+// A process is started twice with the same settings. The second one used to run on
+// without its operators' pages, so that nobody could see that it was there; it now
+// ends before it takes any traffic.
+func TestOperatorAddressIsTaken(t *testing.T) {
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer taken.Close()
+	settings := filepath.Join(certified(t), "entry.ini")
+	text := "[process]\nname = e1\ndomain = a\noperator = " + taken.Addr().String() +
+		"\n[platform]\naddress = http://127.0.0.1:1\n[key k1]\nfile = k1.key\n[entry]\nbind = 127.0.0.1\nlink = 127.0.0.1:1\n"
+	assert.NilError(t, os.WriteFile(settings, []byte(text), 0o600))
+	code, _, message := run("entry", "--settings", settings)
+	assert.Equal(t, code, exitFault)
+	assert.Assert(t, strings.Contains(message, "operators' HTTP"), message)
+}
--- a/internal/stand/faults/faults.go
+++ b/internal/stand/faults/faults.go
@@ -60,12 +60,14 @@
 	Repeated   int           // requests of unknown outcome sent again with their key
 	Slowest    time.Duration // lookup, from asking to its end
 	Left       time.Duration // from telling a server to leave to its last new request
+	Note       string        // what the scenario measured besides
 	Violations []check.Violation
 	Unknown    []string // requests of unknown outcome, each with what its caller saw
 }
 
 // Caught counts the requests in progress when the first fault struck, by step.
 type Caught struct {
+	Opening int // handshake half done
 	Waiting int // not at a server yet
 	Running int // at a server, nothing of the answer back
 	Midway  int // answer or upload half done
@@ -114,9 +116,12 @@
 	if r.Left > 0 {
 		left = ", last new work " + r.Left.Round(time.Millisecond).String() + " after the word to leave"
 	}
-	fmt.Fprintf(out, "%-34s seed %-4d %4d attempts (%d ran, %d not run, %d unknown), %4d executions, caught %d waiting %d running %d midway (%d handed over), %d repeats, %d of %d handshakes failed, slowest lookup %s%s: %d violations\n",
+	if r.Note != "" {
+		left += ", " + r.Note
+	}
+	fmt.Fprintf(out, "%-34s seed %-4d %4d attempts (%d ran, %d not run, %d unknown), %4d executions, caught %d opening %d waiting %d running %d midway (%d handed over), %d repeats, %d of %d handshakes failed, slowest lookup %s%s: %d violations\n",
 		r.Scenario, r.Seed, r.Attempts, r.Outcomes[result.Ran], r.Outcomes[result.NotRun], r.Outcomes[result.Unknown],
-		r.Executions, r.Caught.Waiting, r.Caught.Running, r.Caught.Midway, r.Caught.Handed,
+		r.Executions, r.Caught.Opening, r.Caught.Waiting, r.Caught.Running, r.Caught.Midway, r.Caught.Handed,
 		r.Repeated, r.Undialed, r.Dials, r.Slowest.Round(time.Millisecond), left, len(r.Violations))
 	for _, v := range r.Violations {
 		fmt.Fprintf(out, "    %s\n", v)
@@ -133,6 +138,7 @@
 	hit      map[string]bool
 	leaving  []check.Leave
 	moved    *move
+	note     string // what the scenario measured besides
 	extra    []check.Violation
 	scenario Scenario
 }
@@ -181,7 +187,7 @@
 		Seed:       seed,
 		Attempts:   len(attempts),
 		Executions: len(executions),
-		Dials:      r.load.dials,
+		Dials:      len(r.load.dials),
 		Undialed:   r.load.undialed,
 		Repeated:   r.load.repeated,
 	}
@@ -202,6 +208,8 @@
 		}
 		answer.Caught.add(*a, at, began, r.struck)
 	}
+	answer.Caught.Opening = r.load.opening(r.struck)
+	answer.Note = r.note
 	answer.Left = lastNew(r.leaving, executions)
 	answer.Violations = append(check.Check(check.Run{
 		Attempts:   attempts,
--- a/internal/stand/matrix/cells.go
+++ b/internal/stand/matrix/cells.go
@@ -39,14 +39,14 @@
 }
 
 var kinds = []Fault{
-	{entryKilled, "a balancer is killed", []string{"entry-killed", "entries-killed-in-turn"}},
+	{entryKilled, "a balancer is killed", []string{"entry-killed", "entries-killed-in-turn", "entry-killed-twice"}},
 	{entryJoins, "a balancer joins", []string{"entry-joins"}},
-	{serverDies, "an agent or a server is killed", []string{"agent-killed", "server-killed", "server-dies-after-running"}},
+	{serverDies, "an agent or a server is killed", []string{"agent-killed", "server-killed", "server-dies-after-running", "agent-killed-twice"}},
 	{drains, "a server drains", []string{"drain-by-document", "drain-by-server", "drain-by-list", "drain-by-signal"}},
 	{uneven, "updates reach processes unevenly", []string{"entry-frozen+document"}},
 	{down, "the platform is down", []string{"platform-down", "platform-down-entry-restarted"}},
 	{stale, "the platform serves an old revision", []string{"platform-stale-entry-restarted"}},
-	{frozen, "a process is frozen and woken late", []string{"entry-frozen", "agent-frozen", "agent-frozen-past-deadline", "server-frozen"}},
+	{frozen, "a process is frozen and woken late", []string{"entry-frozen", "entries-all-frozen", "agent-frozen", "agent-frozen-past-deadline", "server-frozen"}},
 	{partition, "callers and entries are parted", []string{"partition"}},
 	{oneWay, "loss in one direction", []string{"cut-toward-entry", "cut-back-from-entry", "loss-both-ways"}},
 	{racing, "two documents, or a document and a drain, at once", []string{"two-documents-at-once", "document-and-drain-at-once"}},
@@ -57,7 +57,7 @@
 var cells = []Cell{
 	{Row: established, Fault: entryKilled, Tests: []string{"flow/paths.TestOneWayFeedLeavesDeadEntry", "stand/demo.TestWholePathAsSeparateProcesses"}},
 	{Row: established, Fault: entryJoins, Tests: []string{"flow/ident.TestOpenGivesTheSealedServer"}},
-	{Row: established, Fault: drains, Scenarios: []string{"agent-replaced"}},
+	{Row: established, Fault: drains, Scenarios: []string{"agent-replaced", "agent-succeeded"}},
 	{Row: established, Fault: uneven, Tests: []string{"flow/ident.TestRotatedKeyStillRoutes", "flow/route.TestFormerChoiceIsNamed", "flow/table.TestSecondHalfOfFirstFlightFindsItsServer"}},
 	{Row: established, Fault: frozen, Tests: []string{"flow/paths.TestPauseLosesNobody"}},
 	{Row: established, Fault: partition, Tests: []string{"flow/paths.TestPartedCallerIsAnsweredByEntriesThatHearIt"}},
@@ -75,13 +75,13 @@
 	{Row: notRun, Fault: partition, Tests: []string{"work/hand.TestHistories"}},
 
 	{Row: once, Fault: serverDies, Tests: []string{"work/hand.TestServerDiesAfterRunning", "work/hand.TestOwnerRestarted", "work/token.TestRestartedOwnerWithClockSetBack"}},
-	{Row: once, Fault: frozen, Tests: []string{"work/hand.TestFrozenReceiverWakesAfterTheDeadline", "work/memo.TestWokenAfterTheDeadline"}},
+	{Row: once, Fault: frozen, Tests: []string{"work/hand.TestFrozenReceiverWakesAfterTheDeadline", "work/memo.TestWokenAfterTheDeadline", "node/agent.TestClaimIsNotSentAfterItsDeadline"}},
 	{Row: once, Fault: partition, Tests: []string{"work/hand.TestPartitionAndCallerChangesSides", "work/hand.TestHistories"}},
 
 	{Row: leaving, Fault: entryKilled, Scenarios: []string{"entry-killed+server-drains"}},
 	{Row: leaving, Fault: entryJoins, Scenarios: []string{"entry-joins+drain"}},
 	{Row: leaving, Fault: serverDies, Scenarios: []string{"agent-killed+drain"}},
-	{Row: leaving, Fault: drains, Tests: []string{"flow/table.TestLeavingServerPassesNewFlowsOn", "flow/route.TestLeavingServerIsLastChoice", "load/place.TestLeavingAndTriedServersGetNothing", "load/shift.TestLeavingCountsAtOnce"}, Scenarios: []string{"drain-by-document", "drain-by-server", "drain-by-list", "drain-by-signal"}},
+	{Row: leaving, Fault: drains, Tests: []string{"flow/table.TestLeavingServerPassesNewFlowsOn", "flow/route.TestLeavingServerIsLastChoice", "load/place.TestLeavingAndTriedServersGetNothing", "load/shift.TestLeavingCountsAtOnce", "ctrl/relay.TestListSaysLeave"}, Scenarios: []string{"drain-by-document", "drain-by-server", "drain-by-list", "drain-by-signal"}},
 	{Row: leaving, Fault: uneven, Scenarios: []string{"entry-frozen+document"}},
 	{Row: leaving, Fault: down, Scenarios: []string{"platform-down+drain"}},
 	{Row: leaving, Fault: stale, Scenarios: []string{"platform-stale+drain"}},
@@ -91,7 +91,7 @@
 	{Row: leaving, Fault: racing, Scenarios: []string{"document-and-drain-at-once"}},
 
 	{Row: planned, Fault: entryKilled, Scenarios: []string{"entry-stopped+entry-killed"}},
-	{Row: planned, Fault: drains, Tests: []string{"flow/paths.TestLeavingEntryIsNotUsed"}, Scenarios: []string{"entry-stopped", "agent-replaced", "drain-by-signal"}},
+	{Row: planned, Fault: drains, Tests: []string{"flow/paths.TestLeavingEntryIsNotUsed", "node/agent.TestSuccessorBelievesInOldProcessAtFirst"}, Scenarios: []string{"entry-stopped", "agent-replaced", "drain-by-signal", "all-replaced"}},
 
 	{Row: planned, Fault: entryJoins, Scenarios: []string{"entry-stopped+entry-joins"}},
 	{Row: planned, Fault: serverDies, Scenarios: []string{"entry-stopped+agent-killed"}},
@@ -105,15 +105,15 @@
 
 	{Row: inForce, Fault: entryKilled, Never: "what a balancer had in force dies with it; its successor is a balancer that joins"},
 	{Row: inForce, Fault: entryJoins, Scenarios: []string{"entry-joins"}},
-	{Row: inForce, Fault: serverDies, Scenarios: []string{"agent-killed+drain", "agent-killed+platform-down"}},
+	{Row: inForce, Fault: serverDies, Tests: []string{"ctrl/relay.TestManyFailures"}, Scenarios: []string{"agent-killed+drain", "agent-killed+platform-down"}},
 	{Row: inForce, Fault: drains, Never: "a drain changes no document; a drain by document is an update like any other"},
-	{Row: inForce, Fault: uneven, Tests: []string{"conf/store.TestNeverReverts"}},
-	{Row: inForce, Fault: down, Tests: []string{"ctrl/fetch.TestKeepSurvivesOutageAndStalePlatform"}, Scenarios: []string{"platform-down-entry-restarted"}},
-	{Row: inForce, Fault: stale, Tests: []string{"conf/store.TestNeverReverts"}, Scenarios: []string{"platform-stale-entry-restarted", "platform-stale+drain"}},
+	{Row: inForce, Fault: uneven, Tests: []string{"conf/store.TestNeverReverts", "ctrl/relay.TestNeverRevertsInFleet", "ctrl/relay.TestChangeReachesAll"}},
+	{Row: inForce, Fault: down, Tests: []string{"ctrl/relay.TestPlatformDownAfterOneSawTheChange", "ctrl/relay.TestLongOutage"}, Scenarios: []string{"platform-down-entry-restarted"}},
+	{Row: inForce, Fault: stale, Tests: []string{"conf/store.TestNeverReverts", "ctrl/relay.TestRestartWithStalePlatform"}, Scenarios: []string{"platform-stale-entry-restarted", "platform-stale+drain"}},
 	{Row: inForce, Fault: frozen, Scenarios: []string{"entry-frozen+document"}},
-	{Row: inForce, Fault: partition, Scenarios: []string{"partition+document"}},
-	{Row: inForce, Fault: oneWay, Scenarios: []string{"cut-back+document"}},
-	{Row: inForce, Fault: racing, Tests: []string{"conf/store.TestNeverReverts", "conf/store.TestFaultyDocumentLeavesTheLastGoodOne"}, Scenarios: []string{"two-documents-at-once"}},
+	{Row: inForce, Fault: partition, Tests: []string{"ctrl/relay.TestPartitionHeals"}, Scenarios: []string{"partition+document"}},
+	{Row: inForce, Fault: oneWay, Tests: []string{"ctrl/relay.TestLoss"}, Scenarios: []string{"cut-back+document"}},
+	{Row: inForce, Fault: racing, Tests: []string{"conf/store.TestNeverReverts", "conf/store.TestFaultyDocumentLeavesTheLastGoodOne", "ctrl/relay.TestFaultyDocument"}, Scenarios: []string{"two-documents-at-once"}},
 }
 
 var pairs = []Cell{
@@ -133,5 +133,9 @@
 	{Row: "a balancer makes its planned stop while callers are parted, or the way back from another is cut", Scenarios: []string{"entry-stopped+partition", "entry-stopped+cut-back"}},
 	{Row: "an agent is replaced while the platform is down or stale, or documents change", Scenarios: []string{"agent-replaced+platform-down", "agent-replaced+platform-stale", "agent-replaced+documents"}},
 	{Row: "documents change while callers are parted, or the way back from a balancer is cut", Scenarios: []string{"partition+document", "cut-back+document"}},
+	{Row: "two of three balancers are killed at once", Scenarios: []string{"two-entries-killed"}},
+	{Row: "every process of a failure domain is killed at once", Scenarios: []string{"domain-lost"}},
+	{Row: "balancers and agents are replaced one after the other, at the same time", Scenarios: []string{"all-replaced"}},
+	{Row: "first flights flood the service while callers call (memory is bounded as well)", Scenarios: []string{"first-flight-flood"}},
 	{Row: "links break, agents restart, the fleet is parted, servers shed and die, in any order (hand-over and request keys)", Tests: []string{"work/hand.TestHistories"}},
 }
