Spread Retry-After by the length of the outage also where the gate did not refuse

A server that could not be reached, shed or is leaving was answered with Retry-After of 1 s or none, the same for all callers of an outage.

Touches place in internal/node/agent and one method of internal/node/gate.

--- a/internal/node/agent/place.go
+++ b/internal/node/agent/place.go
@@ -39,10 +39,24 @@
 // what the own server refuses as not run.
 func (a *Agent) place(next Handler) Handler {
 	return func(ctx context.Context, x *Exchange) result.Result {
-		return a.spreader.Run(ctx, x.asRequest(), outer{x.Answer}, x.asRunner(next))
+		return a.later(a.spreader.Run(ctx, x.asRequest(), outer{x.Answer}, x.asRunner(next)))
 	}
 }
 
+// later tells a caller that no server took when to come back. Were all callers of an
+// outage told the same, they would come back together; the gate spreads them by how
+// long the shortage has lasted.
+func (a *Agent) later(end result.Result) result.Result {
+	if end.Outcome != result.NotRun {
+		return end
+	}
+	switch end.Reason {
+	case result.ServerDown, result.ServerShed, result.LeavingServer, result.PeerLost:
+		end.After = max(end.After, a.gate.After())
+	}
+	return end
+}
+
 // share is what connects the agent with the others of its service.
 type share struct {
 	client   *hand.Client
--- a/internal/node/gate/gate.go
+++ b/internal/node/gate/gate.go
@@ -186,6 +186,14 @@
 	g.carry(c)
 }
 
+// After is when a caller is to come back whose request the gate did not refuse itself;
+// it counts as refused.
+func (g *Gate) After() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.admit.After(time.Now())
+}
+
 // Stats returns a copy of the gate's state.
 func (g *Gate) Stats() admit.Stats {
 	g.mu.Lock()
--- a/internal/node/gate/gate_test.go
+++ b/internal/node/gate/gate_test.go
@@ -119,3 +119,23 @@
 		first.Leave()
 	})
 }
+
+// Story: a server is down for ten seconds. Those who come late in the outage are told to stay away
+// for longer than the first, and not all for the same time.
+func TestComeBackFollowsTheOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := New(admit.Limits{Slots: 4})
+		first := g.After()
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			g.After()
+		}
+		told := map[time.Duration]bool{}
+		for range 10 {
+			last := g.After()
+			assert.Assert(t, last >= 10*time.Second && first < last)
+			told[last] = true
+		}
+		assert.Assert(t, len(told) > 1)
+	})
+}
