Leave the agent's address to the successor once it runs

Cause, by reading: of two processes at one address the old one went on taking some of the connections that other agents open. What it answered on them was "leaving", which the others took for the server's word and placed less on it for hours, though the successor was serving. The uneven placing itself was not measured.

--- a/internal/node/agent/link.go
+++ b/internal/node/agent/link.go
@@ -32,6 +32,7 @@
 	agent *Agent
 	conn  *net.UDPConn
 	side  *side // nil without sides in the settings
+	peers *sock.Retiring
 	wire  *wire
 
 	// mu guards table and paths, which decide for the readers, the probes and
--- a/internal/node/agent/side.go
+++ b/internal/node/agent/side.go
@@ -127,15 +127,27 @@
 	if err != nil {
 		return nil, err
 	}
+	l.peers = sock.NewRetiring(main)
 	if l.side == nil {
-		return []net.Listener{main}, nil
+		return []net.Listener{l.peers}, nil
 	}
 	own := l.side.conn.LocalAddr().(*net.UDPAddr).AddrPort()
 	side, err := sock.TCP(ctx, own, sock.Alone)
 	if err != nil {
 		return nil, errors.CombineErrors(err, main.Close())
 	}
-	return []net.Listener{main, side}, nil
+	return []net.Listener{l.peers, side}, nil
+}
+
+// leavePeers gives the agent's address to the successor, if there is one: what others
+// connect to from now on takes work and speaks for the server. What is connected stays.
+func (l *link) leavePeers(now time.Time) {
+	if !l.side.alive(now) {
+		return
+	}
+	if err := l.peers.Retire(); err != nil {
+		l.agent.log.Error().Err(err).Msg("address given to successor")
+	}
 }
 
 // index is the side that connection IDs carry.
--- a/internal/node/agent/stop.go
+++ b/internal/node/agent/stop.go
@@ -21,6 +21,7 @@
 	go a.sayGoodbye(ctx)
 	started := time.Now()
 	for time.Since(started) < stopTime && ctx.Err() == nil {
+		a.link.leavePeers(time.Now())
 		if a.requests.Load() == 0 && time.Since(started) > a.stayTime() {
 			break
 		}
--- a/internal/work/memo/memo_test.go
+++ b/internal/work/memo/memo_test.go
@@ -71,7 +71,7 @@
 		}
 		issue(t)
 		t.Repeat(map[string]func(*rapid.T){
-			"issue": issue,
+			"issue":  issue,
 			"arrive": func(t *rapid.T) { h := pick(t); told(h, m.Begin(now, h.call)) },
 			"ask":    func(t *rapid.T) { h := pick(t); told(h, m.Ask(now, h.call.ID, h.call.Until)) },
 			"end": func(t *rapid.T) {
