Hear of an answer that starts before anybody listens

The sender began to listen for the start of the answer after the goroutine that receives it had run; a start that was delivered in between was never told, and the feed was cut at the deadline for its first byte. Ruled out: the deadline's own timer (it is cleared on the start) and the receiver's (its memory ends later). TestStartBeforeAnybodyListens failed before and passes after. A feed that is handed over and answered within microseconds met this in real use too.

--- a/internal/work/hand/ask.go
+++ b/internal/work/hand/ask.go
@@ -96,11 +96,15 @@
 	skip    int64 // bytes of the body to come that were delivered before
 }
 
-// begun is closed when the answer's start has been delivered.
+// begun is closed when the answer's start has been delivered, which may have been
+// before the call: the other side answers at once, and who asks comes late.
 func (s *resume) begun() <-chan struct{} {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.start = make(chan struct{})
+	if s.started {
+		close(s.start)
+	}
 	return s.start
 }
 
--- a/internal/work/hand/hand_test.go
+++ b/internal/work/hand/hand_test.go
@@ -310,3 +310,16 @@
 		assert.Assert(t, !b.Again())
 	})
 }
+
+// Story: a feed is handed to another agent, whose server answers at once. The feed was
+// cut at the deadline for its first byte, though it had come: the sender began to
+// listen for the start after it had been delivered, and never heard of it.
+func TestStartBeforeAnybodyListens(t *testing.T) {
+	s := &resume{answer: &taker{}}
+	assert.NilError(t, s.take(&wire.Down{Part: &wire.Down_Start{Start: &wire.Start{Status: http.StatusOK}}}))
+	select {
+	case <-s.begun():
+	default:
+		t.Fatal("the start was not told")
+	}
+}
