Believe "not run" of refusals only; let a replaced process not speak for its server

A claim that ran could have been placed elsewhere. TestNotRunIsSaidByRefusalsOnly failed (not-run for status 200), passes now. Cause 2, seen by hand: beside a successor an entry listed the server as leaving by its own word, weight 0.125, for as long as the old process's feeds lasted. Its frames now carry that flag only for causes of the server's. TestReplacedProcessDoesNotSpeakForTheServer fails without the look at the successor.

--- a/internal/node/agent/backend.go
+++ b/internal/node/agent/backend.go
@@ -79,7 +79,7 @@
 		return failed(ctx, sent.Load())
 	}
 	defer answer.Body.Close()
-	if answer.Header.Get(headerNotRun) != "" {
+	if answer.StatusCode == http.StatusServiceUnavailable && answer.Header.Get(headerNotRun) != "" {
 		return refuse(result.ServerShed, retryAfter(answer))
 	}
 	if x.Class.Kind == docs.Feed {
--- a/internal/node/agent/backend_test.go
+++ b/internal/node/agent/backend_test.go
@@ -36,3 +36,28 @@
 	}
 	assert.Equal(t, dials, 0)
 }
+
+// Story: a server runs a claim, and its answer, which it got from a third system, happens
+// to carry the header Not-Run. Taken for the server's own word, the claim would be placed
+// elsewhere and open a second case. Only a 503 with the header says that it did not run.
+func TestNotRunIsSaidByRefusalsOnly(t *testing.T) {
+	for status, want := range map[int]result.Result{
+		http.StatusOK:                 {Outcome: result.Ran},
+		http.StatusServiceUnavailable: refuse(result.ServerShed, 0),
+	} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(headerNotRun, "1")
+			w.WriteHeader(status)
+		}))
+		address, err := url.Parse(server.URL)
+		assert.NilError(t, err)
+		x := &Exchange{
+			Class:    &docs.Class{Kind: docs.Lookup},
+			Deadline: time.Now().Add(time.Minute),
+			Request:  httptest.NewRequest(http.MethodPost, "/lookup/7", http.NoBody),
+			Answer:   &Answer{ResponseWriter: httptest.NewRecorder()},
+		}
+		assert.Equal(t, newBackend(address).run(t.Context(), x), want)
+		server.Close()
+	}
+}
--- a/internal/node/agent/leave.go
+++ b/internal/node/agent/leave.go
@@ -62,6 +62,13 @@
 // accepting says whether the server takes new work.
 func (s *standing) accepting() bool { return !s.closed.Load() }
 
+// only says whether a cause is the only one.
+func (s *standing) only(c cause) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.causes) == 1 && s.causes[0] == c
+}
+
 // reason is what a request is told that is not taken.
 func (s *standing) reason() result.Reason {
 	s.mu.Lock()
--- a/internal/node/agent/link.go
+++ b/internal/node/agent/link.go
@@ -248,7 +248,7 @@
 		Nonce:    l.agent.incarnation,
 		Load:     uint16(l.agent.load.Load()),
 	}
-	if !l.agent.standing.accepting() {
+	if l.leaves(time.Now()) {
 		h.Flags |= frame.Leaving
 	}
 	return h
--- a/internal/node/agent/side.go
+++ b/internal/node/agent/side.go
@@ -150,6 +150,14 @@
 	}
 }
 
+// leaves says whether the server takes no new work, as far as entries are to know.
+// That this process is being stopped says nothing of a server whose agent's successor
+// already runs; all other causes are the server's.
+func (l *link) leaves(now time.Time) bool {
+	s := &l.agent.standing
+	return !s.accepting() && (!s.only(bySignal) || !l.side.alive(now))
+}
+
 // index is the side that connection IDs carry.
 func (l *link) index() uint8 {
 	if l.side == nil {
--- a/internal/node/agent/side_test.go
+++ b/internal/node/agent/side_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 )
 
@@ -33,3 +34,21 @@
 	var none *side
 	assert.Assert(t, !none.mayLive(now))
 }
+
+// An agent's process is replaced, and its feeds go on for hours. Each of their frames
+// said that the server leaves, so that entries gave it hardly any new flows, although
+// the successor was serving. While it serves, the stop of the old process is no word
+// of the server's; any other cause still is.
+func TestReplacedProcessDoesNotSpeakForTheServer(t *testing.T) {
+	now := time.Now()
+	a := &Agent{standing: standing{log: zerolog.Nop(), changed: func(bool) {}}}
+	l := &link{agent: a, side: &side{}}
+	a.standing.set(bySignal, true)
+	assert.Assert(t, l.leaves(now)) // nobody takes over
+	l.side.heard.Store(now.UnixNano())
+	assert.Assert(t, !l.leaves(now))
+	a.standing.set(byServer, true)
+	assert.Assert(t, l.leaves(now))
+	a.standing.set(byServer, false)
+	assert.Assert(t, l.leaves(now.Add(2*sideLost))) // the successor has died
+}
