--- a/internal/node/agent/enter.go
+++ b/internal/node/agent/enter.go
@@ -29,6 +29,9 @@
 		}
 		began := time.Now()
 		leave := sync.OnceFunc(func() {
+			if x.Answer.Failed() {
+				pass.Fail()
+			}
 			pass.Leave()
 			if x.OwnFlow {
 				a.demand.add(time.Since(began))
@@ -36,7 +39,11 @@
 		})
 		defer leave()
 		x.FirstByte = leave
-		return next(ctx, x)
+		end := next(ctx, x)
+		if end.Outcome != result.Ran {
+			pass.Fail()
+		}
+		return end
 	}
 }
 
--- a/internal/node/agent/serve.go
+++ b/internal/node/agent/serve.go
@@ -27,15 +27,20 @@
 // to one request, whose writers take turns.
 type Answer struct {
 	http.ResponseWriter
-	began atomic.Bool
+	began  atomic.Bool
+	failed atomic.Bool // the server's status says that it failed
 }
 
 // WriteHeader begins the answer.
 func (w *Answer) WriteHeader(status int) {
 	w.began.Store(true)
+	w.failed.Store(status >= http.StatusInternalServerError)
 	w.ResponseWriter.WriteHeader(status)
 }
 
+// Failed says whether the answer has begun and is an error of the server's.
+func (w *Answer) Failed() bool { return w.failed.Load() }
+
 // Write writes a part of the body.
 func (w *Answer) Write(p []byte) (int, error) {
 	w.began.Store(true)
--- a/internal/node/gate/gate.go
+++ b/internal/node/gate/gate.go
@@ -8,7 +8,7 @@
 //	if pass == nil {
 //		return refused // not run
 //	}
-//	defer pass.Leave()
+//	defer pass.Leave() // or pass.Fail()
 package gate
 
 import (
@@ -59,13 +59,20 @@
 	once  sync.Once
 }
 
-// Leave gives the slot back. Only the first call counts.
-func (p *Pass) Leave() {
+// Leave gives the slot back after work whose time is a measure of the class. Only the
+// first call of Leave or Fail counts.
+func (p *Pass) Leave() { p.end(time.Since(p.since)) }
+
+// Fail gives the slot back after work that failed or was broken off. Its time measures
+// nothing: a server that fails each request at once would seem fast, and be given more
+// requests than it can answer once it is well.
+func (p *Pass) Fail() { p.end(0) }
+
+func (p *Pass) end(took time.Duration) {
 	p.once.Do(func() {
-		now := time.Now()
 		p.gate.mu.Lock()
 		defer p.gate.mu.Unlock()
-		p.gate.carry(p.gate.admit.Done(now, p.id, now.Sub(p.since)))
+		p.gate.carry(p.gate.admit.Done(time.Now(), p.id, took))
 	})
 }
 
--- a/internal/node/gate/gate_test.go
+++ b/internal/node/gate/gate_test.go
@@ -139,3 +139,26 @@
 		assert.Assert(t, len(told) > 1)
 	})
 }
+
+// A server fails every lookup in a millisecond for a while. Its estimate must stay what
+// answered lookups took: else, once the server is well, more is let in than it can
+// answer in time.
+func TestFailuresMeasureNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGate()
+		for range 100 {
+			pass, _ := g.Enter(t.Context(), lookup(time.Minute))
+			time.Sleep(100 * time.Millisecond)
+			pass.Leave()
+		}
+		before := g.Stats().Classes[0]
+		for range 100 {
+			pass, _ := g.Enter(t.Context(), lookup(time.Minute))
+			time.Sleep(time.Millisecond)
+			pass.Fail()
+			pass.Leave() // the second call counts for nothing
+		}
+		assert.DeepEqual(t, g.Stats().Classes[0], before)
+		assert.Equal(t, g.Stats().Running, 0)
+	})
+}
