--- a/internal/bench/docs/docs.go
+++ b/internal/bench/docs/docs.go
@@ -12,8 +12,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"net/http"
 	"os"
 	"path/filepath"
 	"slices"
@@ -85,7 +83,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	for i, n := range nodes {
 		group.Go(func() error {
-			if err := await(ctx, n, p.Service, revision); err != nil {
+			if err := await(ctx, f, n, p.Service, revision); err != nil {
 				return err
 			}
 			times[i] = time.Since(begun)
@@ -98,14 +96,14 @@
 		case <-first:
 		case <-ctx.Done():
 		}
-		if err := fault(ctx, f, "down"); err != nil {
+		if err := f.Post(ctx, "platform", "/fault?mode=down", ""); err != nil {
 			return nil, errors.CombineErrors(err, group.Wait())
 		}
 	}
 	if err := group.Wait(); err != nil {
 		return nil, err
 	}
-	return times, fault(context.WithoutCancel(ctx), f, "ok")
+	return times, f.Post(context.WithoutCancel(ctx), "platform", "/fault?mode=ok", "")
 }
 
 func touch(path string) error {
@@ -121,10 +119,10 @@
 }
 
 // await asks a process until it has the revision in force.
-func await(ctx context.Context, n *prefs.Settings, service string, revision uint64) (err error) {
+func await(ctx context.Context, f *fleet.Fleet, n *prefs.Settings, service string, revision uint64) (err error) {
 	defer func() { err = errors.Wrapf(err, "await revision %d at %s", revision, n.Process.Name) }()
 	for {
-		got, err := inForce(ctx, n, service)
+		got, err := f.Revision(ctx, n.Process.Name, service)
 		if err != nil {
 			return err
 		}
@@ -138,46 +136,3 @@
 		}
 	}
 }
-
-func inForce(ctx context.Context, n *prefs.Settings, service string) (uint64, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.Process.Operator.String()+"/status", nil)
-	if err != nil {
-		return 0, err
-	}
-	answer, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return 0, err
-	}
-	defer answer.Body.Close()
-	var status struct {
-		Sections struct {
-			Documents []struct {
-				Name     string `json:"name"`
-				Revision uint64 `json:"revision"`
-			} `json:"documents"`
-		} `json:"sections"`
-	}
-	if err := json.NewDecoder(answer.Body).Decode(&status); err != nil {
-		return 0, err
-	}
-	for _, d := range status.Sections.Documents {
-		if d.Name == service {
-			return d.Revision, nil
-		}
-	}
-	return 0, nil
-}
-
-// fault sets how the platform fails.
-func fault(ctx context.Context, f *fleet.Fleet, mode string) error {
-	url := "http://" + f.Process("platform").Operator.String() + "/fault?mode=" + mode
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, nil)
-	if err != nil {
-		return err
-	}
-	answer, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return err
-	}
-	return answer.Body.Close()
-}
--- a/internal/stand/faults/flood.go
+++ b/internal/stand/faults/flood.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"crypto/tls"
-	"encoding/json"
 	"fmt"
 	"net"
-	"net/http"
 	"net/netip"
 	"os"
 	"strconv"
@@ -75,32 +73,14 @@
 	for _, n := range sent {
 		total += n
 	}
-	callers, err := r.fabricCallers()
-	if err != nil {
+	var stats fabric.Stats
+	if err := r.fleet.Ask(r.ctx, "fabric", "/stats", &stats); err != nil {
 		return err
 	}
-	r.note = fmt.Sprintf("%d openers, %d of them seen by the fabric", total, callers)
+	r.note = fmt.Sprintf("%d openers, %d of them seen by the fabric", total, stats.Callers)
 	return r.weigh()
 }
 
-// fabricCallers returns how many callers the fabric knows.
-func (r *run) fabricCallers() (n int, err error) {
-	defer func() { err = errors.Wrap(err, "read the fabric's counts") }()
-	url := "http://" + r.fleet.Process("fabric").Operator.String() + "/stats"
-	request, err := http.NewRequestWithContext(r.ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return 0, err
-	}
-	answer, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return 0, err
-	}
-	defer answer.Body.Close()
-	var stats fabric.Stats
-	err = json.NewDecoder(answer.Body).Decode(&stats)
-	return stats.Callers, err
-}
-
 // opener sends the first flight of one connection and forgets it.
 func opener(ctx context.Context, local netip.Addr, service *docs.Service) error {
 	socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.AddrPortFrom(local, 0)))
--- a/internal/stand/faults/steps.go
+++ b/internal/stand/faults/steps.go
@@ -3,8 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"io"
-	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
@@ -55,23 +53,8 @@
 }
 
 // post sets a fault at a stand-in.
-func (r *run) post(process, path, body string) (err error) {
-	defer func() { err = errors.Wrapf(err, "%s %s", process, path) }()
-	url := "http://" + r.fleet.Process(process).Operator.String() + path
-	request, err := http.NewRequestWithContext(r.ctx, http.MethodPost, url, strings.NewReader(body))
-	if err != nil {
-		return err
-	}
-	answer, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return err
-	}
-	defer answer.Body.Close()
-	if answer.StatusCode != http.StatusOK {
-		text, _ := io.ReadAll(answer.Body)
-		return errors.Newf("%s: %s", answer.Status, text)
-	}
-	return nil
+func (r *run) post(process, path, text string) error {
+	return r.fleet.Post(r.ctx, process, path, text)
 }
 
 // spray lets the fabric send to all entries but these.
@@ -155,45 +138,13 @@
 	})
 }
 
-// revision returns the revision of a document that a process has in force.
-func (r *run) revision(process, service string) (revision uint64, err error) {
-	defer func() { err = errors.Wrapf(err, "status of %s", process) }()
-	url := "http://" + r.fleet.Process(process).Operator.String() + "/status"
-	request, err := http.NewRequestWithContext(r.ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return 0, err
-	}
-	answer, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return 0, err
-	}
-	defer answer.Body.Close()
-	var status struct {
-		Sections struct {
-			Documents []struct {
-				Name     string `json:"name"`
-				Revision uint64 `json:"revision"`
-			} `json:"documents"`
-		} `json:"sections"`
-	}
-	if err := json.NewDecoder(answer.Body).Decode(&status); err != nil {
-		return 0, err
-	}
-	for _, d := range status.Sections.Documents {
-		if d.Name == service {
-			return d.Revision, nil
-		}
-	}
-	return 0, nil
-}
-
 // expectRevision adds a violation if a process does not have a document's revision
 // in force within inForceWithin, or a later one.
 func (r *run) expectRevision(process, service string, least uint64) {
 	var got uint64
 	var err error
 	for end := time.Now().Add(inForceWithin); time.Now().Before(end); r.wait(20 * time.Millisecond) {
-		if got, err = r.revision(process, service); err == nil && got >= least {
+		if got, err = r.fleet.Revision(r.ctx, process, service); err == nil && got >= least {
 			return
 		}
 	}
--- /dev/null
+++ b/internal/stand/fleet/ask.go
@@ -0,0 +1,71 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Ask reads what a process tells at a path of its operators' address into answer.
+func (f *Fleet) Ask(ctx context.Context, process, path string, answer any) (err error) {
+	defer func() { err = errors.Wrapf(err, "ask %s for %s", process, path) }()
+	body, err := f.do(ctx, http.MethodGet, process, path, "")
+	if err != nil {
+		return err
+	}
+	defer body.Close()
+	return json.NewDecoder(body).Decode(answer)
+}
+
+// Post tells a stand-in what to do.
+func (f *Fleet) Post(ctx context.Context, process, path, text string) (err error) {
+	defer func() { err = errors.Wrapf(err, "tell %s %s", process, path) }()
+	body, err := f.do(ctx, http.MethodPost, process, path, text)
+	if err != nil {
+		return err
+	}
+	return body.Close()
+}
+
+func (f *Fleet) do(ctx context.Context, method, process, path, text string) (io.ReadCloser, error) {
+	url := "http://" + f.Process(process).Operator.String() + path
+	request, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(text))
+	if err != nil {
+		return nil, err
+	}
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	if answer.StatusCode == http.StatusOK {
+		return answer.Body, nil
+	}
+	defer answer.Body.Close()
+	why, err := io.ReadAll(answer.Body)
+	return nil, errors.CombineErrors(errors.Newf("%s: %s", answer.Status, why), err)
+}
+
+// Revision returns the revision of a document that a process has in force, 0 if none.
+func (f *Fleet) Revision(ctx context.Context, process, service string) (revision uint64, err error) {
+	var status struct {
+		Sections struct {
+			Documents []struct {
+				Name     string `json:"name"`
+				Revision uint64 `json:"revision"`
+			} `json:"documents"`
+		} `json:"sections"`
+	}
+	if err := f.Ask(ctx, process, "/status", &status); err != nil {
+		return 0, err
+	}
+	for _, d := range status.Sections.Documents {
+		if d.Name == service {
+			return d.Revision, nil
+		}
+	}
+	return 0, nil
+}
