Name the gate's state in /status as all else there

Cause: /status showed Go's field names and a caller as an object for the gate only. Now lower-case names, and a caller is its name or network.

--- a/internal/load/admit/after.go
+++ b/internal/load/admit/after.go
@@ -84,18 +84,18 @@
 
 // Stats is the state of a gate for /status and for the load that peers are told of.
 type Stats struct {
-	Slots   int
-	Running int
-	Waiting int
-	Classes []ClassStats
-	Callers []queue.Backlog
+	Slots   int             `json:"slots"`
+	Running int             `json:"running"`
+	Waiting int             `json:"waiting"`
+	Classes []ClassStats    `json:"classes"`
+	Callers []queue.Backlog `json:"callers"`
 }
 
 // ClassStats is what is measured of one class.
 type ClassStats struct {
-	Class string
-	Mean  time.Duration // of service
-	Runs  int
+	Class string        `json:"class"`
+	Mean  time.Duration `json:"mean"` // of service
+	Runs  int           `json:"runs"`
 }
 
 // Service is the service time to tell peers: the mean of the shortest class. A mean over
--- a/internal/load/queue/ahead.go
+++ b/internal/load/queue/ahead.go
@@ -4,9 +4,9 @@
 
 // Backlog is what one caller has waiting.
 type Backlog struct {
-	Caller  Caller
-	Waiting int
-	Cost    float64 // seconds of a slot
+	Caller  Caller  `json:"caller"`
+	Waiting int     `json:"waiting"`
+	Cost    float64 `json:"cost"` // seconds of a slot
 }
 
 // Backlogs lists the callers that wait, in the order in which they came.
--- a/internal/load/queue/caller.go
+++ b/internal/load/queue/caller.go
@@ -29,6 +29,9 @@
 	return c.Network.String()
 }
 
+// MarshalText gives the caller as /status shows it. It never fails.
+func (c Caller) MarshalText() ([]byte, error) { return []byte(c.String()), nil }
+
 // Identify returns the caller that a source address counts as. The longest
 // declared network wins. The address is one that has answered a QUIC handshake, so
 // it cannot be forged; connections, ports and request keys, which a caller can
