--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -12,12 +12,14 @@
 
 	"mangowinch/internal/bench/entry"
 	"mangowinch/internal/bench/flows"
+	"mangowinch/internal/bench/load"
 	"mangowinch/internal/bench/relay"
 )
 
 type command struct {
 	Relay     relayCommand     `cmd:"" help:"Be a bare UDP relay."`
 	Entry     entryCommand     `cmd:"" help:"Measure an entry against a bare UDP relay."`
+	Load      loadCommand      `cmd:"" help:"Put a deployment under multiples of its capacity."`
 	Flows     flowsCommand     `cmd:"" help:"Measure flows a second and memory for open flows."`
 	Feeds     feedsCommand     `cmd:"" help:"Measure what kill -9 of each entry in turn does to open feeds."`
 	Documents documentsCommand `cmd:"" help:"Measure how long a document takes to be in force everywhere."`
@@ -63,6 +65,31 @@
 	return nil
 }
 
+type loadCommand struct {
+	Deployment string        `default:"examples/zagreb" help:"Directory of a deployment."`
+	Binaries   string        `default:"bin" help:"Directory of the programs."`
+	Service    string        `default:"doc-intake" help:"Service that is called."`
+	Work       time.Duration `default:"20ms" help:"Time of a lookup at its server."`
+	Deadline   time.Duration `default:"500ms" help:"Deadline of a lookup."`
+	Flows      int           `default:"120" help:"Connections."`
+	Times      []float64     `default:"0.7,1,1.2,2,5" help:"Multiples of the capacity."`
+	Length     time.Duration `default:"10s" help:"Length of each load."`
+}
+
+// Run prints a row for each load.
+func (c *loadCommand) Run() error {
+	rows, err := load.Measure(context.Background(), load.Plan(*c))
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%6s %8s %8s %8s %6s %8s %10s %10s %12s\n", "times", "sent", "in time", "refused", "rest", "goodput", "p50", "p99", "refusal p99")
+	for _, r := range rows {
+		fmt.Printf("%6.1f %8d %8d %8d %6d %7.1f%% %10s %10s %12s\n", r.Times, r.Sent, r.InTime, r.Refused, r.Rest, 100*r.Goodput,
+			r.P50.Round(100*time.Microsecond), r.P99.Round(100*time.Microsecond), r.Refusal99.Round(100*time.Microsecond))
+	}
+	return nil
+}
+
 type flowsCommand struct {
 	Deployment string        `default:"examples/zagreb" help:"Directory of a deployment."`
 	Binaries   string        `default:"bin" help:"Directory of the programs."`
