Say of a document that the relay took it, not that it is in force

Cause: whether a document is in force is for the entry or the agent to say; a key may be missing. The two log lines of the relay now say taken. No behaviour changed.

--- a/internal/ctrl/relay/attend.go
+++ b/internal/ctrl/relay/attend.go
@@ -241,7 +241,7 @@
 		n.Log.Warn().Err(err).Msg("document is faulty")
 	}
 	if accepted {
-		n.Log.Info().Str("document", d.Name).Uint64("revision", d.Revision).Str("from", "platform").Msg("document in force")
+		n.Log.Info().Str("document", d.Name).Uint64("revision", d.Revision).Str("from", "platform").Msg("document taken")
 	}
 }
 
--- a/internal/ctrl/relay/take.go
+++ b/internal/ctrl/relay/take.go
@@ -32,7 +32,7 @@
 		n.Log.Warn().Err(err).Msg("document is faulty")
 	}
 	if accepted {
-		n.Log.Info().Str("document", p.GetName()).Uint64("revision", p.GetRevision()).Stringer("from", link).Msg("document taken from another process")
+		n.Log.Info().Str("document", p.GetName()).Uint64("revision", p.GetRevision()).Stringer("from", link).Msg("document taken")
 	}
 	if digest.Know(n.Store.View(), p.GetName()) == before {
 		return useless
