--- a/internal/conf/prefs/prefs.go
+++ b/internal/conf/prefs/prefs.go
@@ -70,7 +70,7 @@
 	Server  string         // name of the server section in it
 	Listen  netip.AddrPort // the agent address in that section; UDP for frames, TCP for drpc
 	Backend *url.URL       // http, the agent's own server
-	// Sides are two addresses, UDP, by which an agent's process and its successor reach
+	// Sides are two addresses, UDP and TCP, by which an agent's process and its successor reach
 	// each other while both run; each takes the one that is free. None: no successor
 	// can be started beside this process.
 	Sides       []netip.AddrPort
