End an entry's beliefs and keep its addresses read

A server that said it leaves was believed for ever. Started again under the same ID it got no new flow of that entry, so it sent no frame that could take the word back; requests reached it only from other agents. The belief now ends 5 s after it was last said; ruled out: asking the server, since believing it too short costs a flow one hop and no more. 2. What was believed of servers that left the document stayed in memory for good. 3. Any error of one read ended the reading of a service address without a word.

--- a/internal/node/entry/counts.go
+++ b/internal/node/entry/counts.go
@@ -12,7 +12,7 @@
 
 	short, opener, foreign, size *metrics.Counter // unreadable, too small to open, ID of nobody, too large
 	unknown, nobody              *metrics.Counter // server not in the document, no server at all
-	unsent, forged               *metrics.Counter // the kernel refused it, frame not authentic
+	unsent, unread, forged       *metrics.Counter // the kernel refused it, could not give it, frame not authentic
 	unusable, conflict           *metrics.Counter // document or address that cannot be used
 	silent                       *metrics.Counter // servers found silent
 	hints                        *metrics.Counter // frames that showed a newer document
@@ -41,6 +41,7 @@
 		unknown:   dropped("unknown"),
 		nobody:    dropped("nobody"),
 		unsent:    dropped("unsent"),
+		unread:    dropped("unread"),
 		forged:    dropped("forged"),
 		unusable:  event("unusable"),
 		conflict:  event("conflict"),
--- a/internal/node/entry/inward.go
+++ b/internal/node/entry/inward.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"net"
 	"net/netip"
 	"time"
 
@@ -15,6 +16,8 @@
 	// readSize is the largest datagram read, in bytes; larger ones are cut and
 	// then dropped as too large.
 	readSize = 2048
+	// readPause keeps a socket that fails each time from taking a processor.
+	readPause = 10 * time.Millisecond
 	// candidates is how many servers a flow's first datagrams name: the choice,
 	// and two more for agents that are leaving.
 	candidates = 3
@@ -35,7 +38,14 @@
 	for {
 		n, from, err := d.conn.ReadFromUDPAddrPort(w.buffer[frame.MaxSize:])
 		if err != nil {
-			return // closed
+			if closed(err) {
+				return
+			}
+			// The kernel may report what became of an earlier datagram. Ending here
+			// would make the address deaf at this entry, and nobody would notice.
+			d.owner.Load().count.unread.Inc()
+			time.Sleep(readPause)
+			continue
 		}
 		s := d.owner.Load()
 		s.count.received.Inc()
@@ -43,6 +53,9 @@
 	}
 }
 
+// closed says whether a read failed because the socket was closed here.
+func closed(err error) bool { return errors.Is(err, net.ErrClosed) }
+
 // forward sends the datagram of n bytes in the buffer to the server it belongs to.
 func (w *inward) forward(now time.Time, s *service, v *snapshot, from netip.AddrPort, n int) {
 	w.entry.lastUsed.Store(now.UnixNano())
--- a/internal/node/entry/services.go
+++ b/internal/node/entry/services.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math"
 	"net/netip"
 	"slices"
@@ -23,6 +24,12 @@
 // within 7 s of each other.
 const beforeFor = 17 * time.Second
 
+// leavingFor is how long a server's word that it leaves is believed after it was last
+// heard. A leaving server with flows repeats it in each frame. One that was started again
+// is given no flow while it is believed, so it sends none and could not take its word
+// back. Believing it too short costs a flow one hop: its agent passes it on.
+const leavingFor = 5 * time.Second
+
 // loadScale is what frames carry for a demand of all of a server's slots.
 const loadScale = 1000
 
@@ -40,8 +47,8 @@
 	mu      sync.Mutex
 	watch   *route.Watch
 	weights *shift.Weights
-	stepped time.Time       // when weights last moved
-	leaving map[uint32]bool // by the servers' own word
+	stepped time.Time            // when weights last moved
+	leaving map[uint32]time.Time // when a server last said itself that it leaves
 	before  []route.Server
 	changed time.Time // when the servers last changed by document
 }
@@ -106,7 +113,7 @@
 		tag:     ident.ServiceTag(name),
 		watch:   route.NewWatch(),
 		weights: shift.New(shift.Default),
-		leaving: make(map[uint32]bool),
+		leaving: make(map[uint32]time.Time),
 		count:   newCounters(name),
 	}
 }
@@ -128,6 +135,10 @@
 		s.changed = now
 	}
 	s.watch.Keep(ids(d.Service))
+	maps.DeleteFunc(s.leaving, func(id uint32, _ time.Time) bool {
+		_, ok := d.Service.Server(id)
+		return !ok
+	})
 	s.weights.SetServers(shiftServers(d.Service))
 	next := &snapshot{document: d.Service, revision: d.Revision, ring: ring, agents: agents(d.Service)}
 	s.publish(now, next)
@@ -159,7 +170,7 @@
 		next.table.Now = append(next.table.Now, route.Server{
 			ID:      d.ID,
 			Weight:  coarse(shares, d.ID),
-			Leaving: d.State == docs.Leaving || s.leaving[d.ID],
+			Leaving: d.State == docs.Leaving || s.leaves(now, d.ID),
 			Silent:  s.watch.Silent(now, d.ID),
 		})
 	}
@@ -210,16 +221,27 @@
 	s.publish(now, &next)
 }
 
+// leaves says whether a server is believed to leave by its own word. The caller holds
+// s.mu.
+func (s *service) leaves(now time.Time, server uint32) bool {
+	said, ok := s.leaving[server]
+	return ok && now.Sub(said) < leavingFor
+}
+
 // heard takes in what a server's frame says of the server.
 func (s *service) heard(now time.Time, h *frame.Header) {
 	server, leaving := h.Server, h.Flags&frame.Leaving != 0
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if _, ok := s.now.Load().agents[server]; !ok {
+		return // of another document; what is believed is bounded by the one in force
+	}
 	changed := s.watch.Heard(now, server)
 	s.weights.Report(now, server, shift.Load{Demand: float64(h.Load) / loadScale, Leaving: leaving})
-	if s.leaving[server] != leaving {
-		s.leaving[server] = leaving
-		changed = true
+	changed = changed || s.leaves(now, server) != leaving
+	delete(s.leaving, server)
+	if leaving {
+		s.leaving[server] = now
 	}
 	if changed {
 		s.refresh(now)
--- a/internal/node/entry/status.go
+++ b/internal/node/entry/status.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"net/netip"
 	"slices"
+	"time"
 )
 
 // Service is one service as an operator sees it.
@@ -45,7 +46,7 @@
 		d := &v.document.Servers[i]
 		server := Server{ID: d.ID, Name: d.Name, Agent: d.Agent, State: "serving", Weight: r.Weight}
 		switch {
-		case s.leaving[d.ID]:
+		case s.leaves(time.Now(), d.ID):
 			server.State, server.Reason = "leaving", "its own word"
 		case r.Leaving:
 			server.State, server.Reason = "leaving", "document"
