--- /dev/null
+++ b/internal/ctrl/follow/encode.go
@@ -0,0 +1,54 @@
+package follow
+
+import (
+	"encoding/json"
+
+	"github.com/klauspost/compress/zstd"
+	"storj.io/drpc"
+)
+
+// encoding is compressed JSON, which needs no generated code.
+//
+// A configuration of 1,700 routes is 250 KB of JSON and 18 KB compressed. Without compression, a
+// change of it that 100 processes fetch, or a restart of them all, puts 25 MB on links of which the smallest carry
+// 1.2 MB/s: nine tenths of what a trouble-laden day's fetches sent between failure domains.
+type encoding struct{}
+
+const (
+	// window is how far back compression looks: names and services repeat within a few routes, and a
+	// small window keeps the memory of each process small.
+	window = 256 << 10
+	// mostDecoded bounds what a message may grow to, in bytes: 60 times the largest configuration seen.
+	mostDecoded = 16 << 20
+)
+
+var (
+	packer   = must(zstd.NewWriter(nil, zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithWindowSize(window), zstd.WithEncoderConcurrency(1), zstd.WithLowerEncoderMem(true)))
+	unpacker = must(zstd.NewReader(nil, zstd.WithDecoderMaxMemory(mostDecoded), zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true)))
+)
+
+// must is for options that are constants: an error is one of this file.
+func must[T any](v T, err error) T {
+	if err != nil {
+		panic(err)
+	}
+	return v
+}
+
+// Marshal encodes a message.
+func (encoding) Marshal(m drpc.Message) ([]byte, error) {
+	text, err := json.Marshal(m)
+	if err != nil {
+		return nil, err
+	}
+	return packer.EncodeAll(text, nil), nil
+}
+
+// Unmarshal decodes a message.
+func (encoding) Unmarshal(b []byte, m drpc.Message) error {
+	text, err := unpacker.DecodeAll(b, nil)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(text, m)
+}
--- a/internal/ctrl/follow/fetch.go
+++ b/internal/ctrl/follow/fetch.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net"
 	"net/netip"
 	"time"
@@ -28,15 +27,6 @@
 // since asks for what is newer than a revision.
 type since struct{ Revision uint64 }
 
-// encoding is JSON, which needs no generated code.
-type encoding struct{}
-
-// Marshal encodes a message.
-func (encoding) Marshal(m drpc.Message) ([]byte, error) { return json.Marshal(m) }
-
-// Unmarshal decodes a message.
-func (encoding) Unmarshal(b []byte, m drpc.Message) error { return json.Unmarshal(b, m) }
-
 // Dial is the Fetch of a Config: it calls a peer that runs Serve at the given port.
 func Dial(port uint16) func(ctx context.Context, peer netip.Addr, revision uint64) (belief.Change, error) {
 	return func(ctx context.Context, peer netip.Addr, revision uint64) (c belief.Change, err error) {
