Count and log messages of other processes that can't be read

Cause: a beacon or news that could not be decoded was dropped without a counter or a line, and a message of an unknown kind likewise; found by reading the code. Change: one reader of messages for both roles (it stood twice), which counts and logs them.

--- a/internal/node/opaque/agent.go
+++ b/internal/node/opaque/agent.go
@@ -62,13 +62,7 @@
 		func() error {
 			return read(p.sockets.servers, func(now time.Time, _ netip.Addr, datagram []byte) { g.FromServer(now, datagram) })
 		},
-		func() error {
-			return p.sockets.readMessages(func(now time.Time, from netip.Addr, h msgs.Head, rest []byte) {
-				if !p.takeControl(now, from, h, rest) {
-					g.FromPeer(now, from, h, rest)
-				}
-			})
-		},
+		p.messages(g.FromPeer),
 	)
 }
 
--- a/internal/node/opaque/entry.go
+++ b/internal/node/opaque/entry.go
@@ -72,13 +72,7 @@
 				e.FromCaller(now, datagram)
 			})
 		},
-		func() error {
-			return p.sockets.readMessages(func(now time.Time, from netip.Addr, h msgs.Head, rest []byte) {
-				if !p.takeControl(now, from, h, rest) {
-					e.FromPeer(now, from, h, rest)
-				}
-			})
-		},
+		p.messages(e.FromPeer),
 	)
 }
 
--- a/internal/node/opaque/opaque.go
+++ b/internal/node/opaque/opaque.go
@@ -97,27 +97,6 @@
 	return a
 }
 
-// takeControl handles the messages that both roles get. It says whether the message was one.
-func (p *process) takeControl(now time.Time, from netip.Addr, h msgs.Head, rest []byte) bool {
-	switch h.Kind {
-	case msgs.KindBeacon:
-		m, err := msgs.ReadBeacon(h, rest)
-		if err == nil {
-			p.follow.Heard(now, from, m)
-		}
-		return true
-	case msgs.KindNews:
-		c, err := follow.DecodeNews(rest)
-		if err == nil {
-			p.follow.Learn(now, from, c)
-		}
-		return true
-	default:
-		p.follow.Noticed(from, h.Revision)
-		return false
-	}
-}
-
 // serve runs everything until ctx ends and leave, the planned stop, has returned. Changed settings
 // are handed to apply.
 func (p *process) serve(ctx context.Context, tick func(time.Time), apply func(*carry.Settings), leave func(), readers ...func() error) (err error) {
