--- a/internal/node/opaque/messages.go
+++ b/internal/node/opaque/messages.go
@@ -18,15 +18,24 @@
 // errKind says that a message is of a kind that this role doesn't take.
 var errKind = errors.New("unknown kind of message")
 
+// sayBadEvery is how often a line is written on messages that can't be read; the counter has all of them. A
+// peer of another version sends hundreds a second.
+const sayBadEvery = time.Second
+
 // flowMessages takes the messages about flows that one role gets. It says whether the message was one.
 type flowMessages func(now time.Time, from netip.Addr, h msgs.Head, rest []byte) bool
 
 // messages returns the reader of other processes' messages. Those about flows go to take.
 func (p *process) messages(take flowMessages) func() error {
+	var said time.Time
 	return func() error {
 		return p.sockets.readMessages(func(now time.Time, from netip.Addr, h msgs.Head, rest []byte) {
 			if err := p.took(now, from, h, rest, take); err != nil {
 				unreadable.Inc()
+				if now.Sub(said) < sayBadEvery {
+					return
+				}
+				said = now
 				p.events.State("message-bad").Stringer("peer", from).Uint8("kind", uint8(h.Kind)).Int("bytes", len(rest)).Err(err).Send()
 			}
 		})
--- a/internal/oper/event/event.go
+++ b/internal/oper/event/event.go
@@ -64,6 +64,7 @@
 	full    atomic.Uint64 // lines dropped since the last that said so
 	dropped *metrics.Counter
 	skipped *metrics.Counter
+	now     func() time.Time
 }
 
 // bucket counts the lines of one second.
@@ -79,6 +80,7 @@
 		lines:   make(chan []byte, queued),
 		closing: make(chan struct{}),
 		done:    make(chan struct{}),
+		now:     time.Now,
 		dropped: metrics.GetOrCreateCounter(`mangowinch_log_lines_dropped_total{reason="queue"}`),
 		skipped: metrics.GetOrCreateCounter(`mangowinch_log_lines_dropped_total{reason="budget"}`),
 	}
@@ -87,6 +89,9 @@
 	return l
 }
 
+// SetClock makes lines carry the time of stand-ins that have a clock of their own. It is to be called before the first line.
+func (l *Log) SetClock(now func() time.Time) { l.now = now }
+
 // queue is the way of a finished line to the writing goroutine.
 type queue Log
 
@@ -169,7 +174,7 @@
 	if c == Ordinary && f.Hash()%sampled != 0 {
 		return nil
 	}
-	if !l.allow(c, time.Now().Unix()) {
+	if !l.allow(c, l.now().Unix()) {
 		l.skipped.Inc()
 		return nil
 	}
@@ -177,7 +182,7 @@
 }
 
 func (l *Log) line(name string) *zerolog.Event {
-	return l.log.Log().Str("time", time.Now().UTC().Format("2006-01-02T15:04:05.000Z")).Str("event", name)
+	return l.log.Log().Str("time", l.now().UTC().Format("2006-01-02T15:04:05.000Z")).Str("event", name)
 }
 
 // allow counts a line against its class. Two goroutines may both begin a second, which lets a
