Moments that goroutines share are kept by the steady clock, in one place

Cause: five places kept such a moment as Unix nanoseconds, each with its own arithmetic: the two entries' last packet, the agent's other process, its silence, and the two hints of newer documents. A jump of the time of day made an agent take its other process for dead, or for alive. Found by looking through all uses after the one in the planned stop. Change: package stamp; the five use it. Tests of both carriers pass; the jump itself cannot be made in a test, so that of the type shows that its number doesn't depend on the time of day.

--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -39,6 +39,7 @@
 	"mangowinch/internal/load/admit"
 	"mangowinch/internal/node/awake"
 	"mangowinch/internal/node/gate"
+	"mangowinch/internal/node/stamp"
 )
 
 // Agent is one running agent.
@@ -62,7 +63,7 @@
 	requests   atomic.Int64 // in progress
 	nonce      atomic.Uint64
 	hooks      Hooks
-	hinted     atomic.Int64 // Unix nanoseconds of the last call of Hooks.Newer
+	hinted     stamp.Time // the last call of Hooks.Newer
 	demand     demand
 	load       atomic.Uint32 // demand as frames carry it
 	count      counters
--- a/internal/node/agent/link.go
+++ b/internal/node/agent/link.go
@@ -123,7 +123,7 @@
 	case frame.Probe:
 		if r.bySide && from == l.side.other {
 			l.side.incarnation.Store(h.Nonce)
-			l.side.heard.Store(now.UnixNano())
+			l.side.heard.Set(now)
 			return
 		}
 		a.count.kind.Inc()
--- a/internal/node/agent/side.go
+++ b/internal/node/agent/side.go
@@ -12,6 +12,7 @@
 	"mangowinch/internal/flow/frame"
 	"mangowinch/internal/flow/ident"
 	"mangowinch/internal/node/sock"
+	"mangowinch/internal/node/stamp"
 	"mangowinch/internal/work/once"
 )
 
@@ -35,10 +36,10 @@
 	index uint8 // position in the settings; connection IDs carry it
 	conn  *net.UDPConn
 	other netip.AddrPort
-	heard atomic.Int64 // Unix nanoseconds of the other's last sign of life
+	heard stamp.Time // the other's last sign of life
 	// incarnation is the other process's, once it is heard.
 	incarnation atomic.Uint64
-	doubt       atomic.Int64 // Unix nanoseconds when its silence was first noticed; 0 if it is heard
+	doubt       stamp.Time // when its silence was first noticed; never if it is heard
 }
 
 // openSide takes the first address that is free. Without addresses there is no side.
@@ -55,7 +56,7 @@
 
 // alive says whether the other process was heard lately.
 func (s *side) alive(now time.Time) bool {
-	return s != nil && now.UnixNano()-s.heard.Load() < int64(sideLost)
+	return s != nil && s.heard.Since(now) < sideLost
 }
 
 // mayLive says whether the other process may run, as long as its silence is not
@@ -67,15 +68,15 @@
 		return false
 	}
 	if s.alive(now) {
-		s.doubt.Store(0)
+		s.doubt.Clear()
 		return true
 	}
-	since := now.UnixNano() - s.doubt.Load()
-	if since > int64(doubtAgain) {
-		s.doubt.Store(now.UnixNano())
+	since := s.doubt.Since(now)
+	if since > doubtAgain {
+		s.doubt.Set(now)
 		return true
 	}
-	return since < int64(sideLost)
+	return since < sideLost
 }
 
 // greet tells the other process that this one runs.
--- a/internal/node/agent/side_test.go
+++ b/internal/node/agent/side_test.go
@@ -16,7 +16,7 @@
 	var s side
 	assert.Assert(t, s.mayLive(now))
 	assert.Assert(t, s.mayLive(now.Add(sideLost/2)))
-	s.heard.Store(now.Add(sideLost / 2).UnixNano())
+	s.heard.Set(now.Add(sideLost / 2))
 	assert.Assert(t, s.mayLive(now.Add(sideLost)))
 }
 
@@ -25,7 +25,7 @@
 func TestSilentSideIsGivenUp(t *testing.T) {
 	now := time.Unix(1000, 0)
 	var s side
-	s.heard.Store(now.UnixNano())
+	s.heard.Set(now)
 	assert.Assert(t, s.mayLive(now.Add(sideLost/2)))
 	now = now.Add(2 * sideLost)
 	assert.Assert(t, s.mayLive(now)) // silence is noticed
@@ -45,7 +45,7 @@
 	l := &link{agent: a, side: &side{}}
 	a.standing.set(bySignal, true)
 	assert.Assert(t, l.leaves(now)) // nobody takes over
-	l.side.heard.Store(now.UnixNano())
+	l.side.heard.Set(now)
 	assert.Assert(t, !l.leaves(now))
 	a.standing.set(byServer, true)
 	assert.Assert(t, l.leaves(now))
--- a/internal/node/agent/woken.go
+++ b/internal/node/agent/woken.go
@@ -35,11 +35,7 @@
 
 // hint tells whoever keeps the documents that a newer one exists.
 func (a *Agent) hint(now time.Time, link netip.AddrPort, revision uint64) {
-	last := a.hinted.Load()
-	if a.hooks.Newer == nil || now.UnixNano()-last < int64(hintEvery) {
-		return
-	}
-	if a.hinted.CompareAndSwap(last, now.UnixNano()) {
+	if a.hooks.Newer != nil && a.hinted.Claim(now, hintEvery) {
 		a.count.hints.Inc()
 		a.hooks.Newer(link, a.settings.Agent.Service, revision)
 	}
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -33,6 +33,7 @@
 	"mangowinch/internal/conf/store"
 	"mangowinch/internal/node/awake"
 	"mangowinch/internal/node/sock"
+	"mangowinch/internal/node/stamp"
 )
 
 const (
@@ -52,7 +53,7 @@
 	log      zerolog.Logger
 	link     *net.UDPConn
 	leaving  atomic.Bool
-	lastUsed atomic.Int64 // Unix nanoseconds of the last caller's datagram
+	lastUsed stamp.Time // the last caller's datagram
 	hooks    Hooks
 
 	// mu guards services and doors while the set of services changes. Datagrams
@@ -135,7 +136,7 @@
 			return
 		case <-time.After(quietTime / 10):
 		}
-		quiet := time.Since(time.Unix(0, e.lastUsed.Load()))
+		quiet := e.lastUsed.Since(time.Now())
 		if quiet > quietTime && time.Since(started) > quietTime {
 			break
 		}
--- a/internal/node/entry/inward.go
+++ b/internal/node/entry/inward.go
@@ -58,7 +58,7 @@
 
 // forward sends the datagram of n bytes in the buffer to the server it belongs to.
 func (w *inward) forward(now time.Time, s *service, v *snapshot, from netip.AddrPort, n int) {
-	w.entry.lastUsed.Store(now.UnixNano())
+	w.entry.lastUsed.Set(now)
 	datagram := w.buffer[frame.MaxSize:][:n]
 	if n > frame.MaxPayload {
 		s.count.size.Inc()
--- a/internal/node/entry/services.go
+++ b/internal/node/entry/services.go
@@ -17,6 +17,7 @@
 	"mangowinch/internal/flow/route"
 	"mangowinch/internal/load/shift"
 	"mangowinch/internal/node/rings"
+	"mangowinch/internal/node/stamp"
 )
 
 // beforeFor is how long the servers of the document before are asked about flows:
@@ -40,8 +41,8 @@
 	now   atomic.Pointer[snapshot]
 	door  atomic.Pointer[door]
 	count counters
-	// hinted is the time of the last call of Hooks.Newer, in Unix nanoseconds.
-	hinted atomic.Int64
+	// hinted is the last call of Hooks.Newer.
+	hinted stamp.Time
 
 	// mu guards the beliefs that snapshots are made of.
 	mu      sync.Mutex
--- a/internal/node/entry/woken.go
+++ b/internal/node/entry/woken.go
@@ -42,11 +42,7 @@
 
 // hint tells whoever keeps the documents that a newer one exists.
 func (e *Entry) hint(now time.Time, s *service, link netip.AddrPort, revision uint64) {
-	last := s.hinted.Load()
-	if e.hooks.Newer == nil || now.UnixNano()-last < int64(hintEvery) {
-		return
-	}
-	if s.hinted.CompareAndSwap(last, now.UnixNano()) {
+	if e.hooks.Newer != nil && s.hinted.Claim(now, hintEvery) {
 		s.count.hints.Inc()
 		e.hooks.Newer(link, s.name, revision)
 	}
--- a/internal/node/opaque/entry.go
+++ b/internal/node/opaque/entry.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/netip"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -12,6 +11,7 @@
 	"mangowinch/internal/conf/carry"
 	"mangowinch/internal/flow/msgs"
 	"mangowinch/internal/node/edge"
+	"mangowinch/internal/node/stamp"
 )
 
 const (
@@ -52,7 +52,7 @@
 	staying, known := p.admin.Condition("staying"), p.admin.Condition("configuration")
 	staying.Set(true, "")
 	known.Set(false, "no configuration yet")
-	callers := newQuiet(time.Now())
+	var used stamp.Time // the last caller's packet
 	return p.serve(ctx,
 		func(now time.Time) {
 			e.Tick(now)
@@ -64,11 +64,11 @@
 		func() {
 			staying.Set(false, "planned stop")
 			p.follow.Leave()
-			callers.wait(s.Bounds.Stop - stopReserve)
+			waitQuiet(&used, s.Bounds.Stop-stopReserve)
 		},
 		func() error {
 			return read(p.sockets.callers, func(now time.Time, _ netip.Addr, datagram []byte) {
-				callers.note(now)
+				used.Set(now)
 				e.FromCaller(now, datagram)
 			})
 		},
@@ -76,31 +76,13 @@
 	)
 }
 
-// quiet knows when the last caller's packet came. It counts from a time of its own by the steady clock: the time of day
-// may jump during a planned stop, and an entry that took the jump for silence would close its sockets on packets that
-// still come.
-type quiet struct {
-	start time.Time
-	last  atomic.Int64 // nanoseconds after start
-}
-
-func newQuiet(start time.Time) *quiet { return &quiet{start: start} }
-
-// note says that a packet came.
-func (q *quiet) note(now time.Time) { q.last.Store(int64(now.Sub(q.start))) }
-
-// since is how long no packet has come.
-func (q *quiet) since(now time.Time) time.Duration {
-	return now.Sub(q.start) - time.Duration(q.last.Load())
-}
-
-// wait returns when callers' packets have stopped coming, or after limit. An entry that
+// waitQuiet returns when callers' packets have stopped coming, or after limit. An entry that
 // closed its sockets at once would lose what the fabric still sends to it.
-func (q *quiet) wait(limit time.Duration) {
+func waitQuiet(used *stamp.Time, limit time.Duration) {
 	began := time.Now()
 	for time.Since(began) < limit {
 		time.Sleep(stopStep)
-		if time.Since(began) > quietFor && q.since(time.Now()) > quietFor {
+		if time.Since(began) > quietFor && used.Since(time.Now()) > quietFor {
 			return
 		}
 	}
--- /dev/null
+++ b/internal/node/stamp/stamp.go
@@ -0,0 +1,50 @@
+// Package stamp keeps a moment that several goroutines set and read, by the steady clock.
+//
+// The time of day may jump while a process runs. A moment kept as Unix nanoseconds then looks longer ago
+// than it is, or as if it had yet to come: an entry that is being stopped took a jump of two
+// seconds for silence and closed its sockets on packets that still came, and an agent took its other process for
+// dead. Times as the runtime gives them carry the steady clock, but no atomic holds one without
+// allocating.
+//
+// # Usage
+//
+//	var heard stamp.Time
+//	heard.Set(time.Now())
+//	if heard.Since(time.Now()) > limit { ... }
+package stamp
+
+import (
+	"math"
+	"sync/atomic"
+	"time"
+)
+
+// begin is what moments are counted from; anything but the time of day would do.
+var begin = time.Now()
+
+// Time is a moment; the zero Time is never.
+type Time struct{ after atomic.Int64 } // nanoseconds after begin, 0: never
+
+// Set makes it now.
+func (t *Time) Set(now time.Time) { t.after.Store(count(now)) }
+
+// Clear makes it never.
+func (t *Time) Clear() { t.after.Store(0) }
+
+// Since is how long ago it was, the longest Duration if it is never.
+func (t *Time) Since(now time.Time) time.Duration { return since(t.after.Load(), now) }
+
+// Claim makes it now if it was at least every ago. Of several goroutines one gets true.
+func (t *Time) Claim(now time.Time, every time.Duration) bool {
+	last := t.after.Load()
+	return since(last, now) >= every && t.after.CompareAndSwap(last, count(now))
+}
+
+func since(after int64, now time.Time) time.Duration {
+	if after == 0 {
+		return math.MaxInt64
+	}
+	return now.Sub(begin) - time.Duration(after)
+}
+
+func count(now time.Time) int64 { return int64(now.Sub(begin)) }
--- /dev/null
+++ b/internal/node/stamp/stamp_test.go
@@ -0,0 +1,48 @@
+package stamp
+
+import (
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestNeverIsLongAgo(t *testing.T) {
+	var m Time
+	now := time.Now()
+	assert.Assert(t, m.Since(now) > 100*365*24*time.Hour)
+	m.Set(now)
+	assert.Equal(t, m.Since(now.Add(time.Second)), time.Second)
+	m.Clear()
+	assert.Assert(t, m.Since(now) > 100*365*24*time.Hour)
+}
+
+// The time of day jumps ahead by an hour between two looks. The moment is counted from the process's begin by the
+// steady clock, so that its number doesn't depend on the time of day.
+func TestOnlyTheSteadyClockCounts(t *testing.T) {
+	var m Time
+	m.Set(begin.Add(3 * time.Second))
+	assert.Equal(t, time.Duration(m.after.Load()), 3*time.Second)
+}
+
+func TestOneOfManyClaims(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var m Time
+		var claims atomic.Int32
+		var all sync.WaitGroup
+		for range 20 {
+			all.Go(func() {
+				if m.Claim(time.Now(), time.Second) {
+					claims.Add(1)
+				}
+			})
+		}
+		all.Wait()
+		assert.Equal(t, claims.Load(), int32(1))
+		time.Sleep(time.Second)
+		assert.Assert(t, m.Claim(time.Now(), time.Second))
+	})
+}
