--- a/internal/conf/carry/carry.go
+++ b/internal/conf/carry/carry.go
@@ -27,7 +27,8 @@
 type Settings struct {
 	Process  Process
 	Platform netip.AddrPort   // HTTP
-	Link     netip.AddrPort   // UDP and TCP between processes; every process has the same port
+	Link     netip.AddrPort   // UDP and TCP between processes, as others reach it; every process has the same port
+	LinkBind netip.AddrPort   // what the process opens for it; another one where addresses are translated on the way
 	Seeds    []netip.AddrPort // of some processes that may be up; only the IP numbers count
 	Bounds   Bounds
 	Entry    *Entry
@@ -87,6 +88,10 @@
 		Link:     f.One("link").AddrPort("address"),
 		Bounds:   readBounds(f.One("bounds")),
 	}
+	s.LinkBind = s.Link
+	if link := f.One("link"); link.Has("bind") {
+		s.LinkBind = link.AddrPort("bind")
+	}
 	if process.Has("metrics") {
 		s.Process.Metrics = process.AddrPort("metrics")
 	}
--- a/internal/conf/carry/carry_test.go
+++ b/internal/conf/carry/carry_test.go
@@ -1,6 +1,9 @@
 package carry
 
 import (
+	"bytes"
+	"net/netip"
+	"os"
 	"testing"
 	"time"
 
@@ -18,6 +21,17 @@
 	assert.Equal(t, s.Bounds, Bounds{Change: 3 * time.Second, Life: time.Minute, Stop: 6 * time.Second})
 	assert.Equal(t, len(s.Seeds), 2)
 	assert.Assert(t, s.Entry == nil)
+	assert.Equal(t, s.LinkBind, s.Link)
+}
+
+// Where addresses are translated on the way, a process opens another address than others send to.
+func TestLinkMayBeOpenedElsewhere(t *testing.T) {
+	text, err := os.ReadFile("testdata/agent.ini")
+	assert.NilError(t, err)
+	s, err := parse("agent.ini", bytes.Replace(text, []byte("[link]\n"), []byte("[link]\nbind = 127.0.0.9:7000\n"), 1))
+	assert.NilError(t, err)
+	assert.Equal(t, s.LinkBind, netip.MustParseAddrPort("127.0.0.9:7000"))
+	assert.Assert(t, s.Link != s.LinkBind)
 }
 
 // Bad settings stop a process before it serves, and one look shows all that is wrong.
--- a/internal/node/opaque/reload.go
+++ b/internal/node/opaque/reload.go
@@ -51,7 +51,7 @@
 
 // same says whether two settings say the same.
 func same(a, b *carry.Settings) bool {
-	if a.Process != b.Process || a.Platform != b.Platform || a.Link != b.Link || a.Bounds != b.Bounds || len(a.Seeds) != len(b.Seeds) {
+	if a.Process != b.Process || a.Platform != b.Platform || a.Link != b.Link || a.LinkBind != b.LinkBind || a.Bounds != b.Bounds || len(a.Seeds) != len(b.Seeds) {
 		return false
 	}
 	for i := range a.Seeds {
--- a/internal/node/opaque/sockets.go
+++ b/internal/node/opaque/sockets.go
@@ -31,10 +31,10 @@
 
 func openSockets(ctx context.Context, s *carry.Settings) (k *sockets, err error) {
 	k = &sockets{port: s.Link.Port()}
-	if k.link, err = sock.UDP(ctx, s.Link, sock.Alone); err != nil {
+	if k.link, err = sock.UDP(ctx, s.LinkBind, sock.Alone); err != nil {
 		return nil, err
 	}
-	if k.fetches, err = sock.TCP(ctx, s.Link, sock.Alone); err != nil {
+	if k.fetches, err = sock.TCP(ctx, s.LinkBind, sock.Alone); err != nil {
 		return nil, err
 	}
 	if s.Entry != nil {
