--- a/internal/ctrl/follow/encode.go
+++ b/internal/ctrl/follow/encode.go
@@ -9,9 +9,9 @@
 
 // encoding is compressed JSON, which needs no generated code.
 //
-// A configuration of 1,700 routes is 250 KB of JSON and 18 KB compressed. Without compression, a
-// change of it that 100 processes fetch, or a restart of them all, puts 25 MB on links of which the smallest carry
-// 1.2 MB/s: nine tenths of what a trouble-laden day's fetches sent between failure domains.
+// A configuration of 1,700 routes is 242 KB of JSON and 17 KB compressed. As plain JSON, a change of it, or a
+// restart of all processes, put 16 to 26 MB a second on links of which the smallest carry 1.2 MB/s; on a day with both
+// 0.178 GB went between failure domains, with compression 0.103.
 type encoding struct{}
 
 const (
