--- a/internal/node/opaque/messages_test.go
+++ b/internal/node/opaque/messages_test.go
@@ -3,12 +3,16 @@
 import (
 	"bytes"
 	"context"
+	"io"
+	"net"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp/cmpopts"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"mangowinch/internal/ctrl/belief"
 	"mangowinch/internal/ctrl/follow"
@@ -19,8 +23,8 @@
 // platform is a source that is never asked.
 type platform struct{ follow.Source }
 
-func newTestProcess() *process {
-	events := event.New(&bytes.Buffer{}, "entry", "entry-1")
+func newTestProcess(out io.Writer) *process {
+	events := event.New(out, "entry", "entry-1")
 	log := belief.New()
 	return &process{events: events, log: log, follow: follow.New(follow.Config{
 		Self:   netip.MustParseAddr("10.0.0.1"),
@@ -36,20 +40,42 @@
 	})}
 }
 
-// During a change of the program's version an instance hears messages that it can't read. They were dropped without a
-// trace, and its operators saw an instance with an old belief and no reason for it.
+// During a change of the program's version an instance hears messages that it can't read. Dropped without a trace,
+// they leave its operators with an instance of an old belief and no reason for it. Hundreds come in a second: all
+// are counted, and one line is written.
 func TestUnreadableMessagesAreReported(t *testing.T) {
-	p := newTestProcess()
-	from := netip.MustParseAddr("10.0.0.2")
-	notOne := func(time.Time, netip.Addr, msgs.Head, []byte) bool { return false }
-	for _, k := range []msgs.Kind{msgs.KindBeacon, msgs.KindNews, msgs.Kind(99)} {
-		err := p.took(time.Now(), from, msgs.Head{Kind: k}, []byte{1}, notOne)
-		assert.Assert(t, err != nil, "kind %d", k)
+	var out bytes.Buffer
+	p := newTestProcess(&out)
+	link, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	assert.NilError(t, err)
+	p.sockets = &sockets{link: link}
+	before := unreadable.Get()
+	done := make(chan error)
+	go func() { done <- p.messages(func(time.Time, netip.Addr, msgs.Head, []byte) bool { return false })() }()
+
+	beacon, news := msgs.Beacon{Role: msgs.Entry}, msgs.News{Change: []byte("no change")}
+	unknown := beacon.AppendTo(nil)
+	unknown[1] = 99
+	whole := beacon.AppendTo(nil)
+	for _, b := range [][]byte{whole[:len(whole)-1], news.AppendTo(nil), unknown} {
+		_, err := link.WriteTo(b, link.LocalAddr())
+		assert.NilError(t, err)
 	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if n := unreadable.Get() - before; n < 3 {
+			return poll.Continue("%d of 3 counted", n)
+		}
+		return poll.Success()
+	})
+	assert.NilError(t, link.Close())
+	assert.NilError(t, <-done)
+	p.events.Close()
+	assert.Equal(t, strings.Count(out.String(), `"event":"message-bad"`), 1, out.String())
+	assert.Assert(t, strings.Contains(out.String(), `"peer":"127.0.0.1"`), out.String())
 }
 
 func TestMessagesGoToTheirReaders(t *testing.T) {
-	p := newTestProcess()
+	p := newTestProcess(io.Discard)
 	from := netip.MustParseAddr("10.0.0.2")
 	taken := 0
 	take := func(time.Time, netip.Addr, msgs.Head, []byte) bool { taken++; return true }
--- a/internal/node/stamp/stamp.go
+++ b/internal/node/stamp/stamp.go
@@ -1,10 +1,9 @@
 // Package stamp keeps a moment that several goroutines set and read, by the steady clock.
 //
-// The time of day may jump while a process runs. A moment kept as Unix nanoseconds then looks longer ago
-// than it is, or as if it had yet to come: an entry that is being stopped took a jump of two
-// seconds for silence and closed its sockets on packets that still came, and an agent took its other process for
-// dead. Times as the runtime gives them carry the steady clock, but no atomic holds one without
-// allocating.
+// The time of day may jump while a process runs. A moment kept as Unix nanoseconds would then look longer ago
+// than it is, or as if it had yet to come: an entry that is being stopped would take a jump for silence and close its
+// sockets on packets that still come, and an agent would take its other process for dead. Times as the runtime gives
+// them carry the steady clock, but no atomic holds one without allocating.
 //
 // # Usage
 //
