An opened flow without a request frees its slot after four times the usual wait

Cause: after a power loss a third of the servers' time was idle while 300 flows waited at the agents. An opened flow counts as a request about to come for 300 ms, and of those opened after a second of waiting two in five are flows that their callers have given up: opened, never used.

Change: the time from a flow's acceptance to its first request is learned, and a slot is kept for four times of it, 10 ms at least. Before the server has accepted the flow it holds its slot as before.

--- a/internal/flow/owner/agent.go
+++ b/internal/flow/owner/agent.go
@@ -20,6 +20,7 @@
 	Asked    time.Time  // the caller's data that has no answer yet came then; zero: none
 	Home     netip.Addr // where it is registered
 	Worked   bool       // a request has come on it
+	accepted time.Time  // when the server answered the opening packet; zero: not seen
 	end      uint32     // sequence number after the caller's last data
 	started  bool       // end is known
 	callerUp bool       // the caller hasn't sent FIN
@@ -80,11 +81,25 @@
 	}
 }
 
+// Accept notes that the server has answered a flow's opening packet with its first sequence number.
+func (t *Agent) Accept(now time.Time, o *Own, seq uint32) {
+	o.Accepted, o.Seq, o.accepted = true, seq, now
+}
+
+// Learn notes that the server holds a flow whose opening wasn't seen; seq is at or before all that
+// the caller may acknowledge.
+func (t *Agent) Learn(o *Own, seq uint32) {
+	o.Accepted, o.Seq, o.Open, o.Worked = true, seq, true, true
+}
+
 // FromCaller notes a packet that goes to the server.
 func (t *Agent) FromCaller(now time.Time, o *Own, s *segs.Segment) {
 	o.Used = now
-	if s.Len > 0 {
+	if s.Len > 0 && !o.Worked {
 		o.Worked = true
+		if !o.accepted.IsZero() {
+			t.work.began(now.Sub(o.accepted))
+		}
 	}
 	if o.fresh(s) && o.Asked.IsZero() {
 		o.Asked = now
--- a/internal/flow/owner/owner_test.go
+++ b/internal/flow/owner/owner_test.go
@@ -114,6 +114,24 @@
 	assert.Equal(t, table.Expected(now), 1)
 }
 
+// After a power loss callers have waited for a second, and a flow that opens at last is one that its caller has given up. Each
+// kept a slot for 300 ms, so that servers were idle while callers who still waited were not let in.
+func TestFlowsWithoutARequestFreeTheirSlotsSoon(t *testing.T) {
+	table := NewAgent(100)
+	ask := &segs.Segment{Flags: segs.Ack, Seq: 1, Len: 100}
+	for port := range uint16(5) {
+		o := table.Add(now, segs.Flow{CallerPort: port})
+		table.Accept(now, o, 1000)
+		table.FromCaller(now.Add(4*time.Millisecond), o, ask)
+		table.FromServer(now.Add(20*time.Millisecond), o, &segs.Segment{Flags: segs.Ack, Seq: 1000, Ack: 101, Len: 10})
+	}
+	o := table.Add(now, segs.Flow{CallerPort: 99})
+	assert.Equal(t, table.Expected(now.Add(50*time.Millisecond)), 1, "the server hasn't accepted it yet")
+	table.Accept(now.Add(50*time.Millisecond), o, 1000)
+	assert.Equal(t, table.Expected(now.Add(60*time.Millisecond)), 1, "its request is on its way")
+	assert.Equal(t, table.Expected(now.Add(70*time.Millisecond)), 0)
+}
+
 func TestExpireKeepsWhatIsUsed(t *testing.T) {
 	table := NewAgent(10)
 	o := table.Add(now, flow)
--- a/internal/flow/owner/work.go
+++ b/internal/flow/owner/work.go
@@ -7,9 +7,17 @@
 )
 
 const (
-	// requestWithin is how long after its opening packet a flow's first request is expected: it takes two
-	// trips to the caller, 4 to 12 ms, and 200 ms more if a packet is lost.
-	requestWithin = 300 * time.Millisecond
+	// openWithin is how long a server may take to accept a flow before it no longer holds a slot for it: it
+	// answers within a millisecond.
+	openWithin = 300 * time.Millisecond
+	// lagFirst is how long after its acceptance a flow's first request is awaited until flows have shown how
+	// long it takes: two trips to the caller, 4 to 12 ms.
+	lagFirst = 12 * time.Millisecond
+	// lagTimes and lagLeast say from when on a request isn't awaited any more: after four times the average. The caller has given
+	// up its request, and a slot that is kept for it stays idle. After a power loss, with callers that had waited for a second,
+	// two of five flows were such ones; with 300 ms for each, idle servers served a third less than they could.
+	lagTimes = 4
+	lagLeast = 10 * time.Millisecond
 	// overdueLeast and overdueTimes say from when a request without an answer no longer holds a slot: after
 	// eight times the average answer, half a second at least. Work takes six times its
 	// average at most.
@@ -33,9 +41,10 @@
 // request is overdue soon. Counted as under way until its flow ends, it would keep new
 // flows from an idle server for seconds.
 type requests struct {
-	young   []pending // flows on which the first request may not have come yet
-	under   []pending // requests under way
-	average time.Duration
+	young   []pending     // flows on which the first request may not have come yet
+	under   []pending     // requests under way
+	average time.Duration // of answers
+	lag     time.Duration // average from a flow's acceptance to its first request
 }
 
 func (r *requests) opened(now time.Time, o *Own) { r.young = append(r.young, pending{o, now}) }
@@ -44,12 +53,36 @@
 
 func (r *requests) answered(took time.Duration) { r.average += (took - r.average) / averageOver }
 
+// began notes how long after its acceptance a flow's first request came.
+func (r *requests) began(lag time.Duration) {
+	if r.lag == 0 {
+		r.lag = lag
+		return
+	}
+	r.lag += (lag - r.lag) / averageOver
+}
+
+// awaited says whether the first request on a flow is still awaited.
+func (r *requests) awaited(now time.Time, p pending) bool {
+	if p.own.Worked {
+		return false
+	}
+	if p.own.accepted.IsZero() {
+		return now.Sub(p.since) < openWithin
+	}
+	lag := r.lag
+	if lag == 0 {
+		lag = lagFirst
+	}
+	return now.Sub(p.own.accepted) < max(lagLeast, lagTimes*lag)
+}
+
 // overdue is the age from which a request is overdue.
 func (r *requests) overdue() time.Duration { return max(overdueLeast, overdueTimes*r.average) }
 
 // count returns how many flows are young, and how many requests are under way and overdue.
 func (r *requests) count(now time.Time) (young, under, overdue int) {
-	r.young = keep(r.young, func(p pending) bool { return !p.own.Worked && now.Sub(p.since) < requestWithin })
+	r.young = keep(r.young, func(p pending) bool { return r.awaited(now, p) })
 	r.under = keep(r.under, func(p pending) bool {
 		return p.own.Asked.Equal(p.since) && now.Sub(p.since) < rememberOverdue
 	})
--- a/internal/node/local/server.go
+++ b/internal/node/local/server.go
@@ -66,14 +66,11 @@
 
 // accept notes that the server holds a flow.
 func (a *Agent) accept(now time.Time, o *owner.Own, s *segs.Segment) {
-	o.Accepted = true
-	o.Seq = s.Seq
 	if !s.Accepting() {
-		// Learned in its middle, after the agent's own restart.
-		o.Seq -= learnedBack
-		o.Open = true
+		a.flows.Learn(o, s.Seq-learnedBack) // in its middle, after the agent's own restart
 		return
 	}
+	a.flows.Accept(now, o, s.Seq)
 	openTime.Update(now.Sub(o.Began).Seconds())
 }
 
