Callers of an agent that answers nobody are told after a second

Cause: an instance beside a server loses power, freezes or is cut off. Callers' packets of its flows go nowhere, nobody tells the callers, and each waits until its deadline; of a pool of flows each next one is lost in the same way.

Waiting for the platform to drop the entry: 3.6 s after, later than most deadlines.

Change: an entry doubts an agent when an opening packet has no answer or a caller repeats its data, and asks it directly and by way of two other agents (package vouch, the indirect probe of SWIM). After four rounds, 0.95 s, the agent is lost: the callers of its flows that this entry knows are told by resets, paced, and it gets no new flows. Not when the entry hears no agent at all, not when the agent has said that it is being stopped, and only flows whose owner is proved, by the agent's word or the caller's acknowledgement.

An entry frozen while a flow was opened by another one placed the old opening packet at a second server when it woke up, and reset the flow when that one's agent was lost, though the first server serves it.

--- a/internal/ctrl/follow/peers.go
+++ b/internal/ctrl/follow/peers.go
@@ -36,16 +36,6 @@
 	return list
 }
 
-// Ask asks processes for a beacon: an answer shows that they can be reached.
-func (n *Node) Ask(now time.Time, to []netip.Addr) {
-	n.mu.Lock()
-	message := n.beacon(now, true)
-	n.mu.Unlock()
-	for _, a := range to {
-		n.Send(a, message)
-	}
-}
-
 // readers counts the other processes that read. n.mu is held.
 func (n *Node) readers(now time.Time) (count int) {
 	for _, p := range n.peers {
--- /dev/null
+++ b/internal/flow/msgs/alive.go
@@ -0,0 +1,54 @@
+package msgs
+
+import "net/netip"
+
+// Ask asks a process whether it is alive, directly or by way of another one: who gets it and isn't
+// Target hands it on to Target once. So a broken way between two processes is told from a process that is gone.
+type Ask struct {
+	Head
+	Target  netip.Addr
+	Origin  netip.Addr // who wants to know
+	Relayed bool       // it has been handed on
+}
+
+const askSize = 9
+
+// AppendTo appends the encoded message.
+func (m *Ask) AppendTo(b []byte) []byte {
+	b = m.appendTo(b, KindAsk)
+	b = appendAddr(b, m.Target)
+	b = appendAddr(b, m.Origin)
+	return append(b, flag(m.Relayed))
+}
+
+// ReadAsk reads the rest of a message.
+func ReadAsk(h Head, b []byte) (m Ask, err error) {
+	if len(b) < askSize {
+		return Ask{}, ErrShort
+	}
+	return Ask{Head: h, Target: addrFrom(b), Origin: addrFrom(b[4:]), Relayed: b[8] != 0}, nil
+}
+
+// Alive answers Ask, by the way that it came.
+type Alive struct {
+	Head
+	Target netip.Addr
+	Origin netip.Addr
+}
+
+const aliveSize = 8
+
+// AppendTo appends the encoded message.
+func (m *Alive) AppendTo(b []byte) []byte {
+	b = m.appendTo(b, KindAlive)
+	b = appendAddr(b, m.Target)
+	return appendAddr(b, m.Origin)
+}
+
+// ReadAlive reads the rest of a message.
+func ReadAlive(h Head, b []byte) (m Alive, err error) {
+	if len(b) < aliveSize {
+		return Alive{}, ErrShort
+	}
+	return Alive{Head: h, Target: addrFrom(b), Origin: addrFrom(b[4:])}, nil
+}
--- a/internal/flow/msgs/msgs.go
+++ b/internal/flow/msgs/msgs.go
@@ -33,6 +33,8 @@
 	KindBeacon                   // to any: how much I know
 	KindNews                     // to any: what changed
 	KindOffer                    // agent to agent: do you have more room for this flow?
+	KindAsk                      // to any: are you alive, or is that other one?
+	KindAlive                    // the answer to it
 )
 
 const (
--- a/internal/flow/msgs/owner.go
+++ b/internal/flow/msgs/owner.go
@@ -32,18 +32,20 @@
 	return Opened{Head: h, Flow: segs.FlowFrom(b), Seq: binary.LittleEndian.Uint32(b[segs.Size:]), Load: loadFrom(b[segs.Size+4:])}, nil
 }
 
-// Owner tells an entry that the sender owns a flow. Gone says instead that nobody does.
+// Owner tells an entry that the sender owns a flow. Gone says instead that nobody does. Open says that the server
+// holds it; otherwise it waits to be opened.
 type Owner struct {
 	Head
 	Flow segs.Flow
 	Gone bool
+	Open bool
 }
 
 // AppendTo appends the encoded message.
 func (m *Owner) AppendTo(b []byte) []byte {
 	b = m.appendTo(b, KindOwner)
 	b = m.Flow.AppendTo(b)
-	return append(b, flag(m.Gone))
+	return append(b, flag(m.Gone)|flag(m.Open)<<1)
 }
 
 // ReadOwner reads the rest of a message.
@@ -51,7 +53,7 @@
 	if len(b) < segs.Size+1 {
 		return Owner{}, ErrShort
 	}
-	return Owner{Head: h, Flow: segs.FlowFrom(b), Gone: b[segs.Size] != 0}, nil
+	return Owner{Head: h, Flow: segs.FlowFrom(b), Gone: b[segs.Size]&1 != 0, Open: b[segs.Size]&2 != 0}, nil
 }
 
 // Place is a flow and the first sequence number of the server that holds it.
--- a/internal/flow/owner/entry.go
+++ b/internal/flow/owner/entry.go
@@ -37,6 +37,30 @@
 	Used       time.Time // last packet
 	Tries      int       // agents that got an opening packet, also those that refused
 	Told       bool      // an agent said that it owns the flow
+	Ack        uint32    // what the caller acknowledged last, 0 before its first packet after the opening ones
+	// Owner is the agent whose server is known to hold the open flow: the agent has said so, or the caller has acknowledged the
+	// number with which the server accepted it. A server that accepted may not be the one that the caller
+	// chose, so Candidates alone don't tell. Invalid: not known.
+	Owner netip.Addr
+	end   uint32 // sequence number after the caller's last data
+}
+
+// Repeats notes a packet of the open flow and says whether its data is that of the last one again: what the caller sent
+// has had no answer.
+func (p *Places) Repeats(s *segs.Segment) bool {
+	p.Ack = s.Ack
+	for _, c := range p.Candidates {
+		if !p.Owner.IsValid() && c.Opened && segs.Begins(s.Ack, c.Seq) {
+			p.Owner = c.Agent
+		}
+	}
+	if s.Len == 0 {
+		return false
+	}
+	end := s.Seq + uint32(s.Len)
+	again := end == p.end
+	p.end = end
+	return again
 }
 
 // Tried returns the agents that got an opening packet.
@@ -124,6 +148,16 @@
 // Delete forgets a flow.
 func (t *Entry) Delete(f segs.Flow) { delete(t.flows, f) }
 
+// Of returns the flows that an agent is known to own and on which the caller has sent something.
+func (t *Entry) Of(agent netip.Addr) (flows []segs.Flow) {
+	for f, p := range t.flows {
+		if p.Owner == agent && p.Ack != 0 {
+			flows = append(flows, f)
+		}
+	}
+	return flows
+}
+
 // sweepEvery is how often all flows are looked at.
 const sweepEvery = time.Second
 
--- a/internal/load/steer/steer.go
+++ b/internal/load/steer/steer.go
@@ -39,6 +39,7 @@
 	Slots    int
 	Draining bool
 	Cold     bool // started a moment ago and slow
+	Lost     bool // its agent is taken for lost
 }
 
 const (
@@ -134,6 +135,9 @@
 	if k.Domain != c.domain {
 		w += distance
 	}
+	if k.Lost {
+		w += rankSilent * slots
+	}
 	if k.Draining {
 		w += rankDraining * slots
 	}
--- a/internal/node/edge/bench_test.go
+++ b/internal/node/edge/bench_test.go
@@ -24,7 +24,6 @@
 func (fixed) Reset(b []byte, _ segs.Segment) []byte         { return b }
 func (fixed) Noticed(netip.Addr, uint64)                    {}
 func (fixed) Leaving(netip.Addr) bool                       { return false }
-func (fixed) Ask(time.Time, []netip.Addr)                   {}
 func (fixed) Age(time.Time) (age time.Duration, known bool) { return 0, true }
 
 // loop sends over a real socket to an address that nobody reads.
--- a/internal/node/edge/counts.go
+++ b/internal/node/edge/counts.go
@@ -8,7 +8,7 @@
 	placed   = metrics.NewCounter(`mangowinch_flows_placed_total`)
 	asked    = metrics.NewCounter(`mangowinch_flows_asked_total`)
 	expired  = metrics.NewCounter(`mangowinch_flows_expired_total`)
-	doubted  = metrics.NewCounter(`mangowinch_reach_questions_total`)
+	asks     = metrics.NewCounter(`mangowinch_reach_questions_total`)
 	silent   = metrics.NewCounter(`mangowinch_flows_unanswered_total`)
 )
 
@@ -26,3 +26,8 @@
 func turnedBack(reason string) {
 	metrics.GetOrCreateCounter(`mangowinch_flows_turned_back_total{reason="` + reason + `"}`).Inc()
 }
+
+// resets counts open flows that the entry ended.
+func resets(reason string) {
+	metrics.GetOrCreateCounter(`mangowinch_flows_reset_total{reason="` + reason + `"}`).Inc()
+}
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -42,7 +42,11 @@
 	Noticed(from netip.Addr, revision uint64)
 	Leaving(agent netip.Addr) bool
 	Age(now time.Time) (age time.Duration, ok bool)
-	Ask(now time.Time, to []netip.Addr)
+}
+
+// Voucher asks whether a process is alive, directly and by way of helpers. The answer comes to Entry.Heard.
+type Voucher interface {
+	Ask(target netip.Addr, helpers []netip.Addr)
 }
 
 // Config is what an Entry is made of.
@@ -51,6 +55,7 @@
 	Domain string
 	Log    *belief.Log
 	Ctrl   Control
+	Vouch  Voucher
 	Codec  segs.Codec
 	Wire   Wire
 	Events *event.Log
@@ -80,7 +85,9 @@
 	mu      sync.Mutex
 	flows   *owner.Entry
 	chooser *steer.Chooser
-	agents  *detect.Detector     // of all agents together: is this entry cut off?
+	agents  *detect.Detector // of all agents together: is this entry cut off?
+	doubted map[netip.Addr]*detect.Detector
+	ending  []segs.Flow          // of lost agents, whose callers are to be told
 	cold    map[string]time.Time // server ID -> until when
 	buf     []byte               // of the message being sent
 	packet  []byte               // of the reset being sent
@@ -93,6 +100,7 @@
 		flows:   owner.NewEntry(flowLimit),
 		chooser: steer.New(c.Domain, c.Rand),
 		agents:  detect.New(cutOff),
+		doubted: map[netip.Addr]*detect.Detector{},
 		cold:    map[string]time.Time{},
 	}
 }
@@ -116,6 +124,8 @@
 		expired.Add(n)
 	}
 	e.watch(now)
+	e.watchDoubted(now)
+	e.tellEnding(now)
 }
 
 // Changed is to be called after the view has changed.
@@ -212,6 +222,7 @@
 		return false // the answer was lost, or is on its way
 	}
 	e.chooser.Silent(now, last.Agent)
+	e.doubt(now, last.Agent)
 	silent.Inc()
 	e.Events.Flow(event.Failure, "unanswered", s.Flow).Stringer("agent", last.Agent).Uint32("copy", s.Ack).Send()
 	return p.Tries < maxTries
@@ -266,6 +277,7 @@
 			Slots:    s.Slots,
 			Draining: s.State == belief.Draining || e.Ctrl.Leaving(s.Addr.Addr()),
 			Cold:     now.Before(e.cold[s.ID]),
+			Lost:     e.lost(s.Addr.Addr()),
 		})
 	}
 	return list
@@ -295,8 +307,17 @@
 	if p != nil {
 		if agent, ok := p.For(s.Ack); ok {
 			p.Used = now
-			e.carry(v, agent, datagram)
-			return
+			if p.Repeats(s) {
+				e.doubt(now, agent)
+			}
+			switch {
+			case !e.lost(agent):
+				e.carry(v, agent, datagram)
+				return
+			case p.Owner == agent:
+				e.end(now, s.Flow, p)
+				return
+			}
 		}
 	}
 	home, ok := v.Homes.Of(s.Flow)
--- a/internal/node/edge/peer.go
+++ b/internal/node/edge/peer.go
@@ -92,6 +92,9 @@
 		return
 	}
 	p.Told = true
+	if m.Open {
+		p.Owner = from
+	}
 	p.Candidates = append(p.Candidates[:0], owner.Candidate{Agent: from})
 	e.Events.Flow(event.Ordinary, "told", m.Flow).Stringer("agent", from).Uint64("revision", m.Revision).Send()
 }
--- a/internal/node/edge/reach.go
+++ b/internal/node/edge/reach.go
@@ -15,7 +15,7 @@
 // requests failed and 56 were late.
 //
 // The guard: an agent answers an opening packet at once, whether it takes the flow, lets it wait or hands it back. An
-// entry that hears nothing asks several agents for a beacon, and if none of two rounds is answered, it
+// entry that hears nothing asks several agents whether they are alive, and if none of two rounds is answered, it
 // is not ready and refuses new flows: the caller's next try comes by another entry. Other entries say nothing about it, as
 // those behind the same cut go on hearing each other.
 
@@ -27,7 +27,7 @@
 // four goes unanswered once in six million.
 const askAgents = 4
 
-// Heard notes that a message has come from another process.
+// Heard notes that another process is alive: a message has come from it, or from one that has heard it.
 func (e *Entry) Heard(from netip.Addr) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -37,6 +37,7 @@
 	if e.agents.Heard() {
 		e.Events.State("reached").Send()
 	}
+	e.clear(from)
 }
 
 // Reaches says whether the entry hears of agents.
@@ -50,8 +51,10 @@
 func (e *Entry) watch(now time.Time) {
 	switch e.agents.Tick(now) {
 	case detect.Check:
-		e.Ctrl.Ask(now, e.some(e.Log.View().Homes.Agents(), askAgents))
-		doubted.Inc()
+		for _, a := range e.some(e.Log.View().Homes.Agents(), askAgents) {
+			e.Vouch.Ask(a, nil)
+		}
+		asks.Inc()
 	case detect.Lost:
 		e.Events.State("cut-off").Int("agents", len(e.Log.View().Homes.Agents())).Send()
 	case detect.Fine:
--- a/internal/node/local/caller.go
+++ b/internal/node/local/caller.go
@@ -35,7 +35,7 @@
 		a.flows.FromCaller(now, o, &s)
 		a.Wire.ToServer(m.Packet)
 		if m.Hops > 0 {
-			a.tellOwner(m.Origin, s.Flow, false)
+			a.tellOwner(m.Origin, msgs.Owner{Flow: s.Flow, Open: true})
 		}
 		if m.Hops > 1 {
 			a.registerOne(now, o, s.Flow) // the home didn't know, or knew another
@@ -97,7 +97,7 @@
 		held.Inc()
 		a.Events.Flow(event.Ordinary, "waits", s.Flow).Int("waiting", a.waiting.Len()).Uint16("work", a.work(now)).
 			Int("priority", w.Priority).Uint64("revision", a.Log.Revision()).Send()
-		a.tellOwner(m.Origin, s.Flow, false) // or the entry would place the caller's copy elsewhere
+		a.tellOwner(m.Origin, msgs.Owner{Flow: s.Flow}) // or the entry would place the caller's copy elsewhere
 	}
 }
 
@@ -265,9 +265,9 @@
 	forwarded.Inc()
 }
 
-// tellOwner tells an entry that this agent owns a flow, or that nobody does.
-func (a *Agent) tellOwner(entry netip.Addr, f segs.Flow, gone bool) {
-	m := msgs.Owner{Head: a.head(), Flow: f, Gone: gone}
+// tellOwner tells an entry where a flow is.
+func (a *Agent) tellOwner(entry netip.Addr, m msgs.Owner) {
+	m.Head = a.head()
 	a.buf = m.AppendTo(a.buf[:0])
 	a.Wire.ToPeer(entry, a.buf)
 }
--- a/internal/node/local/search.go
+++ b/internal/node/local/search.go
@@ -159,7 +159,7 @@
 	case msgs.Held:
 		delete(a.searches, m.Flow)
 		if from == a.Self {
-			a.tellOwner(q.carry.Origin, m.Flow, false)
+			a.tellOwner(q.carry.Origin, msgs.Owner{Flow: m.Flow, Open: true})
 			return
 		}
 		a.home.Register(now, from, msgs.Place{Flow: m.Flow})
@@ -214,7 +214,7 @@
 	}
 	delete(a.searches, f)
 	a.reset(now, &s, "unheld")
-	a.tellOwner(q.carry.Origin, f, true)
+	a.tellOwner(q.carry.Origin, msgs.Owner{Flow: f, Gone: true})
 }
 
 // probe tries the own server with a packet of a flow that the agent doesn't know. Whoever
--- a/internal/node/local/server.go
+++ b/internal/node/local/server.go
@@ -119,7 +119,7 @@
 	a.home.Delete(s.Flow, a.Self)
 	a.reset(now, s, why)
 	if o.Origin.IsValid() {
-		a.tellOwner(o.Origin, s.Flow, true)
+		a.tellOwner(o.Origin, msgs.Owner{Flow: s.Flow, Gone: true})
 	}
 }
 
--- a/internal/node/opaque/entry.go
+++ b/internal/node/opaque/entry.go
@@ -40,6 +40,7 @@
 		Domain: s.Process.Domain,
 		Log:    p.log,
 		Ctrl:   p.follow,
+		Vouch:  p.vouch,
 		Codec:  a.Codec,
 		Wire:   p.sockets,
 		Events: p.events,
@@ -49,7 +50,7 @@
 	})
 	p.admin.Section("belief", func() any { return p.belief() })
 	p.admin.Section("flows", func() any { return e.Len() })
-	p.heard = e.Heard
+	p.vouch.OnAlive = e.Heard
 	staying, known, reaching := p.admin.Condition("staying"), p.admin.Condition("configuration"), p.admin.Condition("reach")
 	staying.Set(true, "")
 	reaching.Set(true, "")
--- a/internal/node/opaque/messages.go
+++ b/internal/node/opaque/messages.go
@@ -44,9 +44,7 @@
 
 // took handles one message.
 func (p *process) took(now time.Time, from netip.Addr, h msgs.Head, rest []byte, take flowMessages) error {
-	if p.heard != nil {
-		p.heard(from)
-	}
+	p.vouch.Heard(from)
 	switch h.Kind {
 	case msgs.KindBeacon:
 		m, err := msgs.ReadBeacon(h, rest)
@@ -64,6 +62,12 @@
 		return nil
 	}
 	p.follow.Noticed(from, h.Revision)
+	switch h.Kind {
+	case msgs.KindAsk:
+		return msgs.Take(h, rest, msgs.ReadAsk, func(m msgs.Ask) { p.vouch.Asked(from, m) })
+	case msgs.KindAlive:
+		return msgs.Take(h, rest, msgs.ReadAlive, func(m msgs.Alive) { p.vouch.Alive(m) })
+	}
 	if !take(now, from, h, rest) {
 		return errKind
 	}
--- a/internal/node/opaque/messages_test.go
+++ b/internal/node/opaque/messages_test.go
@@ -17,6 +17,7 @@
 	"mangowinch/internal/ctrl/belief"
 	"mangowinch/internal/ctrl/follow"
 	"mangowinch/internal/flow/msgs"
+	"mangowinch/internal/node/vouch"
 	"mangowinch/internal/oper/event"
 )
 
@@ -26,7 +27,7 @@
 func newTestProcess(out io.Writer) *process {
 	events := event.New(out, "entry", "entry-1")
 	log := belief.New()
-	return &process{events: events, log: log, follow: follow.New(follow.Config{
+	return &process{events: events, vouch: vouch.New(netip.Addr{}, nil), log: log, follow: follow.New(follow.Config{
 		Self:   netip.MustParseAddr("10.0.0.1"),
 		Role:   msgs.Entry,
 		Log:    log,
--- a/internal/node/opaque/opaque.go
+++ b/internal/node/opaque/opaque.go
@@ -29,6 +29,7 @@
 	"mangowinch/internal/flow/msgs"
 	"mangowinch/internal/flow/segs"
 	"mangowinch/internal/node/awake"
+	"mangowinch/internal/node/vouch"
 	"mangowinch/internal/oper/admin"
 	"mangowinch/internal/oper/build"
 	"mangowinch/internal/oper/event"
@@ -51,7 +52,7 @@
 	admin    *admin.Server
 	metrics  *admin.Server // nil: none
 	sockets  *sockets
-	heard    func(from netip.Addr) // called for each message of another process; nil: nobody wants to know
+	vouch    *vouch.Node
 	started  time.Time
 }
 
@@ -78,6 +79,7 @@
 		Bound:   s.Bounds.Change,
 		Changed: changed,
 	})
+	p.vouch = vouch.New(s.Link.Addr(), p.sockets.ToPeer)
 	p.admin = admin.New(s.Process.Operator, p.events.Logger())
 	if s.Process.Metrics.IsValid() {
 		p.metrics = admin.New(s.Process.Metrics, p.events.Logger())
--- /dev/null
+++ b/internal/node/vouch/vouch_test.go
@@ -0,0 +1,77 @@
+package vouch
+
+import (
+	"net/netip"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"mangowinch/internal/flow/msgs"
+)
+
+func addr(n int) netip.Addr { return netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}) }
+
+// net joins nodes; cut ways lose messages.
+type network struct {
+	nodes map[netip.Addr]*Node
+	cut   map[[2]netip.Addr]bool
+	sent  int
+}
+
+func newNetwork(size int) *network {
+	w := &network{nodes: map[netip.Addr]*Node{}, cut: map[[2]netip.Addr]bool{}}
+	for i := range size {
+		self := addr(i)
+		w.nodes[self] = New(self, func(to netip.Addr, message []byte) { w.deliver(self, to, message) })
+	}
+	return w
+}
+
+func (w *network) deliver(from, to netip.Addr, message []byte) {
+	w.sent++
+	n := w.nodes[to]
+	if n == nil || w.cut[[2]netip.Addr{from, to}] || w.cut[[2]netip.Addr{to, from}] {
+		return
+	}
+	h, rest, err := msgs.ReadHead(message)
+	if err != nil {
+		panic(err)
+	}
+	switch h.Kind {
+	case msgs.KindAsk:
+		m, _ := msgs.ReadAsk(h, rest)
+		n.Asked(from, m)
+	case msgs.KindAlive:
+		m, _ := msgs.ReadAlive(h, rest)
+		n.Alive(m)
+	}
+}
+
+// ask returns whether node 0 hears that a process is alive.
+func (w *network) ask(target netip.Addr, helpers ...netip.Addr) (alive bool) {
+	w.nodes[addr(0)].OnAlive = func(process netip.Addr) { alive = alive || process == target }
+	w.nodes[addr(0)].Ask(target, helpers)
+	return alive
+}
+
+func TestProcessThatLivesAnswers(t *testing.T) {
+	w := newNetwork(4)
+	assert.Assert(t, w.ask(addr(1)))
+}
+
+// Only the way between two processes is broken. Who takes the other for gone would reset flows of a server that
+// serves its callers.
+func TestHelpersReachWhomTheAskerDoesNot(t *testing.T) {
+	w := newNetwork(4)
+	w.cut[[2]netip.Addr{addr(0), addr(1)}] = true
+	assert.Assert(t, !w.ask(addr(1)))
+	assert.Assert(t, w.ask(addr(1), addr(2), addr(3)))
+}
+
+// A process is gone. Nobody answers for it, and questions about it end.
+func TestNobodyAnswersForAProcessThatIsGone(t *testing.T) {
+	w := newNetwork(4)
+	delete(w.nodes, addr(1))
+	assert.Assert(t, !w.ask(addr(1), addr(2), addr(3)))
+	assert.Equal(t, w.sent, 5, "three questions, of which two are handed on once")
+}
--- a/internal/oper/story/story.go
+++ b/internal/oper/story/story.go
@@ -140,6 +140,7 @@
 var ends = map[string]string{
 	"refused":     "refused: reset before it was open, so no server has run anything",
 	"reset":       "reset by an agent: no server holds it any more; what ran before is not known here",
+	"owner-lost":  "reset by an entry: the agent that owns it answers nobody; what ran before is not known here",
 	"handed-back": "handed back by an agent and not placed again in these lines",
 	"unanswered":  "no server has answered its opening packet",
 	"unfound":     "nobody was found who holds it, and not all could be asked; nothing was said to the caller",
