A server that breaks off its requests gets no new flows, and callers whose flows rest there are told

Cause: a server that breaks off each request at once has nothing under way and looks idle. Callers whose request was broken off come again, are placed at the same server and fail for good after the third try; of flows that rest there each next request is lost if it must not run twice. Agents' counters: 940 resets by servers on flows with a request under way; in all 106 looks at the servers' ports these were open.

Change: package trip, a circuit breaker beside each server. The callers of flows that rest there are told. Flows with a request under way are left alone.

--- a/internal/flow/msgs/packet.go
+++ b/internal/flow/msgs/packet.go
@@ -12,6 +12,7 @@
 	Hops   uint8      // agents that have passed it on
 	Probe  bool
 	Named  bool // the sender knows the receiver as the flow's owner
+	Insist bool // other agents have handed it back: a server that fails now and then is better than none
 	Packet []byte
 }
 
@@ -19,19 +20,24 @@
 	carrySize = 6
 	probeBit  = 0x80
 	namedBit  = 0x40
+	insistBit = 0x20
+	hopsMask  = insistBit - 1
 )
 
 // AppendTo appends the encoded message.
 func (m *Carry) AppendTo(b []byte) []byte {
 	b = m.appendTo(b, KindCarry)
 	b = appendAddr(b, m.Origin)
-	hops := m.Hops &^ (probeBit | namedBit)
+	hops := m.Hops & hopsMask
 	if m.Probe {
 		hops |= probeBit
 	}
 	if m.Named {
 		hops |= namedBit
 	}
+	if m.Insist {
+		hops |= insistBit
+	}
 	b = append(b, hops, 0)
 	return append(b, m.Packet...)
 }
@@ -44,9 +50,10 @@
 	return Carry{
 		Head:   h,
 		Origin: addrFrom(b),
-		Hops:   b[4] &^ (probeBit | namedBit),
+		Hops:   b[4] & hopsMask,
 		Probe:  b[4]&probeBit != 0,
 		Named:  b[4]&namedBit != 0,
+		Insist: b[4]&insistBit != 0,
 		Packet: b[carrySize:],
 	}, nil
 }
@@ -63,6 +70,7 @@
 	Head
 	Origin  netip.Addr // the entry that placed it
 	Final   bool
+	Insist  bool // as in Carry
 	Visited []Visit
 	Packet  []byte
 }
@@ -76,7 +84,7 @@
 func (m *Offer) AppendTo(b []byte) []byte {
 	b = m.appendTo(b, KindOffer)
 	b = appendAddr(b, m.Origin)
-	b = append(b, flag(m.Final), byte(len(m.Visited)))
+	b = append(b, flag(m.Final)|flag(m.Insist)<<1, byte(len(m.Visited)))
 	for _, v := range m.Visited {
 		b = appendAddr(b, v.Agent)
 		b = binary.LittleEndian.AppendUint16(b, v.Work)
@@ -89,7 +97,7 @@
 	if len(b) < offerSize || len(b) < offerSize+int(b[5])*visitSize {
 		return Offer{}, ErrShort
 	}
-	m = Offer{Head: h, Origin: addrFrom(b), Final: b[4] != 0}
+	m = Offer{Head: h, Origin: addrFrom(b), Final: b[4]&1 != 0, Insist: b[4]&2 != 0}
 	count := int(b[5])
 	b = b[offerSize:]
 	for range count {
@@ -114,10 +122,11 @@
 	WhyTable                   // the agent's table is full
 	WhyBusy                    // more flows wait than can be served before their callers give up
 	WhyMute                    // the server doesn't answer
+	WhyFails                   // the server breaks off its requests
 )
 
 var whys = [...]string{WhyServer: "server", WhyDown: "down", WhyDraining: "draining", WhyLeaving: "leaving",
-	WhyService: "service", WhyRoute: "route", WhyTable: "table", WhyBusy: "busy", WhyMute: "mute"}
+	WhyService: "service", WhyRoute: "route", WhyTable: "table", WhyBusy: "busy", WhyMute: "mute", WhyFails: "fails"}
 
 // String returns the reason as logs and counters show it.
 func (w Why) String() string {
--- a/internal/flow/owner/agent.go
+++ b/internal/flow/owner/agent.go
@@ -20,6 +20,7 @@
 	Asked    time.Time  // the caller's data that has no answer yet came then; zero: none
 	Home     netip.Addr // where it is registered
 	Worked   bool       // a request has come on it
+	Ack      uint32     // what the caller acknowledged last, 0 before its first packet after the opening ones
 	accepted time.Time  // when the server answered the opening packet; zero: not seen
 	end      uint32     // sequence number after the caller's last data
 	started  bool       // end is known
@@ -33,6 +34,11 @@
 // Fits says whether a caller's packet with this acknowledgement belongs to the server's flow.
 func (o *Own) Fits(ack uint32) bool { return o.Accepted && (o.Open || segs.Begins(ack, o.Seq)) }
 
+// Resting says whether the flow is open, neither end has closed, and no request is under way.
+func (o *Own) Resting() bool {
+	return o.Proved && o.callerUp && o.serverUp && !o.Busy() && o.Ack != 0
+}
+
 // Over says whether both ends have closed.
 func (o *Own) Over() bool { return !o.callerUp && !o.serverUp }
 
@@ -94,7 +100,7 @@
 
 // FromCaller notes a packet that goes to the server.
 func (t *Agent) FromCaller(now time.Time, o *Own, s *segs.Segment) {
-	o.Used = now
+	o.Used, o.Ack = now, s.Ack
 	if s.Len > 0 && !o.Worked {
 		o.Worked = true
 		if !o.accepted.IsZero() {
--- a/internal/flow/owner/entry.go
+++ b/internal/flow/owner/entry.go
@@ -37,6 +37,7 @@
 	Used       time.Time // last packet
 	Tries      int       // agents that got an opening packet, also those that refused
 	Told       bool      // an agent said that it owns the flow
+	HandedBack bool      // an agent has handed the opening packet back
 	Ack        uint32    // what the caller acknowledged last, 0 before its first packet after the opening ones
 	// Owner is the agent whose server is known to hold the open flow: the agent has said so, or the caller has acknowledged the
 	// number with which the server accepted it. A server that accepted may not be the one that the caller
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -247,7 +247,7 @@
 	}
 	e.Events.Flow(class, "placed", s.Flow).Stringer("agent", agent).Int("try", p.Tries).
 		Int64("version", v.Version()).Uint64("revision", v.Revision).Send()
-	e.carry(v, agent, datagram)
+	e.send(v, agent, msgs.Carry{Insist: p.HandedBack, Packet: datagram})
 }
 
 // unplaceable ends the search for a server for a new flow. While an agent may still answer, the
@@ -332,7 +332,11 @@
 
 // carry sends a caller's packet to an agent.
 func (e *Entry) carry(v *belief.View, agent netip.Addr, datagram []byte) {
-	m := msgs.Carry{Origin: e.Self, Packet: datagram}
+	e.send(v, agent, msgs.Carry{Packet: datagram})
+}
+
+func (e *Entry) send(v *belief.View, agent netip.Addr, m msgs.Carry) {
+	m.Origin = e.Self
 	m.Revision = v.Revision
 	if server, ok := v.Server(agent); ok {
 		m.Service = belief.Hash(server.Service)
--- a/internal/node/edge/peer.go
+++ b/internal/node/edge/peer.go
@@ -71,6 +71,7 @@
 		e.unrouted(now, v, &s)
 		return
 	}
+	p.HandedBack = true
 	tried := append(p.Tried(), from)
 	p.Drop(from)
 	e.place(now, v, route, p, &s, tried, m.Packet)
--- a/internal/node/local/caller.go
+++ b/internal/node/local/caller.go
@@ -49,7 +49,7 @@
 
 // open takes an opening packet that an entry has placed here.
 func (a *Agent) open(now time.Time, m msgs.Carry, s *segs.Segment) {
-	a.offered(now, msgs.Offer{Head: m.Head, Origin: m.Origin, Packet: m.Packet}, s)
+	a.offered(now, msgs.Offer{Head: m.Head, Origin: m.Origin, Insist: m.Insist, Packet: m.Packet}, s)
 }
 
 // offered gives an opening packet to the server, to a less busy one, or back to the entry.
@@ -188,6 +188,8 @@
 		return msgs.WhyDown
 	case a.mute(now):
 		return msgs.WhyMute
+	case !m.Insist && !a.breaker.Allows(now):
+		return msgs.WhyFails
 	case v.Revision > m.Revision && v.Config != nil && !v.Allows(s.Flow.Called(), a.Service):
 		// The entry is behind, or was frozen and has just woken up with an old route.
 		return msgs.WhyRoute
--- a/internal/node/local/local.go
+++ b/internal/node/local/local.go
@@ -29,6 +29,7 @@
 	"mangowinch/internal/flow/owner"
 	"mangowinch/internal/flow/segs"
 	"mangowinch/internal/load/hold"
+	"mangowinch/internal/load/trip"
 	"mangowinch/internal/oper/event"
 )
 
@@ -94,6 +95,8 @@
 	searches map[segs.Flow]*search
 	budget   budget
 	leaving  bool
+	breaker  trip.Breaker
+	ending   []segs.Flow // that rest at a server that breaks off its requests
 	server   sight
 	down     time.Time // when the server's address was last found closed
 	unheard  time.Time // when the first packet went to the server that it has sent nothing after
@@ -166,6 +169,7 @@
 	a.flows.Expire(now, owner.Lives{Idle: idle, Life: a.Life + overFor, Over: overFor, Opening: openingFor})
 	a.admit(now)
 	a.home.Expire(now, a.Life+overFor)
+	a.tellResting(now)
 	a.expireProbes(now)
 	a.expireSearches(now)
 }
--- a/internal/node/local/server.go
+++ b/internal/node/local/server.go
@@ -55,7 +55,11 @@
 	if first {
 		a.accept(now, o, s)
 	}
+	if s.Has(segs.Rst) && o.Busy() {
+		a.brokeOff(now)
+	}
 	if took := a.flows.FromServer(now, o, s); took > 0 {
+		a.answered()
 		answerTime.Update(took.Seconds())
 		defer a.admit(now)
 	}
--- a/internal/oper/story/story.go
+++ b/internal/oper/story/story.go
@@ -139,7 +139,7 @@
 // ends says what the last event of a flow means for its caller.
 var ends = map[string]string{
 	"refused":     "refused: reset before it was open, so no server has run anything",
-	"reset":       "reset by an agent: no server holds it any more; what ran before is not known here",
+	"reset":       "reset by an agent: no server holds it any more, or its server fails (why); what ran before is not known here",
 	"owner-lost":  "reset by an entry: the agent that owns it answers nobody; what ran before is not known here",
 	"handed-back": "handed back by an agent and not placed again in these lines",
 	"unanswered":  "no server has answered its opening packet",
