--- a/internal/conf/carry/carry.go
+++ b/internal/conf/carry/carry.go
@@ -16,11 +16,13 @@
 import (
 	"net/netip"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"mangowinch/internal/conf/strict"
+	"mangowinch/internal/load/parts"
 )
 
 // Settings is one settings file. Exactly one of Entry and Agent is set. Nobody changes it.
@@ -33,6 +35,7 @@
 	Bounds   Bounds
 	Entry    *Entry
 	Agent    *Agent
+	Without  parts.Off // mechanisms that are switched off, for measurements
 }
 
 // Process is what every process has.
@@ -98,6 +101,9 @@
 	if from, ok := f.Maybe("peers"); ok && from.Has("seeds") {
 		s.Seeds = from.AddrPorts("seeds")
 	}
+	if from, ok := f.Maybe("without"); ok {
+		s.Without = readWithout(from)
+	}
 	if from, ok := f.Maybe("entry"); ok {
 		s.Entry = &Entry{Bind: from.AddrPort("bind")}
 	}
@@ -120,6 +126,14 @@
 	return s, nil
 }
 
+func readWithout(from *strict.Section) parts.Off {
+	off, unknown := parts.Parse(from.List("parts"))
+	for _, name := range unknown {
+		from.Fault("parts", strict.Invalid, name+" is none of "+strings.Join(parts.Names(), " "))
+	}
+	return off
+}
+
 func readBounds(from *strict.Section) Bounds {
 	return Bounds{
 		Change: from.Duration("change"),
--- a/internal/conf/carry/carry_test.go
+++ b/internal/conf/carry/carry_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/golden"
 
 	"mangowinch/internal/conf/strict"
+	"mangowinch/internal/load/parts"
 )
 
 func TestLoad(t *testing.T) {
@@ -34,6 +35,17 @@
 	assert.Assert(t, s.Link != s.LinkBind)
 }
 
+// A measurement switches mechanisms off; a name that means nothing would measure nothing.
+func TestMechanismsAreSwitchedOffByName(t *testing.T) {
+	text, err := os.ReadFile("testdata/agent.ini")
+	assert.NilError(t, err)
+	s, err := parse("agent.ini", append(bytes.Clone(text), "\n[without]\nparts = offers, breaker\n"...))
+	assert.NilError(t, err)
+	assert.Equal(t, s.Without, parts.Off{Offers: true, Breaker: true})
+	_, err = parse("agent.ini", append(bytes.Clone(text), "\n[without]\nparts = offer\n"...))
+	assert.ErrorContains(t, err, "offer is none of")
+}
+
 // Bad settings stop a process before it serves, and one look shows all that is wrong.
 func TestLoadListsEveryFault(t *testing.T) {
 	_, err := Load("testdata/bad.ini")
--- a/internal/flow/owner/agent.go
+++ b/internal/flow/owner/agent.go
@@ -6,6 +6,7 @@
 
 	"mangowinch/internal/flow/msgs"
 	"mangowinch/internal/flow/segs"
+	"mangowinch/internal/load/parts"
 )
 
 // Own is a flow that an agent's server holds, or is about to.
@@ -51,7 +52,9 @@
 }
 
 // NewAgent returns a table of at most limit flows.
-func NewAgent(limit int) *Agent { return &Agent{limit: limit, flows: map[segs.Flow]*Own{}} }
+func NewAgent(limit int, off parts.Off) *Agent {
+	return &Agent{limit: limit, flows: map[segs.Flow]*Own{}, work: requests{off: off}}
+}
 
 // Get returns a flow, or nil.
 func (t *Agent) Get(f segs.Flow) *Own { return t.flows[f] }
--- a/internal/flow/owner/owner_test.go
+++ b/internal/flow/owner/owner_test.go
@@ -9,6 +9,7 @@
 
 	"mangowinch/internal/flow/msgs"
 	"mangowinch/internal/flow/segs"
+	"mangowinch/internal/load/parts"
 )
 
 var (
@@ -25,7 +26,7 @@
 // Two servers accepted a flow and the caller chose one. The other's first number fitted the caller's by chance
 // once in 64, so the packet went to a server that returned it, and the open flow was reset.
 func TestHalfOpenFlowTakesNoForeignPacket(t *testing.T) {
-	table := NewAgent(10)
+	table := NewAgent(10, parts.Off{})
 	o := table.Add(now, flow)
 	o.Accepted, o.Seq = true, 1000
 	assert.Assert(t, o.Fits(1001))
@@ -64,7 +65,7 @@
 func TestFullTablesRefuseNewFlows(t *testing.T) {
 	other := flow
 	other.CallerPort++
-	a, e := NewAgent(1), NewEntry(1)
+	a, e := NewAgent(1, parts.Off{}), NewEntry(1)
 	assert.Assert(t, a.Add(now, flow) != nil && e.Add(now, flow) != nil)
 	assert.Assert(t, a.Add(now, other) == nil && e.Add(now, other) == nil)
 	assert.Assert(t, a.Add(now, flow) != nil && e.Add(now, flow) != nil)
@@ -72,7 +73,7 @@
 
 // A caller that gave up, or whose answer was never seen, must not hold a slot of the server for the rest of the flow.
 func TestRequestsWithoutAnAnswerAreOverdue(t *testing.T) {
-	table := NewAgent(10)
+	table := NewAgent(10, parts.Off{})
 	o := table.Add(now, flow)
 	assert.Equal(t, table.Expected(now), 1, "a flow is opened for a request")
 	table.FromCaller(now, o, data(1))
@@ -88,7 +89,7 @@
 
 // An answer ends a request; so does the caller's end.
 func TestAnswersEndRequests(t *testing.T) {
-	table := NewAgent(10)
+	table := NewAgent(10, parts.Off{})
 	o := table.Add(now, flow)
 	table.FromCaller(now, o, data(1))
 	took := table.FromServer(now.Add(30*time.Millisecond), o, &segs.Segment{Flow: flow, FromServer: true, Flags: segs.Ack, Ack: 101, Len: 200})
@@ -104,7 +105,7 @@
 // An agent has restarted and learns a flow from its server's acknowledgement, while the caller repeats the
 // request that the server already has.
 func TestAcknowledgedDataIsNoRequest(t *testing.T) {
-	table := NewAgent(10)
+	table := NewAgent(10, parts.Off{})
 	o := table.Add(now, flow)
 	o.Worked = true
 	table.FromServer(now, o, &segs.Segment{Flow: flow, FromServer: true, Flags: segs.Ack, Ack: 101, Len: 200})
@@ -117,7 +118,7 @@
 // After a power loss callers have waited for a second, and a flow that opens at last is one that its caller has given up. Each
 // kept a slot for 300 ms, so that servers were idle while callers who still waited were not let in.
 func TestFlowsWithoutARequestFreeTheirSlotsSoon(t *testing.T) {
-	table := NewAgent(100)
+	table := NewAgent(100, parts.Off{})
 	ask := &segs.Segment{Flags: segs.Ack, Seq: 1, Len: 100}
 	for port := range uint16(5) {
 		o := table.Add(now, segs.Flow{CallerPort: port})
@@ -133,7 +134,7 @@
 }
 
 func TestExpireKeepsWhatIsUsed(t *testing.T) {
-	table := NewAgent(10)
+	table := NewAgent(10, parts.Off{})
 	o := table.Add(now, flow)
 	o.Accepted = true
 	l := Lives{Idle: 15 * time.Second, Life: time.Minute, Over: 3 * time.Second, Opening: 2 * time.Second}
--- a/internal/flow/owner/work.go
+++ b/internal/flow/owner/work.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"mangowinch/internal/flow/msgs"
+	"mangowinch/internal/load/parts"
 )
 
 const (
@@ -41,6 +42,7 @@
 // request is overdue soon. Counted as under way until its flow ends, it would keep new
 // flows from an idle server for seconds.
 type requests struct {
+	off     parts.Off
 	young   []pending     // flows on which the first request may not have come yet
 	under   []pending     // requests under way
 	average time.Duration // of answers
@@ -67,7 +69,7 @@
 	if p.own.Worked {
 		return false
 	}
-	if p.own.accepted.IsZero() {
+	if p.own.accepted.IsZero() || r.off.Lag {
 		return now.Sub(p.since) < openWithin
 	}
 	lag := r.lag
--- a/internal/load/steer/steer.go
+++ b/internal/load/steer/steer.go
@@ -16,7 +16,7 @@
 //
 // # Usage
 //
-//	c := steer.New("zg-a", random)
+//	c := steer.New("zg-a", random, parts.Off{})
 //	agent, ok := c.Choose(now, candidates, tried)
 //	c.Placed(agent)
 //	c.Report(now, agent, load)
@@ -30,6 +30,7 @@
 	"time"
 
 	"mangowinch/internal/flow/msgs"
+	"mangowinch/internal/load/parts"
 )
 
 // Candidate is a server that a route sends flows to.
@@ -81,6 +82,7 @@
 // Chooser remembers what agents reported.
 type Chooser struct {
 	domain string
+	off    parts.Off
 	random *rand.Rand
 	states map[netip.Addr]*state
 	busy   float64 // average of reported requests under way
@@ -88,8 +90,8 @@
 }
 
 // New returns a chooser for an entry in a failure domain.
-func New(domain string, random *rand.Rand) *Chooser {
-	return &Chooser{domain: domain, random: random, states: map[netip.Addr]*state{}, busy: flowWorkFirst, flows: 1}
+func New(domain string, random *rand.Rand, off parts.Off) *Chooser {
+	return &Chooser{domain: domain, random: random, off: off, states: map[netip.Addr]*state{}, busy: flowWorkFirst, flows: 1}
 }
 
 // Choose returns the agent for a new flow, none of those tried. ok is false if there
@@ -121,18 +123,21 @@
 	if s := c.states[k.Agent]; s != nil {
 		fresh := 1 - min(1, float64(now.Sub(s.at))/float64(reportLife))
 		busy := fresh*float64(s.load.Busy) + (1-fresh)*s.average
-		w += busy + c.flowWork()*float64(s.load.Flows) + s.placed
-		if now.Before(s.refused) {
+		w += s.placed
+		if !c.off.Reports {
+			w += busy + c.flowWork()*float64(s.load.Flows)
+		}
+		if !c.off.Avoid && now.Before(s.refused) {
 			w += rankRefused * slots
 		}
-		if now.Before(s.silent) {
+		if !c.off.Avoid && now.Before(s.silent) {
 			w += rankSilent * slots
 		}
 	}
-	if k.Cold {
+	if k.Cold && !c.off.Cold {
 		w = (w + 1) * coldWork
 	}
-	if k.Domain != c.domain {
+	if k.Domain != c.domain && !c.off.Distance {
 		w += distance
 	}
 	if k.Lost {
--- a/internal/load/steer/steer_test.go
+++ b/internal/load/steer/steer_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"mangowinch/internal/flow/msgs"
+	"mangowinch/internal/load/parts"
 )
 
 var now = time.Unix(1_700_000_000, 0)
@@ -32,7 +33,7 @@
 // An entry places a row of flows before any report comes back. They must not all go to the server that was least
 // busy a moment ago.
 func TestOwnPlacingsCountUntilTheNextReport(t *testing.T) {
-	c := New("zg-a", rand.New(rand.NewPCG(1, 2)))
+	c := New("zg-a", rand.New(rand.NewPCG(1, 2)), parts.Off{})
 	list := candidates(4)
 	got := map[netip.Addr]int{}
 	for range 40 {
@@ -47,7 +48,7 @@
 
 // A server that hangs has nothing under way and looks idle.
 func TestSilentServerComesLast(t *testing.T) {
-	c := New("zg-a", rand.New(rand.NewPCG(1, 2)))
+	c := New("zg-a", rand.New(rand.NewPCG(1, 2)), parts.Off{})
 	list := candidates(2)
 	c.Report(now, agent(1), msgs.Load{Busy: 4, Flows: 20})
 	c.Silent(now, agent(0))
@@ -60,7 +61,7 @@
 
 // The order of last resorts: refused, silent, draining.
 func TestServersOfLastResortAreStillUsed(t *testing.T) {
-	c := New("zg-a", rand.New(rand.NewPCG(1, 2)))
+	c := New("zg-a", rand.New(rand.NewPCG(1, 2)), parts.Off{})
 	list := candidates(3)
 	c.Refused(now, agent(0))
 	c.Silent(now, agent(1))
@@ -74,7 +75,7 @@
 
 // A near server is used until its work is over a far one's by what the distance costs.
 func TestNearServerIsUsedWhileItIsNotMuchBusier(t *testing.T) {
-	c := New("zg-b", rand.New(rand.NewPCG(1, 2)))
+	c := New("zg-b", rand.New(rand.NewPCG(1, 2)), parts.Off{})
 	list := candidates(2)
 	list[1].Domain = "zg-b"
 	assert.Equal(t, choose(t, c, now, list), agent(1))
@@ -88,7 +89,7 @@
 // them at rest; for half a minute two of five new flows went to new servers in other failure domains, and all their
 // bytes crossed the border. An open flow counted as seven times the work that it brings.
 func TestFlowsAtRestSendNoNewOnesFar(t *testing.T) {
-	c := New("zg-b", rand.New(rand.NewPCG(1, 2)))
+	c := New("zg-b", rand.New(rand.NewPCG(1, 2)), parts.Off{})
 	list := candidates(2)
 	list[1].Domain = "zg-b"
 	for range 2 * flowWorkOver {
@@ -101,7 +102,7 @@
 // Flows that ask often are work: of two near servers the one with fewer of them is chosen, also when both are
 // idle at the moment of their reports.
 func TestFlowsThatAskOftenCount(t *testing.T) {
-	c := New("zg-a", rand.New(rand.NewPCG(1, 2)))
+	c := New("zg-a", rand.New(rand.NewPCG(1, 2)), parts.Off{})
 	list := candidates(3)
 	for range 2 * flowWorkOver {
 		c.Report(now, agent(2), msgs.Load{Busy: 4, Flows: 50})
@@ -112,8 +113,30 @@
 }
 
 func TestColdServerGetsLess(t *testing.T) {
-	c := New("zg-a", rand.New(rand.NewPCG(1, 2)))
+	c := New("zg-a", rand.New(rand.NewPCG(1, 2)), parts.Off{})
 	list := candidates(2)
 	list[0].Cold = true
 	assert.Equal(t, choose(t, c, now, list), agent(1))
 }
+
+// Without a mechanism the choice is as if it weren't there.
+func TestPartsCanBeSwitchedOff(t *testing.T) {
+	without := func(off parts.Off) *Chooser { return New("zg-a", rand.New(rand.NewPCG(1, 2)), off) }
+	list := candidates(2)
+	c := without(parts.Off{Reports: true})
+	c.Report(now, agent(1), msgs.Load{Busy: 40})
+	c.Placed(agent(0))
+	assert.Equal(t, choose(t, c, now, list), agent(1))
+	c = without(parts.Off{Avoid: true})
+	c.Silent(now, agent(1))
+	c.Placed(agent(0))
+	assert.Equal(t, choose(t, c, now, list), agent(1))
+	c = without(parts.Off{Cold: true})
+	list[1].Cold = true
+	c.Placed(agent(0))
+	assert.Equal(t, choose(t, c, now, list), agent(1))
+	c = without(parts.Off{Distance: true})
+	list[1].Cold, list[1].Domain = false, "zg-b"
+	c.Placed(agent(0))
+	assert.Equal(t, choose(t, c, now, list), agent(1))
+}
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -27,6 +27,7 @@
 	"mangowinch/internal/flow/owner"
 	"mangowinch/internal/flow/segs"
 	"mangowinch/internal/load/detect"
+	"mangowinch/internal/load/parts"
 	"mangowinch/internal/load/steer"
 	"mangowinch/internal/oper/event"
 )
@@ -62,6 +63,7 @@
 	Bound  time.Duration // a change is in force within it
 	Life   time.Duration // no flow lives longer
 	Rand   *rand.Rand    // used under the entry's lock
+	Off    parts.Off
 }
 
 const (
@@ -98,7 +100,7 @@
 	return &Entry{
 		Config:  c,
 		flows:   owner.NewEntry(flowLimit),
-		chooser: steer.New(c.Domain, c.Rand),
+		chooser: steer.New(c.Domain, c.Rand, c.Off),
 		agents:  detect.New(cutOff),
 		doubted: map[netip.Addr]*detect.Detector{},
 		cold:    map[string]time.Time{},
@@ -239,7 +241,9 @@
 	p.Candidates = append(p.Candidates, owner.Candidate{Agent: agent})
 	p.Tries++
 	e.chooser.Placed(agent)
-	e.agents.Asked(now)
+	if !e.Off.Reach {
+		e.agents.Asked(now)
+	}
 	placed.Inc()
 	class := event.Ordinary
 	if p.Tries > 1 {
--- a/internal/node/edge/lost.go
+++ b/internal/node/edge/lost.go
@@ -41,7 +41,7 @@
 
 // doubt notes that an agent has left a packet unanswered.
 func (e *Entry) doubt(now time.Time, agent netip.Addr) {
-	if e.Ctrl.Leaving(agent) {
+	if e.Off.Lost || e.Ctrl.Leaving(agent) {
 		return
 	}
 	d := e.doubted[agent]
--- a/internal/node/local/caller.go
+++ b/internal/node/local/caller.go
@@ -67,6 +67,9 @@
 		return
 	}
 	servers := a.others()
+	if a.Off.Offers {
+		m.Final = true
+	}
 	next := share.Next(share.Server{Agent: a.Self, Work: a.work(now)}, m.Visited, m.Final, servers, a.Rand.IntN)
 	if next.Agent != a.Self {
 		a.offer(m, next, s)
@@ -108,7 +111,11 @@
 // admit gives the server the flows that it has room for.
 func (a *Agent) admit(now time.Time) {
 	for a.waiting.Len() > 0 {
-		w := a.waiting.Next(now, a.flows.Expected(now), a.slots(), a.Log.View().Lowest)
+		expected := a.flows.Expected(now)
+		if a.Off.Waiting {
+			expected = 0
+		}
+		w := a.waiting.Next(now, expected, a.slots(), a.Log.View().Lowest)
 		if w == nil {
 			return
 		}
@@ -211,7 +218,7 @@
 // mute says whether the server has stopped answering: its instance is up, its process hangs
 // or is cut off. Without it every flow placed here would wait for its caller's first copy, 200 ms.
 func (a *Agent) mute(now time.Time) bool {
-	if a.unheard.IsZero() || now.Sub(a.unheard) < muteAfter {
+	if a.Off.Mute || a.unheard.IsZero() || now.Sub(a.unheard) < muteAfter {
 		return false
 	}
 	if now.Sub(a.tried) < muteTry {
--- a/internal/node/local/fails.go
+++ b/internal/node/local/fails.go
@@ -25,7 +25,7 @@
 
 // brokeOff notes that the server has broken off a request.
 func (a *Agent) brokeOff(now time.Time) {
-	if !a.breaker.Failed(now) {
+	if a.Off.Breaker || !a.breaker.Failed(now) {
 		return
 	}
 	for f, o := range a.flows.All {
--- a/internal/node/local/local.go
+++ b/internal/node/local/local.go
@@ -29,6 +29,7 @@
 	"mangowinch/internal/flow/owner"
 	"mangowinch/internal/flow/segs"
 	"mangowinch/internal/load/hold"
+	"mangowinch/internal/load/parts"
 	"mangowinch/internal/load/trip"
 	"mangowinch/internal/oper/event"
 )
@@ -59,6 +60,7 @@
 	Life    time.Duration // no flow lives longer
 	Started time.Time     // of the process
 	Rand    *rand.Rand    // used under the agent's lock
+	Off     parts.Off
 }
 
 const (
@@ -110,7 +112,7 @@
 	return &Agent{
 		Config:   c,
 		hash:     belief.Hash(c.Service),
-		flows:    owner.NewAgent(flowLimit),
+		flows:    owner.NewAgent(flowLimit, c.Off),
 		home:     owner.NewHome(homeLimit),
 		waiting:  hold.New(),
 		probes:   map[segs.Flow]probe{},
--- a/internal/node/local/search.go
+++ b/internal/node/local/search.go
@@ -73,6 +73,10 @@
 
 // searchFor asks all agents for the owner of a flow.
 func (a *Agent) searchFor(now time.Time, m msgs.Carry, s *segs.Segment) {
+	if a.Off.Search {
+		dropped("searches")
+		return
+	}
 	q := a.searches[s.Flow]
 	if q != nil && now.Sub(q.began) < searchAgain {
 		q.keep(m)
--- a/internal/node/opaque/agent.go
+++ b/internal/node/opaque/agent.go
@@ -41,6 +41,7 @@
 		Life:    s.Bounds.Life,
 		Started: p.started,
 		Rand:    newRand(),
+		Off:     s.Without,
 	})
 	p.admin.Section("belief", func() any { return p.belief() })
 	p.admin.Section("load", func() any { return g.Load(time.Now()) })
--- a/internal/node/opaque/entry.go
+++ b/internal/node/opaque/entry.go
@@ -47,6 +47,7 @@
 		Bound:  s.Bounds.Change,
 		Life:   s.Bounds.Life,
 		Rand:   newRand(),
+		Off:    s.Without,
 	})
 	p.admin.Section("belief", func() any { return p.belief() })
 	p.admin.Section("flows", func() any { return e.Len() })
--- a/internal/node/opaque/opaque.go
+++ b/internal/node/opaque/opaque.go
@@ -28,6 +28,7 @@
 	"mangowinch/internal/ctrl/follow"
 	"mangowinch/internal/flow/msgs"
 	"mangowinch/internal/flow/segs"
+	"mangowinch/internal/load/parts"
 	"mangowinch/internal/node/awake"
 	"mangowinch/internal/node/vouch"
 	"mangowinch/internal/oper/admin"
@@ -64,6 +65,9 @@
 	}
 	p = &process{settings: s, reload: a.Reload, events: event.New(out, name, s.Process.Name), log: belief.New(), started: time.Now()}
 	p.events.State("start").Str("version", build.Version()).Str("domain", s.Process.Domain).Stringer("link", s.Link).Send()
+	if s.Without != (parts.Off{}) {
+		p.events.State("without").Any("parts", s.Without).Send()
+	}
 	if p.sockets, err = openSockets(ctx, s); err != nil {
 		return nil, err
 	}
