--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -67,7 +67,7 @@
 }
 
 const (
-	// flowLimit bounds the table. A flow takes some 250 bytes, so 16 MB of the smallest
+	// flowLimit bounds the table. A flow takes some 290 bytes, so 19 MB of the smallest
 	// instance's 104 MB.
 	flowLimit = 65536
 	// idleLeast is how long a flow without packets is remembered at least, whatever the
@@ -87,12 +87,12 @@
 	mu      sync.Mutex
 	flows   *owner.Entry
 	chooser *steer.Chooser
-	agents  *detect.Detector // of all agents together: is this entry cut off?
-	doubted map[netip.Addr]*detect.Detector
-	ending  []segs.Flow          // of lost agents, whose callers are to be told
-	cold    map[string]time.Time // server ID -> until when
-	buf     []byte               // of the message being sent
-	packet  []byte               // of the reset being sent
+	agents  *detect.Detector                // of all agents together: is this entry cut off?
+	doubted map[netip.Addr]*detect.Detector // agents that have left something unanswered
+	ending  []segs.Flow                     // of lost agents, whose callers are to be told
+	cold    map[string]time.Time            // server ID -> until when
+	buf     []byte                          // of the message being sent
+	packet  []byte                          // of the reset being sent
 }
 
 // New returns an entry without flows.
@@ -114,7 +114,7 @@
 	return e.flows.Len()
 }
 
-// Tick forgets what is over.
+// Tick forgets what is over, and asks agents that are silent.
 func (e *Entry) Tick(now time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -196,133 +196,10 @@
 		Uint64("revision", e.Log.Revision()).Dur("age", age).Send()
 }
 
-// open places a new flow, or a copy of an opening packet.
-func (e *Entry) open(now time.Time, v *belief.View, route *belief.Route, s *segs.Segment, datagram []byte) {
-	if e.agents.Lost() {
-		e.refuse(now, s, "cut-off")
-		return
-	}
-	p := e.flows.Get(s.Flow)
-	if p == nil {
-		if p = e.flows.Add(now, s.Flow); p == nil {
-			e.refuse(now, s, "full")
-			return
-		}
-	} else if last := p.Last(); last != nil && !e.again(now, p, last, s) {
-		p.Used = now
-		e.carry(v, last.Agent, datagram)
-		return
-	}
-	p.Used = now
-	e.place(now, v, route, p, s, p.Tried(), datagram)
-}
-
-// again says whether a copy of an opening packet goes to another agent than the
-// last one, because nothing answered. The one that did not answer gets no new flows for a while.
-func (e *Entry) again(now time.Time, p *owner.Places, last *owner.Candidate, s *segs.Segment) bool {
-	if last.Opened || p.Told {
-		return false // the answer was lost, or is on its way
-	}
-	e.chooser.Silent(now, last.Agent)
-	e.doubt(now, last.Agent)
-	silent.Inc()
-	e.Events.Flow(event.Failure, "unanswered", s.Flow).Stringer("agent", last.Agent).Uint32("copy", s.Ack).Send()
-	return p.Tries < maxTries
-}
-
-// place sends an opening packet to the agent that is best now, none of those tried.
-func (e *Entry) place(now time.Time, v *belief.View, route *belief.Route, p *owner.Places, s *segs.Segment, tried []netip.Addr, datagram []byte) {
-	candidates := e.candidates(now, v, route, s.Flow)
-	agent, ok := e.chooser.Choose(now, candidates, tried)
-	if !ok || p.Tries >= maxTries {
-		e.unplaceable(now, v, p, s, datagram, len(candidates))
-		return
-	}
-	p.Candidates = append(p.Candidates, owner.Candidate{Agent: agent})
-	p.Tries++
-	e.chooser.Placed(agent)
-	if !e.Off.Reach {
-		e.agents.Asked(now)
-	}
-	placed.Inc()
-	class := event.Ordinary
-	if p.Tries > 1 {
-		class = event.Failure
-	}
-	e.Events.Flow(class, "placed", s.Flow).Stringer("agent", agent).Int("try", p.Tries).
-		Int64("version", v.Version()).Uint64("revision", v.Revision).Send()
-	e.send(v, agent, msgs.Carry{Insist: p.HandedBack, Packet: datagram})
-}
-
-// unplaceable ends the search for a server for a new flow. While an agent may still answer, the
-// caller's next copy goes there again; otherwise the flow is refused.
-func (e *Entry) unplaceable(now time.Time, v *belief.View, p *owner.Places, s *segs.Segment, datagram []byte, servers int) {
-	if last := p.Last(); last != nil {
-		e.carry(v, last.Agent, datagram)
-		return
-	}
-	if servers == 0 {
-		e.refuse(now, s, "unserved")
-		return
-	}
-	e.refuse(now, s, "untaken")
-}
-
-// candidates lists the servers to which the route sends this flow. Of several services the
-// flow's hash picks one, so that copies by other entries go to the same.
-func (e *Entry) candidates(now time.Time, v *belief.View, route *belief.Route, f segs.Flow) (list []steer.Candidate) {
-	for _, s := range v.Servers(pick(route.Shares, f)) {
-		if s.State == belief.Unknown {
-			continue
-		}
-		list = append(list, steer.Candidate{
-			Agent:    s.Addr.Addr(),
-			Domain:   s.Domain,
-			Slots:    s.Slots,
-			Draining: s.State == belief.Draining || e.Ctrl.Leaving(s.Addr.Addr()),
-			Cold:     now.Before(e.cold[s.ID]),
-			Lost:     e.lost(s.Addr.Addr()),
-		})
-	}
-	return list
-}
-
-// pick chooses one of the shares in proportion to their weights.
-func pick(shares []belief.Share, f segs.Flow) (service string) {
-	total := 0
-	for _, s := range shares {
-		total += max(s.Weight, 0)
-	}
-	if total == 0 {
-		return ""
-	}
-	at := int(f.Hash() % uint64(total))
-	for _, s := range shares {
-		if at -= max(s.Weight, 0); at < 0 {
-			return s.Service
-		}
-	}
-	return ""
-}
-
 // follow sends a packet of a flow that has begun.
 func (e *Entry) follow(now time.Time, v *belief.View, s *segs.Segment, datagram []byte) {
-	p := e.flows.Get(s.Flow)
-	if p != nil {
-		if agent, ok := p.For(s.Ack); ok {
-			p.Used = now
-			if p.Repeats(s) {
-				e.doubt(now, agent)
-			}
-			switch {
-			case !e.lost(agent):
-				e.carry(v, agent, datagram)
-				return
-			case p.Owner == agent:
-				e.end(now, s.Flow, p)
-				return
-			}
-		}
+	if p := e.flows.Get(s.Flow); p != nil && e.followKnown(now, v, p, s, datagram) {
+		return
 	}
 	home, ok := v.Homes.Of(s.Flow)
 	if !ok {
@@ -334,6 +211,29 @@
 	e.carry(v, home, datagram)
 }
 
+// followKnown sends a packet of a flow that this entry knows to its agent, or tells the caller that the agent is lost. It returns false
+// if the flow's place is not known after all.
+func (e *Entry) followKnown(now time.Time, v *belief.View, p *owner.Places, s *segs.Segment, datagram []byte) bool {
+	agent, ok := p.For(s.Ack)
+	if !ok {
+		return false
+	}
+	p.Used = now
+	if p.Repeats(s) {
+		e.doubt(now, agent)
+	}
+	switch {
+	case !e.lost(agent):
+		e.carry(v, agent, datagram)
+		return true
+	case p.Owner == agent:
+		e.end(now, s.Flow, p)
+		return true
+	default: // another server may hold it
+		return false
+	}
+}
+
 // carry sends a caller's packet to an agent.
 func (e *Entry) carry(v *belief.View, agent netip.Addr, datagram []byte) {
 	e.send(v, agent, msgs.Carry{Packet: datagram})
