How callers open flows is handed over by the platform's adapter

Cause: package hold knew when a platform's callers repeat opening packets and when they give up; another platform's callers would have been served by these figures.

How long an unanswered flow is remembered follows from it: 600 ms after its caller has given up, 2 s as before.

--- a/internal/load/hold/hold.go
+++ b/internal/load/hold/hold.go
@@ -17,7 +17,7 @@
 //
 // # Usage
 //
-//	q := hold.New()
+//	q := hold.New(patience)
 //	if last := q.Add(now, &hold.Waiting{Flow: f, Began: now}, limit); last != nil { refuse(last) }
 //	if w := q.Next(now, expected, slots, lowest); w != nil { give(w) }
 package hold
@@ -30,22 +30,9 @@
 	"mangowinch/internal/flow/segs"
 )
 
-const (
-	// Patience is how long a caller waits for its flow to open: it gives up 1.4 s after its first
-	// packet, and the answer needs some milliseconds.
-	Patience = 1350 * time.Millisecond
-	// onTimePart is the part of the target within which a flow has to begin to be answered in time,
-	// in percent: work takes a fifth of the target on average and twice that at times.
-	onTimePart = 60
-)
-
-// copyAges is how old an opening packet is that is a caller's copy of an earlier one.
-var copyAges = [...]time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond}
-
-// Age returns how long ago the caller sent the first of its opening packets.
-func Age(copies uint32) time.Duration {
-	return copyAges[min(int(copies), len(copyAges)-1)]
-}
+// onTimePart is the part of the target within which a flow has to begin to be answered in time,
+// in percent: work takes a fifth of the target on average and twice that at times.
+const onTimePart = 60
 
 // Waiting is a flow that waits to be opened.
 type Waiting struct {
@@ -78,10 +65,13 @@
 }
 
 // Queue is the flows that wait at one agent.
-type Queue struct{ waiting []*Waiting }
+type Queue struct {
+	patience time.Duration // how long a caller waits for its flow to open
+	waiting  []*Waiting
+}
 
-// New returns an empty queue.
-func New() *Queue { return &Queue{} }
+// New returns an empty queue of flows whose callers wait so long for their flows to open.
+func New(patience time.Duration) *Queue { return &Queue{patience: patience} }
 
 // Len is the number of flows that wait.
 func (q *Queue) Len() int { return len(q.waiting) }
@@ -156,7 +146,7 @@
 // Expire drops the flows whose callers have given up and returns their number.
 func (q *Queue) Expire(now time.Time) int {
 	before := len(q.waiting)
-	q.waiting = slices.DeleteFunc(q.waiting, func(w *Waiting) bool { return now.Sub(w.Began) > Patience })
+	q.waiting = slices.DeleteFunc(q.waiting, func(w *Waiting) bool { return now.Sub(w.Began) > q.patience })
 	return before - len(q.waiting)
 }
 
--- a/internal/node/local/caller.go
+++ b/internal/node/local/caller.go
@@ -83,7 +83,7 @@
 	w := &hold.Waiting{
 		Flow:   s.Flow,
 		Origin: m.Origin,
-		Began:  now.Add(-hold.Age(s.Ack)),
+		Began:  now.Add(-a.Callers.Age(s.Ack)),
 		Packet: slices.Clone(m.Packet),
 	}
 	if r := a.Log.View().Route(s.Flow.Called()); r != nil {
--- a/internal/node/local/local.go
+++ b/internal/node/local/local.go
@@ -54,6 +54,7 @@
 	Log     *belief.Log
 	Ctrl    Control
 	Codec   segs.Codec
+	Callers segs.Callers
 	Wire    Wire
 	Events  *event.Log
 	Bound   time.Duration // a change is in force within it
@@ -76,8 +77,9 @@
 	idleLeast = 5 * time.Second
 	// overFor is how long a flow is remembered after both ends have closed, for late packets.
 	overFor = 3 * time.Second
-	// openingFor is how long an unanswered opening packet is remembered: the caller gives up after 1.4 s.
-	openingFor = 2 * time.Second
+	// openingAfter is how long after its caller has given up an unanswered flow is remembered: the server's answer
+	// may still come, and nobody is to search for its flow.
+	openingAfter = 600 * time.Millisecond
 	// learnedBack is put before the first sequence number that is seen of a flow learned
 	// in its middle, so that acknowledgements of what was sent before still fit.
 	learnedBack = 1 << 20
@@ -114,7 +116,7 @@
 		hash:     belief.Hash(c.Service),
 		flows:    owner.NewAgent(flowLimit, c.Off),
 		home:     owner.NewHome(homeLimit),
-		waiting:  hold.New(),
+		waiting:  hold.New(c.Callers.Patience()),
 		probes:   map[segs.Flow]probe{},
 		searches: map[segs.Flow]*search{},
 	}
@@ -168,7 +170,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	idle := a.idle()
-	a.flows.Expire(now, owner.Lives{Idle: idle, Life: a.Life + overFor, Over: overFor, Opening: openingFor})
+	a.flows.Expire(now, owner.Lives{Idle: idle, Life: a.Life + overFor, Over: overFor, Opening: a.Callers.GiveUp + openingAfter})
 	a.admit(now)
 	a.home.Expire(now, a.Life+overFor)
 	a.tellResting(now)
--- a/internal/node/opaque/agent.go
+++ b/internal/node/opaque/agent.go
@@ -35,6 +35,7 @@
 		Log:     p.log,
 		Ctrl:    p.follow,
 		Codec:   a.Codec,
+		Callers: a.Callers,
 		Wire:    p.sockets,
 		Events:  p.events,
 		Bound:   s.Bounds.Change,
--- a/internal/node/opaque/opaque.go
+++ b/internal/node/opaque/opaque.go
@@ -10,7 +10,7 @@
 //
 // # Usage
 //
-//	err := opaque.Entry(ctx, settings, opaque.Adapter{Codec: codec, Source: source}, os.Stdout)
+//	err := opaque.Entry(ctx, settings, opaque.Adapter{Codec: codec, Callers: callers, Source: source}, os.Stdout)
 package opaque
 
 import (
@@ -38,9 +38,10 @@
 
 // Adapter is what the process needs of the platform.
 type Adapter struct {
-	Codec  segs.Codec
-	Source follow.Source
-	Reload func() (*carry.Settings, error) // reads the settings again
+	Codec   segs.Codec
+	Callers segs.Callers
+	Source  follow.Source
+	Reload  func() (*carry.Settings, error) // reads the settings again
 }
 
 // process is what both roles have.
