--- a/internal/load/detect/detect.go
+++ b/internal/load/detect/detect.go
@@ -68,6 +68,9 @@
 // Lost says whether the party is lost.
 func (d *Detector) Lost() bool { return d.lost }
 
+// InDoubt says whether something is unanswered.
+func (d *Detector) InDoubt() bool { return d.doubts }
+
 // clock is the observer's awake time.
 func (d *Detector) clock(now time.Time) time.Duration {
 	if d.last.IsZero() {
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -87,12 +87,13 @@
 	mu      sync.Mutex
 	flows   *owner.Entry
 	chooser *steer.Chooser
-	agents  *detect.Detector                // of all agents together: is this entry cut off?
-	doubted map[netip.Addr]*detect.Detector // agents that have left something unanswered
-	ending  []segs.Flow                     // of lost agents, whose callers are to be told
-	cold    map[string]time.Time            // server ID -> until when
-	buf     []byte                          // of the message being sent
-	packet  []byte                          // of the reset being sent
+	agents  *detect.Detector      // of all agents together: is this entry cut off?
+	answers uint64                // of agents, to anything that the entry sent
+	doubted map[netip.Addr]*doubt // agents that have left something unanswered
+	ending  []segs.Flow           // of lost agents, whose callers are to be told
+	cold    map[string]time.Time  // server ID -> until when
+	buf     []byte                // of the message being sent
+	packet  []byte                // of the reset being sent
 }
 
 // New returns an entry without flows.
@@ -102,7 +103,7 @@
 		flows:   owner.NewEntry(flowLimit),
 		chooser: steer.New(c.Domain, c.Rand, c.Off),
 		agents:  detect.New(cutOff),
-		doubted: map[netip.Addr]*detect.Detector{},
+		doubted: map[netip.Addr]*doubt{},
 		cold:    map[string]time.Time{},
 	}
 }
--- a/internal/node/edge/lost.go
+++ b/internal/node/edge/lost.go
@@ -23,8 +23,8 @@
 //
 // Why it holds: a lost agent answers neither this entry nor the helpers for most of a second, so nothing that its server
 // sends reaches a caller either, since it goes by the agent. Only the way between the entry and the agent broken: the
-// helpers reach it. The entry cut off or frozen: it takes itself for cut off before, or its time doesn't
-// count (package detect). Another server holds the flow than this entry was told first, as after its own freeze: only flows
+// helpers reach it. The entry cut off, also if only what it sends is lost, or frozen: none of its questions is answered by
+// anybody, or its time doesn't count (package detect). Another server holds the flow than this entry was told first, as after its own freeze: only flows
 // whose owner is proved are told (owner.Places). An agent that restarts is back after 0.7 s; one that is stopped as planned has said so and
 // is never lost.
 
@@ -39,6 +39,12 @@
 	endingsPerTick = 100
 )
 
+// doubt is an agent in doubt.
+type doubt struct {
+	*detect.Detector
+	answers uint64 // of agents to this entry when the doubt began
+}
+
 // doubt notes that an agent has left a packet unanswered.
 func (e *Entry) doubt(now time.Time, agent netip.Addr) {
 	if e.Off.Lost || e.Ctrl.Leaving(agent) {
@@ -46,7 +52,7 @@
 	}
 	d := e.doubted[agent]
 	if d == nil {
-		d = detect.New(lostAfter)
+		d = &doubt{detect.New(lostAfter), e.answers}
 		d.Tick(now)
 		e.doubted[agent] = d
 	}
@@ -81,9 +87,17 @@
 		}
 		switch d.Tick(now) {
 		case detect.Check:
-			e.Vouch.Ask(agent, e.some(v.Homes.Agents(), helpers))
+			others := e.some(v.Homes.Agents(), helpers)
+			e.Vouch.Ask(agent, others)
+			for _, o := range others {
+				e.Vouch.Ask(o, nil) // whose answer shows that this entry is heard
+			}
 			asks.Inc()
 		case detect.Lost:
+			if d.answers == e.answers {
+				delete(e.doubted, agent) // nobody hears this entry
+				continue
+			}
 			before := len(e.ending)
 			e.ending = append(e.ending, e.flows.Of(agent)...)
 			e.Events.State("agent-lost").Stringer("agent", agent).Int("flows", len(e.ending)-before).Uint64("revision", v.Revision).Send()
--- a/internal/node/edge/peer.go
+++ b/internal/node/edge/peer.go
@@ -27,7 +27,9 @@
 	}
 	if err != nil {
 		dropped("malformed")
+		return true
 	}
+	e.answered(from)
 	return true
 }
 
--- a/internal/node/edge/reach.go
+++ b/internal/node/edge/reach.go
@@ -15,9 +15,9 @@
 // requests failed and 56 were late.
 //
 // The guard: an agent answers an opening packet at once, whether it takes the flow, lets it wait or hands it back. An
-// entry that hears nothing asks several agents whether they are alive, and if none of two rounds is answered, it
+// entry that gets no answer asks several agents whether they are alive, and if none of two rounds is answered, it
 // is not ready and refuses new flows: the caller's next try comes by another entry. Other entries say nothing about it, as
-// those behind the same cut go on hearing each other.
+// those behind the same cut go on hearing each other, nor do beacons, which still come if only what the entry sends is lost.
 
 // cutOff is when an entry takes itself for cut off: 0.55 s after the first opening packet that nobody answered. Answers take 2 ms between
 // domains, 20 ms between regions, and some 100 ms through a full link.
@@ -31,16 +31,30 @@
 func (e *Entry) Heard(from netip.Addr) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if _, ok := e.Log.View().Server(from); ok && e.agents.InDoubt() {
+		e.Vouch.Ask(from, nil) // an agent that greets others has just started
+	}
+	e.clear(from)
+}
+
+// Answered notes that another process has answered something that this entry sent.
+func (e *Entry) Answered(from netip.Addr) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.answered(from)
+}
+
+func (e *Entry) answered(from netip.Addr) {
 	if _, ok := e.Log.View().Server(from); !ok {
 		return
 	}
+	e.answers++
 	if e.agents.Heard() {
 		e.Events.State("reached").Send()
 	}
-	e.clear(from)
 }
 
-// Reaches says whether the entry hears of agents.
+// Reaches says whether agents answer the entry.
 func (e *Entry) Reaches() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/node/opaque/entry.go
+++ b/internal/node/opaque/entry.go
@@ -51,7 +51,7 @@
 	})
 	p.admin.Section("belief", func() any { return p.belief() })
 	p.admin.Section("flows", func() any { return e.Len() })
-	p.vouch.OnAlive = e.Heard
+	p.vouch.OnAlive, p.vouch.OnAnswer = e.Heard, e.Answered
 	staying, known, reaching := p.admin.Condition("staying"), p.admin.Condition("configuration"), p.admin.Condition("reach")
 	staying.Set(true, "")
 	reaching.Set(true, "")
--- a/internal/node/vouch/vouch.go
+++ b/internal/node/vouch/vouch.go
@@ -10,7 +10,7 @@
 // # Usage
 //
 //	n := vouch.New(self, send)
-//	n.OnAlive = func(process netip.Addr) { ... }
+//	n.OnAlive, n.OnAnswer = heard, answered
 //	n.Ask(target, helpers)
 package vouch
 
@@ -25,6 +25,9 @@
 	// OnAlive is called with each process from which a message has come, or of which another says that it
 	// is alive; nil: nobody wants to know. It is set before the first message.
 	OnAlive func(process netip.Addr)
+	// OnAnswer is called with each process that has answered a question of this one, which so has been heard
+	// itself; nil: nobody wants to know. It is set before the first message.
+	OnAnswer func(process netip.Addr)
 
 	self netip.Addr
 	send func(to netip.Addr, message []byte)
@@ -64,6 +67,9 @@
 		return
 	}
 	n.Heard(m.Target)
+	if n.OnAnswer != nil {
+		n.OnAnswer(m.Target)
+	}
 }
 
 // Heard notes that a process is alive.
