--- a/internal/node/edge/lost.go
+++ b/internal/node/edge/lost.go
@@ -21,12 +21,14 @@
 // entry knows are told by a reset: a request that may run twice runs elsewhere within its deadline, and a flow that
 // rests is not there to be used.
 //
-// Why it holds: a lost agent answers neither this entry nor the helpers for most of a second, so nothing that its server
-// sends reaches a caller either, since it goes by the agent. Only the way between the entry and the agent broken: the
-// helpers reach it. The entry cut off, also if only what it sends is lost, or frozen: none of its questions is answered by
-// anybody, or its time doesn't count (package detect). Another server holds the flow than this entry was told first, as after its own freeze: only flows
-// whose owner is proved are told (owner.Places). An agent that restarts is back after 0.7 s; one that is stopped as planned has said so and
-// is never lost.
+// Why it holds. A lost agent answers neither this entry nor the helpers for most of a second, so nothing that its server
+// sends reaches a caller either, since it goes by the agent. What looks alike and is not:
+//   - Only the way between the entry and the agent is broken: the helpers reach it.
+//   - The entry is cut off, or only what it sends is lost: nobody answers any of its questions.
+//   - The entry was frozen: its time doesn't count (package detect).
+//   - Another server holds the flow than the one that this entry was told first, as after a freeze: only flows whose owner is
+//     proved are told (owner.Places).
+//   - The agent restarts: it is back after 0.7 s. It is stopped as planned: it has said so, and is never lost.
 
 // lostAfter is when an agent is lost: 0.95 s after the first unanswered packet. Killed ones are back after 0.65 s.
 var lostAfter = detect.Bounds{Doubt: 150 * time.Millisecond, Wait: 200 * time.Millisecond, Checks: 4}
