Searches for many flows at a time: who is silent is asked again, and no others

The search was given up and began anew with the caller's next packet. Flows were reset 0.99 s (median), 4.8 s (p90), 11 s (p99) after the first search.

Ruled out: that the questions to all agents are what fails (only 25 of the 7,768 missed more than one agent).

Change: package flow/seek. Homes hand their questions to a lead, which asks all agents about many flows in one message, asks again only those that haven't answered, and those that join meanwhile. Unsure agents try their servers 16 at a time, and get the packet again until they say what became of it. Fleets of up to 32 agents have each home as its own lead.

--- a/internal/flow/homes/homes.go
+++ b/internal/flow/homes/homes.go
@@ -34,12 +34,17 @@
 	slices.SortFunc(l.agents, netip.Addr.Compare)
 	l.agents = slices.Compact(l.agents)
 	for _, a := range l.agents {
-		b := a.As4()
-		l.seeds = append(l.seeds, mix(uint64(b[0])<<24|uint64(b[1])<<16|uint64(b[2])<<8|uint64(b[3])))
+		l.seeds = append(l.seeds, seed(a))
 	}
 	return l
 }
 
+// seed is an agent's number.
+func seed(a netip.Addr) uint64 {
+	b := a.As4()
+	return mix(uint64(b[0])<<24 | uint64(b[1])<<16 | uint64(b[2])<<8 | uint64(b[3]))
+}
+
 // mix spreads the bits of x (the finalizer of MurmurHash3, by Appleby).
 func mix(x uint64) uint64 {
 	x ^= x >> 33
@@ -57,6 +62,41 @@
 	return l.Except(f, netip.Addr{})
 }
 
+const (
+	// alone is up to how many agents each home leads its own searches: a round then costs little, and a lead would be
+	// one more process that may be away.
+	alone = 32
+	// ofLead is how many homes share a lead. More share more rounds; fewer spread the work.
+	ofLead = 256
+)
+
+// Lead returns the agent that looks for flows on behalf of a home, or with a higher rank the one that does so if those
+// before it don't answer. All homes of a small fleet are their own leads; ok is false if there is no agent.
+func (l *List) Lead(home netip.Addr, rank int) (lead netip.Addr, ok bool) {
+	if len(l.agents) <= alone {
+		return home, len(l.agents) > 0
+	}
+	groups := uint64((len(l.agents) + ofLead - 1) / ofLead)
+	group := mix(^(seed(home) % groups))
+	order := make([]uint64, len(l.agents))
+	for i, s := range l.seeds {
+		order[i] = mix(group ^ s)
+	}
+	for range min(rank, len(order)-1) {
+		order[largest(order)] = 0
+	}
+	return l.agents[largest(order)], true
+}
+
+func largest(list []uint64) (at int) {
+	for i, w := range list {
+		if w > list[at] {
+			at = i
+		}
+	}
+	return at
+}
+
 // Except returns the home that a flow would have without one agent.
 func (l *List) Except(f segs.Flow, left netip.Addr) (home netip.Addr, ok bool) {
 	h := f.Hash()
--- a/internal/flow/msgs/msgs.go
+++ b/internal/flow/msgs/msgs.go
@@ -28,13 +28,16 @@
 	KindRefused                  // agent to entry: the server didn't take this opening packet
 	KindOwner                    // agent to entry: send the flow's packets to me
 	KindRegister                 // agent to home: I own these flows
-	KindFind                     // home to agents: do you hold this flow?
+	KindFind                     // lead to agents: do you hold these flows?
 	KindFound                    // the answer to it
 	KindBeacon                   // to any: how much I know
 	KindNews                     // to any: what changed
 	KindOffer                    // agent to agent: do you have more room for this flow?
 	KindAsk                      // to any: are you alive, or is that other one?
 	KindAlive                    // the answer to it
+	KindSeek                     // home to lead: who holds this flow?
+	KindSought                   // the answer to it
+	KindTried                    // the answer to a Carry that was a probe
 )
 
 const (
--- a/internal/flow/msgs/msgs_test.go
+++ b/internal/flow/msgs/msgs_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"net/netip"
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -60,6 +61,40 @@
 	assert.Assert(t, beacon.Reader && beacon.Reply && !beacon.Leaving && beacon.Age == 40 && beacon.Peers[0] == entry)
 }
 
+func TestSearchMessagesComeBackAsTheyWere(t *testing.T) {
+	questions := []Question{{flow, 5}, {flow, 6}}
+
+	h, r := rest(t, (&Seek{Head: head, Question: questions[0]}).AppendTo(nil), KindSeek)
+	seek, err := ReadSeek(h, r)
+	assert.NilError(t, err)
+	assert.Equal(t, seek.Question, questions[0])
+
+	h, r = rest(t, (&Find{Head: head, Round: 7, Questions: questions}).AppendTo(nil), KindFind)
+	find, err := ReadFind(h, r)
+	assert.NilError(t, err)
+	assert.Equal(t, find.Round, uint32(7))
+	assert.DeepEqual(t, find.Questions, questions)
+
+	h, r = rest(t, (&Found{Head: head, Round: 7, Verdicts: []Verdict{Held, Unsure}}).AppendTo(nil), KindFound)
+	found, err := ReadFound(h, r)
+	assert.NilError(t, err)
+	assert.Equal(t, found.Round, uint32(7))
+	assert.DeepEqual(t, found.Verdicts, []Verdict{Held, Unsure})
+
+	for _, want := range []Sought{{Flow: flow, Owner: entry}, {Flow: flow, Unsure: []netip.Addr{entry, entry}}, {Flow: flow, All: true}, {Flow: flow, Partial: true}} {
+		want.Head = head
+		h, r = rest(t, want.AppendTo(nil), KindSought)
+		sought, err := ReadSought(h, r)
+		assert.NilError(t, err)
+		assert.Assert(t, sought.Flow == flow && sought.Owner == want.Owner && sought.All == want.All && sought.Partial == want.Partial && slices.Equal(sought.Unsure, want.Unsure))
+	}
+
+	h, r = rest(t, (&Tried{Head: head, Flow: flow, Held: true}).AppendTo(nil), KindTried)
+	tried, err := ReadTried(h, r)
+	assert.NilError(t, err)
+	assert.Assert(t, tried.Flow == flow && tried.Held)
+}
+
 func TestForeignDatagramsAreRefused(t *testing.T) {
 	_, _, err := ReadHead([]byte("HELLO, THIS IS NOT OURS"))
 	assert.ErrorIs(t, err, ErrForeign)
@@ -95,6 +130,9 @@
 		_, _ = ReadRegister(h, rest)
 		_, _ = ReadFind(h, rest)
 		_, _ = ReadFound(h, rest)
+		_, _ = ReadSeek(h, rest)
+		_, _ = ReadSought(h, rest)
+		_, _ = ReadTried(h, rest)
 		_, _ = ReadBeacon(h, rest)
 		if m, err := ReadOffer(h, rest); err == nil {
 			assert.DeepEqual(t, m.AppendTo(nil)[headSize:headSize+4], rest[:4])
--- a/internal/node/local/caller.go
+++ b/internal/node/local/caller.go
@@ -41,7 +41,7 @@
 			a.registerOne(now, o, s.Flow) // the home didn't know, or knew another
 		}
 	case m.Probe:
-		a.probe(now, from, m, &s)
+		a.probe(now, from, s.Flow, m.Packet)
 	default:
 		a.passOn(now, m, &s)
 	}
--- /dev/null
+++ b/internal/node/local/lead.go
@@ -0,0 +1,120 @@
+package local
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"mangowinch/internal/flow/msgs"
+	"mangowinch/internal/flow/seek"
+	"mangowinch/internal/flow/segs"
+	"mangowinch/internal/oper/event"
+)
+
+// The lead of searches: it asks all agents about the flows that homes look for (package seek), and any agent answers a lead.
+
+// want takes a home's question.
+func (a *Agent) want(now time.Time, home netip.Addr, q msgs.Question) {
+	if !a.rounds.Want(home, q) {
+		dropped("searches")
+		return
+	}
+	a.askAll(now)
+}
+
+// askAll sends the questions that are due.
+func (a *Agent) askAll(now time.Time) {
+	for _, ask := range a.rounds.Next(now, a.Log.View().Homes.Agents()) {
+		find := msgs.Find{Head: a.head(), Round: ask.Round, Questions: ask.Questions}
+		a.buf = find.AppendTo(a.buf[:0])
+		for _, to := range ask.To {
+			if to != a.Self {
+				a.Wire.ToPeer(to, a.buf)
+			}
+		}
+		questions.Add(len(ask.To))
+		if ask.Repeats == 0 {
+			rounds.Inc()
+		}
+		if ask.Repeats == seek.Slow {
+			a.sayUnheard(ask)
+			a.tellHomes(now, a.rounds.SoFar(ask.Round))
+		}
+		if slices.Contains(ask.To, a.Self) {
+			a.found(now, a.Self, msgs.Found{Round: ask.Round, Verdicts: a.verdicts(now, ask.Questions)})
+		}
+	}
+}
+
+// sayUnheard writes why searches take long: some agents have missed a repeated question too.
+func (a *Agent) sayUnheard(ask seek.Ask) {
+	for _, q := range ask.Questions {
+		a.Events.Flow(event.Failure, "unheard", q.Flow).Int("agents", len(ask.To)).Stringer("agent", ask.To[0]).
+			Uint64("revision", a.Log.Revision()).Send()
+	}
+}
+
+// verdict is what the agent knows of a flow from its own table.
+func (a *Agent) verdict(now time.Time, f segs.Flow, ack uint32) msgs.Verdict {
+	if o := a.flows.Get(f); o != nil && o.Fits(ack) {
+		return msgs.Held
+	}
+	// A service whose weight has become 0 still holds the flows that it opened before.
+	if a.complete(now) || a.Log.View().Excludes(f.Called(), a.Service) {
+		return msgs.NotHeld
+	}
+	return msgs.Unsure
+}
+
+func (a *Agent) verdicts(now time.Time, questions []msgs.Question) (list []msgs.Verdict) {
+	for _, q := range questions {
+		list = append(list, a.verdict(now, q.Flow, q.Ack))
+	}
+	return list
+}
+
+// complete says whether the agent has seen all flows that its server can hold: it has
+// run since before the server started, or longer than any flow lives.
+func (a *Agent) complete(now time.Time) bool { return a.server.whole || now.Sub(a.Started) > a.Life }
+
+// find answers a lead.
+func (a *Agent) find(now time.Time, from netip.Addr, m msgs.Find) {
+	answer := msgs.Found{Head: a.head(), Round: m.Round, Verdicts: a.verdicts(now, m.Questions)}
+	a.buf = answer.AppendTo(a.buf[:0])
+	a.Wire.ToPeer(from, a.buf)
+}
+
+// found takes an agent's answer in.
+func (a *Agent) found(now time.Time, from netip.Addr, m msgs.Found) {
+	a.tellHomes(now, a.rounds.Answer(from, m.Round, m.Verdicts, a.Log.View().Homes.Agents()))
+}
+
+// tellHomes tells homes what rounds have shown.
+func (a *Agent) tellHomes(now time.Time, results []seek.Result) {
+	for _, r := range results {
+		m := msgs.Sought{Head: a.head(), Flow: r.Flow, Owner: r.Owner, Unsure: r.Unsure, Partial: r.Partial}
+		if len(m.Unsure) > msgs.MaxUnsure {
+			m.Unsure, m.All = nil, true
+		}
+		for _, home := range r.Homes {
+			if home == a.Self {
+				a.sought(now, m)
+				continue
+			}
+			a.buf = m.AppendTo(a.buf[:0])
+			a.Wire.ToPeer(home, a.buf)
+		}
+	}
+}
+
+// tickRounds asks again whoever hasn't answered, begins rounds, and ends those that wait for nobody.
+func (a *Agent) tickRounds(now time.Time) {
+	results, unheard := a.rounds.Expire(now, a.Log.View().Homes.Agents())
+	a.tellHomes(now, results)
+	for _, u := range unheard {
+		for _, f := range u.Flows {
+			a.Events.Flow(event.Failure, "unfound", f).Str("why", "no answer").Int("agents", len(u.Silent)).Send()
+		}
+	}
+	a.askAll(now)
+}
--- a/internal/node/local/local.go
+++ b/internal/node/local/local.go
@@ -27,6 +27,7 @@
 	"mangowinch/internal/ctrl/belief"
 	"mangowinch/internal/flow/msgs"
 	"mangowinch/internal/flow/owner"
+	"mangowinch/internal/flow/seek"
 	"mangowinch/internal/flow/segs"
 	"mangowinch/internal/load/hold"
 	"mangowinch/internal/load/parts"
@@ -96,8 +97,8 @@
 	home     *owner.Home
 	waiting  *hold.Queue
 	probes   map[segs.Flow]probe
-	searches map[segs.Flow]*search
-	budget   budget
+	searches map[segs.Flow]*search // as the home of flows
+	rounds   *seek.Rounds          // as a lead
 	leaving  bool
 	breaker  trip.Breaker
 	ending   []segs.Flow // that rest at a server that breaks off its requests
@@ -119,6 +120,7 @@
 		waiting:  hold.New(c.Callers.Patience()),
 		probes:   map[segs.Flow]probe{},
 		searches: map[segs.Flow]*search{},
+		rounds:   seek.New(rand.Uint32()),
 	}
 }
 
@@ -175,7 +177,8 @@
 	a.home.Expire(now, a.Life+overFor)
 	a.tellResting(now)
 	a.expireProbes(now)
-	a.expireSearches(now)
+	a.tickSearches(now)
+	a.tickRounds(now)
 }
 
 func (a *Agent) idle() time.Duration {
--- a/internal/node/local/peer.go
+++ b/internal/node/local/peer.go
@@ -20,6 +20,12 @@
 		err = msgs.Take(h, rest, msgs.ReadOffer, func(m msgs.Offer) { a.offerCame(now, m) })
 	case msgs.KindRegister:
 		err = msgs.Take(h, rest, msgs.ReadRegister, func(m msgs.Register) { a.registers(now, from, m) })
+	case msgs.KindSeek:
+		err = msgs.Take(h, rest, msgs.ReadSeek, func(m msgs.Seek) { a.want(now, from, m.Question) })
+	case msgs.KindSought:
+		err = msgs.Take(h, rest, msgs.ReadSought, func(m msgs.Sought) { a.sought(now, m) })
+	case msgs.KindTried:
+		err = msgs.Take(h, rest, msgs.ReadTried, func(m msgs.Tried) { a.triedAt(now, from, m) })
 	case msgs.KindFind:
 		err = msgs.Take(h, rest, msgs.ReadFind, func(m msgs.Find) { a.find(now, from, m) })
 	case msgs.KindFound:
@@ -48,5 +54,8 @@
 func (a *Agent) registers(now time.Time, from netip.Addr, m msgs.Register) {
 	for _, p := range m.Places {
 		a.home.Register(now, from, p)
+		if q := a.searches[p.Flow]; q != nil && q.ended.IsZero() {
+			a.foundAt(now, from, q)
+		}
 	}
 }
--- a/internal/node/local/search.go
+++ b/internal/node/local/search.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/netip"
-	"slices"
 	"time"
 
 	"mangowinch/internal/flow/msgs"
@@ -12,107 +11,82 @@
 
 // The search for a flow that its home doesn't know.
 //
-// It is needed after agents have restarted, with flows that their servers still hold. The home asks
-// all agents. One that has seen every flow of its server answers from its table;
+// It is needed after agents have restarted, with flows that their servers still hold. The home hands the question to a lead (lead.go),
+// which asks all agents. One that has seen every flow of its server answers from its table;
 // one that has not says that it is unsure, and gets the packet itself to try its server: whoever
-// doesn't hold the flow returns the packet. Such tries go one after the other, since a packet of
-// an open flow that keeps reaching other servers but not its own is a broken flow.
+// doesn't hold the flow returns the packet. After a loss of power most agents are unsure, as their servers were up first. So
+// several try at a time, and one that doesn't answer gets the packet again while others go on: given up, it would leave the whole
+// search without a result. A packet of an open flow that keeps reaching other servers but not its own is a broken flow; no unsure
+// agent is left out, so its own gets it too.
 //
 // If all agents answer that they don't hold it, nobody does: the flow is over, and the
-// caller is told by a reset, so that it doesn't wait for its deadline. If one agent doesn't answer,
+// caller is told by a reset, so that it doesn't wait for its deadline. As long as one agent doesn't answer,
 // the flow may be its server's, and nothing is said.
 
 const (
-	// answerWithin is how long agents have for an answer; between domains it takes 2 ms.
-	answerWithin = 150 * time.Millisecond
-	// askAgain is when agents that haven't answered are asked once more: a datagram was lost.
-	askAgain = 40 * time.Millisecond
-	// searchAgain is how long a search that found nothing certain is not repeated.
+	// leadWithin is when a lead that hasn't answered is asked again. A round takes 5 ms, and some 40 if a datagram is lost.
+	leadWithin = 100 * time.Millisecond
+	// triesOfLead is how often a lead is asked before the next one is, and leads is how many are asked in turn.
+	triesOfLead = 2
+	leads       = 3
+	// tryWithin is how long an agent has for trying its server, and triesOfServer how often it gets the packet. Either datagram
+	// may be lost, and with hundreds of agents three losses in a row are no rare thing.
+	tryWithin     = 40 * time.Millisecond
+	triesOfServer = 10
+	// triesAtOnce is how many agents have the packet at a time. A flow that lives is found halfway on average,
+	// so more at a time would be sent in vain.
+	triesAtOnce = 16
+	// searchAgain is how long a search that ended without certainty is not repeated.
 	searchAgain = 250 * time.Millisecond
-	// searchesPerSecond bounds the searches that one home begins. Each costs a datagram to every agent;
-	// after all agents restart, a home has its share of the open flows to look for.
-	searchesPerSecond = 400
+	// searchMost ends a search; the caller's next packet begins another one.
+	searchMost = 4 * time.Second
 	// mostSearches bounds memory: each keeps one packet of 1.2 KB.
 	mostSearches = 1024
-	// probeFor is how long a try at the own server is remembered.
-	probeFor = time.Second
 )
 
 // search is one search under way, or the memory of one that ended without certainty.
 type search struct {
-	began   time.Time
-	carry   msgs.Carry // the newest packet
-	packet  []byte
-	waiting []netip.Addr // asked, not answered
-	unsure  []netip.Addr // to be tried with the packet
-	absent  int          // agents that didn't answer
-	again   bool         // those that hadn't answered were asked once more, or all have answered
-	ack     uint32       // of the packet that began the search
-	ended   time.Time
+	began    time.Time
+	ended    time.Time // zero: it is under way
+	question msgs.Question
+	carry    msgs.Carry // the newest packet
+	packet   []byte
+	asked    time.Time  // when a lead was asked last
+	asks     int        // how often leads were asked
+	lead     netip.Addr // asked last
+	answered bool       // a lead has heard all agents
+	unsure   []netip.Addr
+	tries    map[netip.Addr]try // of unsure agents that got the packet
+	trying   int                // agents that have it and haven't said what became of it
+	absent   int                // agents that never said so
 }
 
-// probe is a packet that the own server was tried with.
-type probe struct {
-	home netip.Addr
-	at   time.Time
+// try is an agent's try of its server.
+type try struct {
+	sent  time.Time // when the agent got the packet last
+	times int
+	over  bool // it has said that its server doesn't hold the flow, or was given up
 }
 
-// budget counts the searches of one second.
-type budget struct {
-	second int64
-	spent  int
-}
-
-func (b *budget) take(now time.Time) bool {
-	if s := now.Unix(); s != b.second {
-		b.second, b.spent = s, 0
-	}
-	b.spent++
-	return b.spent <= searchesPerSecond
-}
-
-// searchFor asks all agents for the owner of a flow.
+// searchFor begins a search for a flow's owner.
 func (a *Agent) searchFor(now time.Time, m msgs.Carry, s *segs.Segment) {
 	if a.Off.Search {
 		dropped("searches")
 		return
 	}
-	q := a.searches[s.Flow]
-	if q != nil && now.Sub(q.began) < searchAgain {
+	if q := a.searches[s.Flow]; q != nil {
 		q.keep(m)
 		return
 	}
-	if len(a.searches) >= mostSearches || !a.budget.take(now) {
+	if len(a.searches) >= mostSearches {
 		dropped("searches")
 		return
 	}
-	q = &search{began: now, ack: s.Ack}
+	q := &search{began: now, question: msgs.Question{Flow: s.Flow, Ack: s.Ack}, tries: map[netip.Addr]try{}}
 	q.keep(m)
 	a.searches[s.Flow] = q
 	searched.Inc()
-	agents := a.Log.View().Homes.Agents()
-	a.Events.Flow(event.Failure, "search", s.Flow).Int("agents", len(agents)).Uint64("revision", a.Log.Revision()).Send()
-	for _, to := range agents {
-		if to != a.Self {
-			q.waiting = append(q.waiting, to)
-		}
-	}
-	a.ask(s.Flow, q)
-	switch a.verdict(now, s.Flow, s.Ack) {
-	case msgs.Unsure:
-		q.unsure = append(q.unsure, a.Self)
-	case msgs.Held, msgs.NotHeld:
-	}
-	a.next(now, s.Flow, q)
-}
-
-// ask asks the agents that a search waits for.
-func (a *Agent) ask(f segs.Flow, q *search) {
-	find := msgs.Find{Head: a.head(), Flow: f, Ack: q.ack}
-	a.buf = find.AppendTo(a.buf[:0])
-	for _, to := range q.waiting {
-		a.Wire.ToPeer(to, a.buf)
-	}
+	a.askLead(now, q)
 }
 
 func (q *search) keep(m msgs.Carry) {
@@ -121,94 +95,125 @@
 	q.carry.Packet = nil
 }
 
-// verdict is what the agent knows of a flow from its own table.
-func (a *Agent) verdict(now time.Time, f segs.Flow, ack uint32) msgs.Verdict {
-	if o := a.flows.Get(f); o != nil && o.Fits(ack) {
-		return msgs.Held
+// askLead hands the question to a lead, each time to the next one after a few tries.
+func (a *Agent) askLead(now time.Time, q *search) {
+	rank := q.asks / triesOfLead % leads
+	q.asks++
+	q.asked = now
+	lead, ok := a.Log.View().Homes.Lead(a.Self, rank)
+	if !ok {
+		return // no agent is known yet
 	}
-	if a.complete(now) {
-		return msgs.NotHeld
+	if lead != q.lead {
+		q.lead = lead
+		a.Events.Flow(event.Failure, "search", q.question.Flow).Stringer("lead", lead).Uint64("revision", a.Log.Revision()).Send()
 	}
-	return msgs.Unsure
-}
-
-// complete says whether the agent has seen all flows that its server can hold: it has
-// run since before the server started, or longer than any flow lives.
-func (a *Agent) complete(now time.Time) bool { return a.server.whole || now.Sub(a.Started) > a.Life }
-
-// find answers a search.
-func (a *Agent) find(now time.Time, from netip.Addr, m msgs.Find) {
-	verdict := a.verdict(now, m.Flow, m.Ack)
-	// A service whose weight has become 0 still holds the flows that it opened before.
-	if verdict == msgs.Unsure && a.Log.View().Excludes(m.Flow.Called(), a.Service) {
-		verdict = msgs.NotHeld
+	if lead == a.Self {
+		a.want(now, a.Self, q.question)
+		return
 	}
-	a.answer(from, m.Flow, verdict)
-}
-
-func (a *Agent) answer(to netip.Addr, f segs.Flow, verdict msgs.Verdict) {
-	m := msgs.Found{Head: a.head(), Flow: f, Verdict: verdict}
+	m := msgs.Seek{Head: a.head(), Question: q.question}
 	a.buf = m.AppendTo(a.buf[:0])
-	a.Wire.ToPeer(to, a.buf)
+	a.Wire.ToPeer(lead, a.buf)
 }
 
-// found takes an answer in.
-func (a *Agent) found(now time.Time, from netip.Addr, m msgs.Found) {
+// sought takes a lead's answer in.
+func (a *Agent) sought(now time.Time, m msgs.Sought) {
 	q := a.searches[m.Flow]
-	if q == nil || !q.ended.IsZero() {
+	if q == nil || !q.ended.IsZero() || q.answered {
 		return
 	}
-	q.waiting = slices.DeleteFunc(q.waiting, func(w netip.Addr) bool { return w == from })
-	switch m.Verdict {
-	case msgs.Held:
-		delete(a.searches, m.Flow)
-		if from == a.Self {
-			a.tellOwner(q.carry.Origin, msgs.Owner{Flow: m.Flow, Open: true})
-			return
-		}
-		a.home.Register(now, from, msgs.Place{Flow: m.Flow})
-		q.carry.Packet = q.packet
-		q.carry.Named = true
-		a.forward(from, q.carry)
+	if m.Owner.IsValid() {
+		a.foundAt(now, m.Owner, q)
 		return
-	case msgs.Unsure:
-		q.unsure = append(q.unsure, from)
-	case msgs.NotHeld:
 	}
-	a.next(now, m.Flow, q)
+	q.answered = !m.Partial
+	q.unsure = m.Unsure
+	if m.All {
+		q.unsure = a.Log.View().Homes.Agents()
+	}
+	a.tryNext(now, q)
 }
 
-// next tries the next unsure agent once all that were asked have answered, or ends the search.
-func (a *Agent) next(now time.Time, f segs.Flow, q *search) {
-	if len(q.waiting) > 0 {
+// foundAt ends a search: an agent has said that its server holds the flow.
+func (a *Agent) foundAt(now time.Time, agent netip.Addr, q *search) {
+	f := q.question.Flow
+	delete(a.searches, f)
+	if agent == a.Self {
+		a.tellOwner(q.carry.Origin, msgs.Owner{Flow: f, Open: true})
 		return
 	}
-	if len(q.unsure) > 0 {
-		q.again = true // a second question to the one that tries its server would count it twice
-		to := q.unsure[0]
+	a.home.Register(now, agent, msgs.Place{Flow: f})
+	if _, tried := q.tries[agent]; tried {
+		return // it has the packet
+	}
+	m := q.carry
+	m.Packet = q.packet
+	m.Named = true
+	a.forward(agent, m)
+}
+
+// tryNext gives the packet to unsure agents that haven't had it, or ends the search.
+func (a *Agent) tryNext(now time.Time, q *search) {
+	for len(q.unsure) > 0 && q.trying < triesAtOnce {
+		agent := q.unsure[0]
 		q.unsure = q.unsure[1:]
-		q.waiting = append(q.waiting, to)
-		m := q.carry
-		m.Probe = true
-		m.Packet = q.packet
-		if to == a.Self {
-			s, err := a.Codec.Decode(q.packet, segs.CallerEnd)
-			if err == nil {
-				a.probe(now, a.Self, m, &s)
-			}
-			return
+		if _, tried := q.tries[agent]; tried {
+			continue
 		}
-		a.forward(to, m)
+		q.trying++
+		a.try(now, q, agent)
+	}
+	if q.trying == 0 && q.answered {
+		a.conclude(now, q)
+	}
+}
+
+// try gives the packet to an agent, which tries its server.
+func (a *Agent) try(now time.Time, q *search, agent netip.Addr) {
+	q.tries[agent] = try{sent: now, times: q.tries[agent].times + 1}
+	if agent == a.Self {
+		a.probe(now, a.Self, q.question.Flow, q.packet)
+		return
+	}
+	m := q.carry
+	m.Probe = true
+	m.Packet = q.packet
+	a.forward(agent, m)
+}
+
+// triedAt takes an agent's word on whether its server holds a flow.
+func (a *Agent) triedAt(now time.Time, from netip.Addr, m msgs.Tried) {
+	q := a.searches[m.Flow]
+	if q == nil || !q.ended.IsZero() {
+		return
+	}
+	if m.Held {
+		a.foundAt(now, from, q)
 		return
 	}
-	a.conclude(now, f, q)
+	if t, tried := q.tries[from]; tried && !t.over {
+		q.tryOver(from)
+		a.tryNext(now, q)
+	}
+}
+
+// tryOver notes that an agent's try has ended.
+func (q *search) tryOver(agent netip.Addr) {
+	q.tries[agent] = try{over: true}
+	q.trying--
 }
 
 // conclude ends a search in which nobody held the flow.
-func (a *Agent) conclude(now time.Time, f segs.Flow, q *search) {
+func (a *Agent) conclude(now time.Time, q *search) {
 	q.ended = now
+	f := q.question.Flow
 	s, err := a.Codec.Decode(q.packet, segs.CallerEnd)
-	if err != nil || q.absent > 0 {
+	if err != nil {
+		return
+	}
+	if q.absent > 0 {
+		a.Events.Flow(event.Failure, "unfound", f).Str("why", "no answer").Int("agents", q.absent).Send()
 		return
 	}
 	age, known := a.Ctrl.Age(now)
@@ -217,66 +222,42 @@
 		return
 	}
 	delete(a.searches, f)
+	searchTime.Update(now.Sub(q.began).Seconds())
 	a.reset(now, &s, "unheld")
 	a.tellOwner(q.carry.Origin, msgs.Owner{Flow: f, Gone: true})
 }
 
-// probe tries the own server with a packet of a flow that the agent doesn't know. Whoever
-// doesn't hold the flow returns the packet.
-func (a *Agent) probe(now time.Time, home netip.Addr, m msgs.Carry, s *segs.Segment) {
-	a.probes[s.Flow] = probe{home: home, at: now}
-	a.Wire.ToServer(m.Packet)
-	probes.Inc()
-}
-
-// probed takes a packet that the server returned. It says whether the packet was a try.
-func (a *Agent) probed(now time.Time, s *segs.Segment, _ []byte) bool {
-	p, ok := a.probes[s.Flow]
-	if !ok {
-		return false
-	}
-	delete(a.probes, s.Flow)
-	if p.home == a.Self {
-		a.found(now, a.Self, msgs.Found{Flow: s.Flow, Verdict: msgs.NotHeld})
-		return true
-	}
-	a.answer(p.home, s.Flow, msgs.NotHeld)
-	return true
-}
-
-// holds tells the home that searched for a flow that the try at the own server found it.
-func (a *Agent) holds(now time.Time, home netip.Addr, f segs.Flow) {
-	if home == a.Self {
-		a.found(now, a.Self, msgs.Found{Flow: f, Verdict: msgs.Held})
-		return
-	}
-	a.answer(home, f, msgs.Held)
-}
-
-func (a *Agent) expireProbes(now time.Time) {
-	for f, p := range a.probes {
-		if now.Sub(p.at) > probeFor {
-			delete(a.probes, f)
+// tickSearches repeats what had no answer, and forgets what is over.
+func (a *Agent) tickSearches(now time.Time) {
+	for f, q := range a.searches {
+		switch {
+		case !q.ended.IsZero():
+			if now.Sub(q.ended) > searchAgain {
+				delete(a.searches, f)
+			}
+		case now.Sub(q.began) > searchMost:
+			delete(a.searches, f)
+			a.Events.Flow(event.Failure, "unfound", f).Str("why", "gave up").Bool("answered", q.answered).Send()
+		default:
+			if !q.answered && now.Sub(q.asked) > leadWithin {
+				a.askLead(now, q)
+			}
+			a.tryAgain(now, q)
 		}
 	}
 }
 
-// expireSearches gives up waiting for agents that don't answer.
-func (a *Agent) expireSearches(now time.Time) {
-	for f, q := range a.searches {
+// tryAgain gives the packet once more to agents that didn't say what became of it, or goes on without them.
+func (a *Agent) tryAgain(now time.Time, q *search) {
+	for agent, t := range q.tries {
 		switch {
-		case !q.ended.IsZero() || now.Sub(q.began) > time.Second:
-			if now.Sub(q.began) > searchAgain {
-				delete(a.searches, f)
-			}
-		case len(q.waiting) > 0 && !q.again && now.Sub(q.began) > askAgain:
-			q.again = true
-			a.ask(f, q)
-		case len(q.waiting) > 0 && now.Sub(q.began) > answerWithin:
-			q.absent += len(q.waiting)
-			a.Events.Flow(event.Failure, "unfound", f).Str("why", "no answer").Int("agents", len(q.waiting)).Send()
-			q.waiting = nil
-			a.next(now, f, q)
+		case t.over || now.Sub(t.sent) < tryWithin:
+		case t.times < triesOfServer:
+			a.try(now, q, agent)
+		default:
+			q.absent++
+			q.tryOver(agent)
 		}
 	}
+	a.tryNext(now, q)
 }
--- a/internal/node/local/server.go
+++ b/internal/node/local/server.go
@@ -47,7 +47,7 @@
 		learned.Inc()
 		if p, tried := a.probes[s.Flow]; tried {
 			delete(a.probes, s.Flow)
-			a.holds(now, p.home, s.Flow)
+			a.tellTried(now, p.home, msgs.Tried{Flow: s.Flow, Held: true})
 		}
 		a.Events.Flow(event.Ordinary, "learned", s.Flow).Uint64("revision", a.Log.Revision()).Send()
 	}
@@ -101,7 +101,7 @@
 			a.flows.Delete(s.Flow)
 			a.handBack(now, o.Origin, s, datagram, msgs.WhyServer)
 		}
-	case a.probed(now, s, datagram):
+	case a.probed(now, s):
 	case o != nil && o.Over():
 		dropped("over")
 	case o != nil && !o.Proved:
--- a/internal/oper/story/story.go
+++ b/internal/oper/story/story.go
@@ -144,6 +144,7 @@
 	"handed-back": "handed back by an agent and not placed again in these lines",
 	"unanswered":  "no server has answered its opening packet",
 	"unfound":     "nobody was found who holds it, and not all could be asked; nothing was said to the caller",
+	"unheard":     "being searched for; an agent whose server may hold it has not answered yet, so nothing was said to the caller",
 	"search":      "being searched for; the answer is not in these lines",
 	"opened":      "open at a server; what became of its requests only the server and the caller know",
 	"told":        "its packets go to the agent that owns it",
