Near servers are tried first for a flow whose owner is looked for; bytes by kind of message

Whoever holds a flow says so when its server has answered the request, 30 ms later; until then sixteen others at a time were tried.

Change: agents of the failure domain of the entry by which the caller comes are tried first; the others when those have answered, or after 60 ms. The entry's domain goes along with the packet in a byte that was free. Counters of the bytes of messages by kind, and of what peers fetch, with which this was found.

--- a/internal/ctrl/belief/view.go
+++ b/internal/ctrl/belief/view.go
@@ -85,3 +85,6 @@
 
 // Hash names a service in messages.
 func Hash(service string) uint32 { return uint32(xxhash.Sum64String(service)) }
+
+// DomainHash names a failure domain in messages, for preferences only: two domains may have the same.
+func DomainHash(domain string) uint8 { return uint8(Hash(domain)) }
--- a/internal/ctrl/follow/encode.go
+++ b/internal/ctrl/follow/encode.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/klauspost/compress/zstd"
 	"storj.io/drpc"
 )
@@ -44,6 +45,19 @@
 	return packer.EncodeAll(text, nil), nil
 }
 
+// givenBytes counts what peers have fetched from this process.
+var givenBytes = metrics.NewCounter(`mangowinch_given_bytes_total`)
+
+// counting is the encoding of answers to peers, whose bytes are counted.
+type counting struct{ encoding }
+
+// Marshal encodes an answer.
+func (c counting) Marshal(m drpc.Message) ([]byte, error) {
+	b, err := c.encoding.Marshal(m)
+	givenBytes.Add(len(b))
+	return b, err
+}
+
 // Unmarshal decodes a message.
 func (encoding) Unmarshal(b []byte, m drpc.Message) error {
 	text, err := unpacker.DecodeAll(b, nil)
--- a/internal/ctrl/follow/fetch.go
+++ b/internal/ctrl/follow/fetch.go
@@ -60,7 +60,7 @@
 		return err
 	}
 	out := h.log.Since(in.Revision)
-	return s.MsgSend(&out, encoding{})
+	return s.MsgSend(&out, counting{})
 }
 
 // fetchLoop asks peers that know more, one at a time.
--- a/internal/flow/msgs/msgs.go
+++ b/internal/flow/msgs/msgs.go
@@ -40,6 +40,32 @@
 	KindTried                    // the answer to a Carry that was a probe
 )
 
+// Kinds is more than any kind, for tables by kind; 0 is none.
+const Kinds = int(KindTried) + 1
+
+// kinds are the names of kinds in counters.
+var kinds = [...]string{
+	KindCarry: "carry", KindOpened: "opened", KindRefused: "refused", KindOwner: "owner", KindRegister: "register", KindFind: "find",
+	KindFound: "found", KindBeacon: "beacon", KindNews: "news", KindOffer: "offer", KindAsk: "ask", KindAlive: "alive",
+	KindSeek: "seek", KindSought: "sought", KindTried: "tried",
+}
+
+// String returns the kind's name.
+func (k Kind) String() string {
+	if int(k) < len(kinds) && kinds[k] != "" {
+		return kinds[k]
+	}
+	return "other"
+}
+
+// KindOf returns the kind of an encoded message, or 0.
+func KindOf(message []byte) Kind {
+	if len(message) < headSize {
+		return 0
+	}
+	return Kind(message[1])
+}
+
 const (
 	magic    = 0xd7 // first byte of every message
 	headSize = 14
--- a/internal/flow/msgs/msgs_test.go
+++ b/internal/flow/msgs/msgs_test.go
@@ -30,10 +30,10 @@
 func TestMessagesComeBackAsTheyWere(t *testing.T) {
 	packet := []byte("a packet")
 
-	h, r := rest(t, (&Carry{Head: head, Origin: entry, Hops: 3, Probe: true, Packet: packet}).AppendTo(nil), KindCarry)
+	h, r := rest(t, (&Carry{Head: head, Origin: entry, Domain: 9, Hops: 3, Probe: true, Packet: packet}).AppendTo(nil), KindCarry)
 	carry, err := ReadCarry(h, r)
 	assert.NilError(t, err)
-	assert.Assert(t, carry.Origin == entry && carry.Hops == 3 && carry.Probe && bytes.Equal(carry.Packet, packet))
+	assert.Assert(t, carry.Origin == entry && carry.Domain == 9 && carry.Hops == 3 && carry.Probe && bytes.Equal(carry.Packet, packet))
 
 	h, r = rest(t, (&Offer{Head: head, Origin: entry, Final: true, Visited: []Visit{{entry, 250}}, Packet: packet}).AppendTo(nil), KindOffer)
 	offer, err := ReadOffer(h, r)
--- a/internal/flow/msgs/packet.go
+++ b/internal/flow/msgs/packet.go
@@ -9,6 +9,7 @@
 type Carry struct {
 	Head
 	Origin netip.Addr // the entry that took the packet from the caller
+	Domain uint8      // of Origin: belief.DomainHash of its failure domain
 	Hops   uint8      // agents that have passed it on
 	Probe  bool
 	Named  bool // the sender knows the receiver as the flow's owner
@@ -38,7 +39,7 @@
 	if m.Insist {
 		hops |= insistBit
 	}
-	b = append(b, hops, 0)
+	b = append(b, hops, m.Domain)
 	return append(b, m.Packet...)
 }
 
@@ -50,6 +51,7 @@
 	return Carry{
 		Head:   h,
 		Origin: addrFrom(b),
+		Domain: b[5],
 		Hops:   b[4] & hopsMask,
 		Probe:  b[4]&probeBit != 0,
 		Named:  b[4]&namedBit != 0,
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -241,7 +241,7 @@
 }
 
 func (e *Entry) send(v *belief.View, agent netip.Addr, m msgs.Carry) {
-	m.Origin = e.Self
+	m.Origin, m.Domain = e.Self, belief.DomainHash(e.Domain)
 	m.Revision = v.Revision
 	if server, ok := v.Server(agent); ok {
 		m.Service = belief.Hash(server.Service)
--- a/internal/node/local/search.go
+++ b/internal/node/local/search.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"mangowinch/internal/ctrl/belief"
 	"mangowinch/internal/flow/msgs"
 	"mangowinch/internal/flow/segs"
 	"mangowinch/internal/oper/event"
@@ -33,9 +34,11 @@
 	// may be lost, and with hundreds of agents three losses in a row are no rare thing.
 	tryWithin     = 40 * time.Millisecond
 	triesOfServer = 10
-	// triesAtOnce is how many agents have the packet at a time. A flow that lives is found halfway on average,
-	// so more at a time would be sent in vain.
+	// triesAtOnce is how many agents have the packet at a time.
 	triesAtOnce = 16
+	// farAfter is how long agents of other failure domains wait for those of the caller's to answer. Who holds the flow says so
+	// when its server answers the request, after its work; all others say at once that they don't.
+	farAfter = 60 * time.Millisecond
 	// searchAgain is how long a search that ended without certainty is not repeated.
 	searchAgain = 250 * time.Millisecond
 	// searchMost ends a search; the caller's next packet begins another one.
@@ -51,11 +54,13 @@
 	question msgs.Question
 	carry    msgs.Carry // the newest packet
 	packet   []byte
-	asked    time.Time  // when a lead was asked last
-	asks     int        // how often leads were asked
-	lead     netip.Addr // asked last
-	answered bool       // a lead has heard all agents
-	unsure   []netip.Addr
+	asked    time.Time          // when a lead was asked last
+	asks     int                // how often leads were asked
+	lead     netip.Addr         // asked last
+	answered bool               // a lead has heard all agents
+	near     []netip.Addr       // unsure agents to be tried, of the failure domain by which the caller comes
+	far      []netip.Addr       // others
+	nearAt   time.Time          // when the last of the near ones got the packet
 	tries    map[netip.Addr]try // of unsure agents that got the packet
 	trying   int                // agents that have it and haven't said what became of it
 	absent   int                // agents that never said so
@@ -128,13 +133,27 @@
 		return
 	}
 	q.answered = !m.Partial
-	q.unsure = m.Unsure
+	v := a.Log.View()
 	if m.All {
-		q.unsure = a.Log.View().Homes.Agents()
+		m.Unsure = v.Homes.Agents()
 	}
+	q.near, q.far = split(v, m.Unsure, q.carry.Domain)
 	a.tryNext(now, q)
 }
 
+// split tells agents of a failure domain from all others. A flow mostly lives in the domain of the entry by which its
+// caller comes, as new flows are placed near; tried in any order, half of all agents get its packet in vain.
+func split(v *belief.View, agents []netip.Addr, domain uint8) (near, far []netip.Addr) {
+	for _, a := range agents {
+		if s, ok := v.Server(a); ok && belief.DomainHash(s.Domain) == domain {
+			near = append(near, a)
+		} else {
+			far = append(far, a)
+		}
+	}
+	return near, far
+}
+
 // foundAt ends a search: an agent has said that its server holds the flow.
 func (a *Agent) foundAt(now time.Time, agent netip.Addr, q *search) {
 	f := q.question.Flow
@@ -155,20 +174,36 @@
 
 // tryNext gives the packet to unsure agents that haven't had it, or ends the search.
 func (a *Agent) tryNext(now time.Time, q *search) {
-	for len(q.unsure) > 0 && q.trying < triesAtOnce {
-		agent := q.unsure[0]
-		q.unsure = q.unsure[1:]
-		if _, tried := q.tries[agent]; tried {
-			continue
+	for q.trying < triesAtOnce {
+		agent, ok := q.next(now)
+		if !ok {
+			break
+		}
+		if _, tried := q.tries[agent]; !tried {
+			q.trying++
+			a.try(now, q, agent)
 		}
-		q.trying++
-		a.try(now, q, agent)
 	}
 	if q.trying == 0 && q.answered {
 		a.conclude(now, q)
 	}
 }
 
+// next returns the agent that is to be tried next.
+func (q *search) next(now time.Time) (agent netip.Addr, ok bool) {
+	switch {
+	case len(q.near) > 0:
+		agent, q.near = q.near[0], q.near[1:]
+		q.nearAt = now
+		return agent, true
+	case len(q.far) > 0 && (q.trying == 0 || now.Sub(q.nearAt) >= farAfter):
+		agent, q.far = q.far[0], q.far[1:]
+		return agent, true
+	default:
+		return netip.Addr{}, false
+	}
+}
+
 // try gives the packet to an agent, which tries its server.
 func (a *Agent) try(now time.Time, q *search, agent netip.Addr) {
 	q.tries[agent] = try{sent: now, times: q.tries[agent].times + 1}
--- /dev/null
+++ b/internal/node/local/search_test.go
@@ -0,0 +1,49 @@
+package local
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp/cmpopts"
+	"gotest.tools/v3/assert"
+
+	"mangowinch/internal/ctrl/belief"
+)
+
+// All processes of a hundred instances have been killed. Each caller's packet went to fifty servers on average before its own had it, and
+// half a day's bytes between failure domains were spent in four seconds.
+func TestNearServersAreTriedFirst(t *testing.T) {
+	log := belief.New()
+	change := belief.Change{To: 10, Full: true}
+	var agents []netip.Addr
+	for i := range 6 {
+		addr := netip.AddrFrom4([4]byte{10, 0, 1, byte(i)})
+		agents = append(agents, addr)
+		change.Items = append(change.Items, belief.Item{Key: fmt.Sprint(i), Revision: uint64(i + 1), Server: &belief.Server{
+			ID: fmt.Sprint(i), Service: "tracing-core", Addr: netip.AddrPortFrom(addr, 80), Domain: []string{"zg-a", "zg-b", "zg-c"}[i%3],
+		}})
+	}
+	log.Apply(time.Unix(1_700_000_000, 0), change)
+	gone := netip.AddrFrom4([4]byte{10, 0, 1, 99})
+	near, far := split(log.View(), append(agents, gone), belief.DomainHash("zg-b"))
+	addresses := cmpopts.EquateComparable(netip.Addr{})
+	assert.DeepEqual(t, near, []netip.Addr{agents[1], agents[4]}, addresses)
+	assert.DeepEqual(t, far, []netip.Addr{agents[0], agents[2], agents[3], agents[5], gone}, addresses)
+
+	q := &search{near: near, far: far, tries: map[netip.Addr]try{}}
+	now := time.Unix(1_700_000_000, 0)
+	for _, want := range near {
+		got, ok := q.next(now)
+		assert.Assert(t, ok && got == want)
+		q.trying++
+	}
+	_, ok := q.next(now.Add(farAfter / 2))
+	assert.Assert(t, !ok, "one of the near ones may be at work on it")
+	got, ok := q.next(now.Add(farAfter))
+	assert.Assert(t, ok && got == far[0])
+	q.trying = 0
+	got, ok = q.next(now)
+	assert.Assert(t, ok && got == far[1], "all near ones have said that they don't hold it")
+}
--- a/internal/node/opaque/sockets.go
+++ b/internal/node/opaque/sockets.go
@@ -66,6 +66,7 @@
 func (k *sockets) ToPeer(peer netip.Addr, message []byte) {
 	_, err := k.link.WriteToUDPAddrPort(message, netip.AddrPortFrom(peer, k.port))
 	countSend("peer", err)
+	countMessage(message)
 }
 
 // ToCaller sends a packet to a caller.
@@ -80,6 +81,23 @@
 	countSend("server", err)
 }
 
+// sentBytes are the bytes of messages to other processes, by kind.
+var sentBytes = func() (counters [msgs.Kinds]*metrics.Counter) {
+	for k := range counters {
+		counters[k] = metrics.NewCounter(`mangowinch_message_bytes_total{kind="` + msgs.Kind(k).String() + `"}`)
+	}
+	return counters
+}()
+
+// countMessage counts the bytes of a message to another process.
+func countMessage(message []byte) {
+	k := msgs.KindOf(message)
+	if int(k) >= len(sentBytes) {
+		k = 0
+	}
+	sentBytes[k].Add(len(message))
+}
+
 // countSend counts a datagram that could not be sent. It is as good as lost, and both
 // ends of a flow deal with loss.
 func countSend(to string, err error) {
