A change accepted at the return of the platform after a long outage is in force in time

With few watchers nobody has tried within seven seconds now and then.

Ruled out: that the small document waits behind a megabyte of another one.

--- a/internal/ctrl/relay/fault_test.go
+++ b/internal/ctrl/relay/fault_test.go
@@ -226,6 +226,21 @@
 	})
 }
 
+// The platform comes back after two minutes, and a change is accepted at that moment. All who watch it waited for up to half a minute
+// before they tried again, so that now and then nobody had read the change when it was to be in force.
+func TestChangeAtTheReturnOfThePlatform(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := settled(t, 4)
+		for revision := range uint64(15) {
+			f.platform.setDown(true)
+			time.Sleep(2 * time.Minute)
+			f.platform.setDown(false)
+			f.platform.set("doc-intake", revision+1)
+			f.within(inForce, "doc-intake", revision+1)
+		}
+	})
+}
+
 // A megabyte of text goes to all: plain text, as documents are, in time, and text
 // that can't be made smaller within the budget of every process, in its own time.
 func TestLargeDocument(t *testing.T) {
