--- a/internal/node/local/search.go
+++ b/internal/node/local/search.go
@@ -54,20 +54,20 @@
 	question msgs.Question
 	carry    msgs.Carry // the newest packet
 	packet   []byte
-	asked    time.Time          // when a lead was asked last
-	asks     int                // how often leads were asked
-	lead     netip.Addr         // asked last
-	answered bool               // a lead has heard all agents
-	near     []netip.Addr       // unsure agents to be tried, of the failure domain by which the caller comes
-	far      []netip.Addr       // others
-	nearAt   time.Time          // when the last of the near ones got the packet
-	tries    map[netip.Addr]try // of unsure agents that got the packet
-	trying   int                // agents that have it and haven't said what became of it
-	absent   int                // agents that never said so
+	asked    time.Time              // when a lead was asked last
+	asks     int                    // how often leads were asked
+	lead     netip.Addr             // asked last
+	answered bool                   // a lead has heard all agents
+	near     []netip.Addr           // unsure agents to be tried, of the failure domain by which the caller comes
+	far      []netip.Addr           // others
+	nearAt   time.Time              // when the last of the near ones got the packet
+	tries    map[netip.Addr]attempt // of unsure agents that got the packet
+	trying   int                    // agents that have it and haven't said what became of it
+	absent   int                    // agents that never said so
 }
 
-// try is an agent's try of its server.
-type try struct {
+// attempt is an agent's try of its server.
+type attempt struct {
 	sent  time.Time // when the agent got the packet last
 	times int
 	over  bool // it has said that its server doesn't hold the flow, or was given up
@@ -87,7 +87,7 @@
 		dropped("searches")
 		return
 	}
-	q := &search{began: now, question: msgs.Question{Flow: s.Flow, Ack: s.Ack}, tries: map[netip.Addr]try{}}
+	q := &search{began: now, question: msgs.Question{Flow: s.Flow, Ack: s.Ack}, tries: map[netip.Addr]attempt{}}
 	q.keep(m)
 	a.searches[s.Flow] = q
 	searched.Inc()
@@ -206,7 +206,7 @@
 
 // try gives the packet to an agent, which tries its server.
 func (a *Agent) try(now time.Time, q *search, agent netip.Addr) {
-	q.tries[agent] = try{sent: now, times: q.tries[agent].times + 1}
+	q.tries[agent] = attempt{sent: now, times: q.tries[agent].times + 1}
 	if agent == a.Self {
 		a.probe(now, a.Self, q.question.Flow, q.packet)
 		return
@@ -235,7 +235,7 @@
 
 // tryOver notes that an agent's try has ended.
 func (q *search) tryOver(agent netip.Addr) {
-	q.tries[agent] = try{over: true}
+	q.tries[agent] = attempt{over: true}
 	q.trying--
 }
 
--- a/internal/node/local/search_test.go
+++ b/internal/node/local/search_test.go
@@ -32,7 +32,7 @@
 	assert.DeepEqual(t, near, []netip.Addr{agents[1], agents[4]}, addresses)
 	assert.DeepEqual(t, far, []netip.Addr{agents[0], agents[2], agents[3], agents[5], gone}, addresses)
 
-	q := &search{near: near, far: far, tries: map[netip.Addr]try{}}
+	q := &search{near: near, far: far, tries: map[netip.Addr]attempt{}}
 	now := time.Unix(1_700_000_000, 0)
 	for _, want := range near {
 		got, ok := q.next(now)
