--- a/internal/flow/msgs/msgs_test.go
+++ b/internal/flow/msgs/msgs_test.go
@@ -119,6 +119,12 @@
 func FuzzMessages(f *testing.F) {
 	f.Add((&Offer{Head: head, Origin: entry, Visited: []Visit{{entry, 1}}, Packet: []byte("x")}).AppendTo(nil))
 	f.Add((&Beacon{Head: head, Peers: []netip.Addr{entry}}).AppendTo(nil))
+	questions := []Question{{flow, 5}, {flow, 6}}
+	f.Add((&Seek{Head: head, Question: questions[0]}).AppendTo(nil))
+	f.Add((&Sought{Head: head, Flow: flow, Unsure: []netip.Addr{entry}, Partial: true}).AppendTo(nil))
+	f.Add((&Find{Head: head, Round: 7, Questions: questions}).AppendTo(nil))
+	f.Add((&Found{Head: head, Round: 7, Verdicts: []Verdict{Held, Unsure}}).AppendTo(nil))
+	f.Add((&Beacon{Head: head, Readers: []Reader{{entry, 300}}, Peers: []netip.Addr{entry}}).AppendTo(nil))
 	f.Fuzz(func(t *testing.T, b []byte) {
 		h, rest, err := ReadHead(b)
 		if err != nil {
