--- a/internal/ctrl/follow/spread_test.go
+++ b/internal/ctrl/follow/spread_test.go
@@ -62,3 +62,25 @@
 		assert.Assert(t, total < manyNodes, "%d news crossed borders", total)
 	})
 }
+
+// A thousand processes start at once and hear of the same three seeds first. Asked by all, these gave everything to everybody over one
+// border after the other. A peer of the own failure domain goes before others, and of equals any may be asked.
+func TestFetchesGoToNearPeersAndAreSpread(t *testing.T) {
+	var a ahead
+	a.consider(addr(1), 5, false)
+	a.consider(addr(2), 9, true)
+	a.consider(addr(3), 9, false)
+	assert.Assert(t, a.peer == addr(2) && a.near)
+
+	asked := map[netip.Addr]int{}
+	for range 1000 {
+		var a ahead
+		for i := range 4 {
+			a.consider(addr(i), 5, true)
+		}
+		asked[a.peer]++
+	}
+	for i := range 4 {
+		assert.Assert(t, asked[addr(i)] > 150, "%d of 1000", asked[addr(i)])
+	}
+}
--- a/internal/flow/homes/homes_test.go
+++ b/internal/flow/homes/homes_test.go
@@ -43,3 +43,32 @@
 	_, ok := New(nil).Of(flow(1))
 	assert.Assert(t, !ok)
 }
+
+// Homes of a small fleet lead their own searches. Those of a large one share a few leads, so that questions share rounds, and each
+// has others to turn to when its lead doesn't answer.
+func TestHomesOfALargeFleetShareLeads(t *testing.T) {
+	small := New(agents(alone))
+	for _, home := range small.Agents() {
+		for rank := range 3 {
+			lead, ok := small.Lead(home, rank)
+			assert.Assert(t, ok && lead == home)
+		}
+	}
+
+	large := New(agents(2 * ofLead))
+	first := map[netip.Addr]int{}
+	for _, home := range large.Agents() {
+		ranks := map[netip.Addr]bool{}
+		for rank := range 3 {
+			lead, ok := large.Lead(home, rank)
+			assert.Assert(t, ok)
+			ranks[lead] = true
+		}
+		assert.Equal(t, len(ranks), 3, "each rank is another agent")
+		lead, _ := large.Lead(home, 0)
+		first[lead]++
+	}
+	assert.Equal(t, len(first), 2)
+	_, ok := New(nil).Lead(netip.MustParseAddr("10.0.0.1"), 0)
+	assert.Assert(t, !ok)
+}
