A flow of a service that its route has left is looked for at that service's servers too

The flows' route goes to another service since a change; their agents had been killed and started again, and said that they can't hold a flow whose route doesn't name their service. A change leaves open flows where they are.

Change: an agent that hasn't seen all flows of its server is unsure, whatever the route says now. View.Excludes is gone.

The case of weight 0 stays as it was.

--- a/internal/ctrl/belief/view.go
+++ b/internal/ctrl/belief/view.go
@@ -77,12 +77,6 @@
 	return r != nil && slices.ContainsFunc(r.Shares, func(s Share) bool { return s.Service == service && s.Weight > 0 })
 }
 
-// Excludes says whether the route of an address is known and doesn't name a service, not even with weight 0.
-func (v *View) Excludes(called netip.AddrPort, service string) bool {
-	r := v.routes[called]
-	return r != nil && !slices.ContainsFunc(r.Shares, func(s Share) bool { return s.Service == service })
-}
-
 // Hash names a service in messages.
 func Hash(service string) uint32 { return uint32(xxhash.Sum64String(service)) }
 
--- a/internal/node/local/lead.go
+++ b/internal/node/local/lead.go
@@ -59,10 +59,10 @@
 	if o := a.flows.Get(f); o != nil && o.Fits(ack) {
 		return msgs.Held
 	}
-	// A service whose weight has become 0 still holds the flows that it opened before.
-	if a.complete(now) || a.Log.View().Excludes(f.Called(), a.Service) {
+	if a.complete(now) {
 		return msgs.NotHeld
 	}
+	// Whatever the flow's route says now: flows stay at the service to which it sent them when they were opened.
 	return msgs.Unsure
 }
 
