--- a/internal/ctrl/fetch/backoff.go
+++ b/internal/ctrl/fetch/backoff.go
@@ -8,7 +8,7 @@
 // Bounds of the wait after failed calls to the platform.
 const (
 	BackoffBase = 500 * time.Millisecond // a blip is over by then, and 21 watchers make some 50 calls in the first second
-	BackoffCap  = 5 * time.Second        // a change accepted at the return after a long outage is to be in force within seven
+	BackoffCap  = 30 * time.Second       // after an hour's outage its return is seen within that time
 )
 
 // Backoff returns how long to wait after the given number of failures in a row:
--- a/internal/ctrl/relay/attend.go
+++ b/internal/ctrl/relay/attend.go
@@ -16,6 +16,7 @@
 // Bounds of what an entry does at the platform.
 const (
 	dutyEvery     = time.Second
+	watchMost     = 6 * time.Second // between tries to watch: a change accepted at the return of the platform is in force within seven
 	peersFirst    = 2 * time.Second // a start asks peers so long before it believes the platform
 	startFailures = 8               // to read the list of instances, some 5 s in all
 	listEvery     = 2 * time.Second // of the list of instances, while it's small
@@ -135,7 +136,7 @@
 			last, failures = list, 0
 		case !again:
 			failures++
-			sleep(ctx, n.backoff(failures))
+			sleep(ctx, n.backoffUpTo(failures, watchMost))
 			continue
 		}
 		broken++
@@ -145,10 +146,12 @@
 	}
 }
 
-func (n *Node) backoff(failures int) time.Duration {
+func (n *Node) backoff(failures int) time.Duration { return n.backoffUpTo(failures, fetch.BackoffCap) }
+
+func (n *Node) backoffUpTo(failures int, most time.Duration) time.Duration {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return fetch.Backoff(failures, fetch.BackoffBase, fetch.BackoffCap, n.Rand)
+	return fetch.Backoff(failures, fetch.BackoffBase, most, n.Rand)
 }
 
 // load reads what the list has and this process lacks; the first error is
