A failure domain that the platform orders to be evacuated gets no new flows

Change: an evacuation is an item of the belief, ordered by the platform's revision like servers and configuration, and so passed on, fetched and relearned like these; the key alone is the order. The agent beside the server hands new flows back (evacuated), also those that wait, and passes on to no agent there; entries place nothing there. An entry that is behind takes the first agent's word for the whole domain until its belief has caught up. Open flows go on, also through searches. If all servers of a route are evacuated its callers are refused at once with a reason of its own. A server that is cold after an evacuation isn't taken for a new start.

Found beside it: an opening packet that waited at an agent and was handed back was not placed again (the entry remembered that it waits); it is now.

Ruled out: ordering at the entries only; an entry that was cut off or has just woken up would go on placing there. Each guard's test was seen to fail with the guard taken out.

--- a/internal/ctrl/belief/belief.go
+++ b/internal/ctrl/belief/belief.go
@@ -1,5 +1,5 @@
-// Package belief holds what one process believes of the platform's configuration and of
-// the backend servers, as an ordered log that any process can pass on.
+// Package belief holds what one process believes of the platform's configuration, of
+// the backend servers and of evacuated failure domains, as an ordered log that any process can pass on.
 //
 // The platform gives each change a revision from one counter. So a belief is a set of items, each
 // with the revision of its last change, and one number: the revision up to which the set is
@@ -73,17 +73,20 @@
 }
 
 // Item is one item with the revision of its last change: a server, the
-// configuration, or neither if it is gone or can't be read.
+// configuration, an evacuation, or none of them if it is gone or can't be read.
 type Item struct {
-	Key      string
-	Revision uint64
-	Gone     bool    `json:",omitempty"`
-	Server   *Server `json:",omitempty"`
-	Config   *Config `json:",omitempty"`
+	Key       string
+	Revision  uint64
+	Gone      bool    `json:",omitempty"`
+	Server    *Server `json:",omitempty"`
+	Config    *Config `json:",omitempty"`
+	Evacuated string  `json:",omitempty"` // failure domain whose servers get no new flows as long as the item is there
 }
 
 // Unreadable says whether the item is there and means nothing to this process.
-func (i *Item) Unreadable() bool { return !i.Gone && i.Server == nil && i.Config == nil }
+func (i *Item) Unreadable() bool {
+	return !i.Gone && i.Server == nil && i.Config == nil && i.Evacuated == ""
+}
 
 // Change brings who is complete up to From to To. Full holds everything, so that From
 // doesn't matter and what it lacks is gone.
@@ -133,7 +136,7 @@
 // New returns a log that knows nothing.
 func New() *Log {
 	l := &Log{items: map[string]Item{}, absent: map[string]departure{}}
-	l.view.Store(newView(0, nil, nil))
+	l.view.Store(newView(content{}))
 	return l
 }
 
@@ -226,24 +229,26 @@
 
 // rebuild makes a new snapshot. l.mu is held.
 func (l *Log) rebuild() {
-	servers := make([]Server, 0, len(l.items)+len(l.absent))
-	var config *Config
+	c := content{Revision: l.revision, Servers: make([]Server, 0, len(l.items)+len(l.absent))}
 	taken := map[netip.AddrPort]bool{}
 	for _, i := range l.items {
 		if i.Config != nil {
-			config = i.Config
+			c.Config = i.Config
 		}
 		if i.Server != nil {
-			servers = append(servers, *i.Server)
+			c.Servers = append(c.Servers, *i.Server)
 			taken[i.Server.Addr] = true
 		}
+		if i.Evacuated != "" {
+			c.Evacuated = append(c.Evacuated, i.Evacuated)
+		}
 	}
 	for _, d := range l.absent {
 		if !taken[d.server.Addr] {
-			servers = append(servers, d.server)
+			c.Servers = append(c.Servers, d.server)
 		}
 	}
-	l.view.Store(newView(l.revision, config, servers))
+	l.view.Store(newView(c))
 }
 
 // Since returns what somebody who is complete up to a revision lacks.
--- a/internal/ctrl/belief/belief_test.go
+++ b/internal/ctrl/belief/belief_test.go
@@ -27,6 +27,13 @@
 	}}
 }
 
+func evacuation(revision uint64, back bool) Item {
+	if back {
+		return Item{Key: "evacuate zg-a", Revision: revision, Gone: true}
+	}
+	return Item{Key: "evacuate zg-a", Revision: revision, Evacuated: "zg-a"}
+}
+
 func known(t *testing.T) *Log {
 	t.Helper()
 	l := New()
@@ -146,6 +153,8 @@
 	switch {
 	case n == 0:
 		return config(int64(revision), revision)
+	case n == 4:
+		return evacuation(revision, rapid.Bool().Draw(r, "taken back"))
 	case rapid.Bool().Draw(r, "gone"):
 		return Item{Key: fmt.Sprintf("s%d", n), Revision: revision, Gone: true}
 	default:
@@ -157,10 +166,39 @@
 func shown(l *Log) (text []string) {
 	l.Tick(now.Add(time.Hour))
 	v := l.View()
-	text = append(text, fmt.Sprint("version ", v.Version()))
+	text = append(text, fmt.Sprint("version ", v.Version()), fmt.Sprint("evacuated ", v.EvacuatedDomains()))
 	for _, a := range v.Homes.Agents() {
 		s, _ := v.Server(a)
 		text = append(text, fmt.Sprint(s.ID, s.Created))
 	}
 	return text
 }
+
+// Guards against an old belief that evacuates a domain once more, or takes it back.
+func TestEvacuationsFollowTheirRevisions(t *testing.T) {
+	l := known(t)
+	assert.Assert(t, !l.View().Evacuated("zg-a"))
+	ordered := Change{From: 5, To: 6, Items: []Item{evacuation(6, false)}}
+	l.Apply(now, ordered)
+	assert.Assert(t, l.View().Evacuated("zg-a") && !l.View().Evacuated("zg-b"))
+
+	asleep := New()
+	asleep.Apply(now, l.Since(0))
+	l.Apply(now, Change{From: 6, To: 7, Items: []Item{evacuation(7, true)}})
+	assert.Equal(t, l.Apply(now, asleep.Since(0)), Old)
+	assert.Assert(t, !l.View().Evacuated("zg-a"), "an old belief brought the order back")
+
+	again := Change{From: 7, To: 8, Items: []Item{evacuation(8, false)}}
+	assert.Equal(t, asleep.Apply(now, again), Behind)
+	l.Apply(now, again)
+	asleep.Apply(now, l.Since(asleep.Revision()))
+	assert.Assert(t, asleep.View().Evacuated("zg-a"))
+}
+
+// Guards against an evacuation that stays although a listing of everything lacks it.
+func TestListingTakesAnEvacuationBack(t *testing.T) {
+	l := known(t)
+	l.Apply(now, Change{From: 5, To: 6, Items: []Item{evacuation(6, false)}})
+	l.Apply(now, Change{To: 9, Full: true, Items: []Item{config(7, 1), server(2, 3, Ready)}})
+	assert.Assert(t, !l.View().Evacuated("zg-a"))
+}
--- a/internal/ctrl/belief/view.go
+++ b/internal/ctrl/belief/view.go
@@ -19,27 +19,39 @@
 	routes   map[netip.AddrPort]*Route
 	services map[string][]Server
 	agents   map[netip.Addr]Server
+	emptied  []string // failure domains that are evacuated, in order
 }
 
-func newView(revision uint64, config *Config, servers []Server) *View {
+// content is what a view is made of.
+type content struct {
+	Revision  uint64
+	Config    *Config
+	Servers   []Server
+	Evacuated []string
+}
+
+func newView(c content) *View {
+	slices.Sort(c.Evacuated)
 	v := &View{
-		Revision: revision,
-		Config:   config,
+		Revision: c.Revision,
+		Config:   c.Config,
+		emptied:  c.Evacuated,
 		routes:   map[netip.AddrPort]*Route{},
 		services: map[string][]Server{},
 		agents:   map[netip.Addr]Server{},
 	}
-	if config != nil {
-		for i := range config.Routes {
-			v.routes[config.Routes[i].Called] = &config.Routes[i]
-			v.Lowest = max(v.Lowest, config.Routes[i].Priority)
+	if c.Config != nil {
+		for i := range c.Config.Routes {
+			r := &c.Config.Routes[i]
+			v.routes[r.Called] = r
+			v.Lowest = max(v.Lowest, r.Priority)
 		}
 	}
 	// A server that starts at the address of one whose entry has not lapsed yet is
 	// the one that is there now.
-	slices.SortFunc(servers, func(a, b Server) int { return cmp.Or(cmp.Compare(b.Born, a.Born), cmp.Compare(b.Created, a.Created)) })
+	slices.SortFunc(c.Servers, func(a, b Server) int { return cmp.Or(cmp.Compare(b.Born, a.Born), cmp.Compare(b.Created, a.Created)) })
 	var addresses []netip.Addr
-	for _, s := range servers {
+	for _, s := range c.Servers {
 		if _, ok := v.agents[s.Addr.Addr()]; ok {
 			continue
 		}
@@ -63,6 +75,25 @@
 	return s, ok
 }
 
+// Evacuated says whether the servers of a failure domain get no new flows by the operator's order.
+func (v *View) Evacuated(domain string) bool {
+	_, found := slices.BinarySearch(v.emptied, domain)
+	return found
+}
+
+// EvacuatedDomains returns the failure domains that are evacuated, in order. The caller doesn't change the list.
+func (v *View) EvacuatedDomains() []string { return v.emptied }
+
+// AgentsIn is the number of agents beside servers of a failure domain; 0 for a domain that nobody knows.
+func (v *View) AgentsIn(domain string) (count int) {
+	for _, s := range v.agents {
+		if s.Domain == domain {
+			count++
+		}
+	}
+	return count
+}
+
 // Version is the configuration's version, or 0.
 func (v *View) Version() int64 {
 	if v.Config == nil {
--- a/internal/ctrl/follow/follow.go
+++ b/internal/ctrl/follow/follow.go
@@ -223,11 +223,13 @@
 
 // Learn takes a change in that came from a peer, and passes it on.
 func (n *Node) Learn(now time.Time, from netip.Addr, c belief.Change) {
+	before := n.Log.View()
 	switch n.Log.Apply(now, c) {
 	case belief.Behind:
 		n.Noticed(from, c.To)
 	case belief.News:
 		n.note(now, "peer", c)
+		n.noteEvacuations(before)
 		n.tell(now, &c, false)
 		n.Changed()
 	case belief.Old:
--- a/internal/ctrl/follow/read.go
+++ b/internal/ctrl/follow/read.go
@@ -99,8 +99,10 @@
 	if regained {
 		n.Events.State("platform-regained").Uint64("revision", c.To).Send()
 	}
+	before := n.Log.View()
 	if n.Log.Apply(now, c) == belief.News {
 		n.note(now, "platform", c)
+		n.noteEvacuations(before)
 		n.tell(now, &c, true)
 		n.Changed()
 		return
--- a/internal/flow/msgs/packet.go
+++ b/internal/flow/msgs/packet.go
@@ -115,20 +115,21 @@
 
 // The reasons.
 const (
-	WhyServer   Why = iota + 1 // the server returned it
-	WhyDown                    // nothing listens at the server's address
-	WhyDraining                // the server takes no new flows
-	WhyLeaving                 // the agent is being stopped
-	WhyService                 // the agent's server belongs to another service
-	WhyRoute                   // a newer configuration doesn't let it
-	WhyTable                   // the agent's table is full
-	WhyBusy                    // more flows wait than can be served before their callers give up
-	WhyMute                    // the server doesn't answer
-	WhyFails                   // the server breaks off its requests
+	WhyServer    Why = iota + 1 // the server returned it
+	WhyDown                     // nothing listens at the server's address
+	WhyDraining                 // the server takes no new flows
+	WhyLeaving                  // the agent is being stopped
+	WhyService                  // the agent's server belongs to another service
+	WhyRoute                    // a newer configuration doesn't let it
+	WhyTable                    // the agent's table is full
+	WhyBusy                     // more flows wait than can be served before their callers give up
+	WhyMute                     // the server doesn't answer
+	WhyFails                    // the server breaks off its requests
+	WhyEvacuated                // the server's failure domain is evacuated
 )
 
 var whys = [...]string{WhyServer: "server", WhyDown: "down", WhyDraining: "draining", WhyLeaving: "leaving",
-	WhyService: "service", WhyRoute: "route", WhyTable: "table", WhyBusy: "busy", WhyMute: "mute", WhyFails: "fails"}
+	WhyService: "service", WhyRoute: "route", WhyTable: "table", WhyBusy: "busy", WhyMute: "mute", WhyFails: "fails", WhyEvacuated: "evacuated"}
 
 // String returns the reason as logs and counters show it.
 func (w Why) String() string {
--- a/internal/flow/owner/agent.go
+++ b/internal/flow/owner/agent.go
@@ -81,6 +81,9 @@
 	}
 }
 
+// Len is the number of flows.
+func (t *Agent) Len() int { return len(t.flows) }
+
 // All calls yield with each flow until it returns false.
 func (t *Agent) All(yield func(segs.Flow, *Own) bool) {
 	for f, o := range t.flows {
--- a/internal/flow/owner/entry.go
+++ b/internal/flow/owner/entry.go
@@ -107,6 +107,13 @@
 	p.Candidates = append(p.Candidates, Candidate{Agent: agent, Seq: seq, Opened: true})
 }
 
+// Returned notes that an agent has handed the opening packet back. If it had said that the flow waits there, nobody has the flow now.
+func (p *Places) Returned(agent netip.Addr) {
+	if last := p.Last(); last != nil && last.Agent == agent && !p.Owner.IsValid() {
+		p.Told = false
+	}
+}
+
 // Drop removes an agent that doesn't hold the flow.
 func (p *Places) Drop(agent netip.Addr) {
 	for i := range p.Candidates {
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -92,6 +92,7 @@
 	doubted map[netip.Addr]*doubt // agents that have left something unanswered
 	ending  []segs.Flow           // of lost agents, whose callers are to be told
 	cold    map[string]time.Time  // server ID -> until when
+	emptied map[string]uint64     // failure domains that agents called evacuated, and their revision: this entry is behind
 	buf     []byte                // of the message being sent
 	packet  []byte                // of the reset being sent
 }
@@ -105,6 +106,7 @@
 		agents:  detect.New(cutOff),
 		doubted: map[netip.Addr]*doubt{},
 		cold:    map[string]time.Time{},
+		emptied: map[string]uint64{},
 	}
 }
 
@@ -150,6 +152,7 @@
 			delete(e.cold, id)
 		}
 	}
+	e.caughtUp(v)
 }
 
 // FromCaller takes a packet from a caller.
--- a/internal/node/edge/peer.go
+++ b/internal/node/edge/peer.go
@@ -64,10 +64,12 @@
 		e.refuse(now, &s, "busy") // several agents were asked, and none can serve it in time
 		return
 	}
+	p.Returned(from)
 	if p.Told || opened(p) {
 		return // another server has taken it meanwhile
 	}
 	v := e.Log.View()
+	e.noteEvacuated(v, from, &m)
 	route := v.Route(s.Flow.Called())
 	if route == nil {
 		e.unrouted(now, v, &s)
--- a/internal/node/edge/place.go
+++ b/internal/node/edge/place.go
@@ -51,7 +51,7 @@
 	candidates := e.candidates(now, v, route, s.Flow)
 	agent, ok := e.chooser.Choose(now, candidates, tried)
 	if !ok || p.Tries >= maxTries {
-		e.unplaceable(now, v, p, s, datagram, len(candidates))
+		e.unplaceable(now, v, route, p, s, datagram, len(candidates))
 		return
 	}
 	p.Candidates = append(p.Candidates, owner.Candidate{Agent: agent})
@@ -72,13 +72,13 @@
 
 // unplaceable ends the search for a server for a new flow. While an agent may still answer, the
 // caller's next copy goes there again; otherwise the flow is refused.
-func (e *Entry) unplaceable(now time.Time, v *belief.View, p *owner.Places, s *segs.Segment, datagram []byte, servers int) {
+func (e *Entry) unplaceable(now time.Time, v *belief.View, route *belief.Route, p *owner.Places, s *segs.Segment, datagram []byte, servers int) {
 	if last := p.Last(); last != nil {
 		e.carry(v, last.Agent, datagram)
 		return
 	}
 	if servers == 0 {
-		e.refuse(now, s, "unserved")
+		e.refuse(now, s, e.unservedWhy(v, pick(route.Shares, s.Flow)))
 		return
 	}
 	e.refuse(now, s, "untaken")
@@ -88,7 +88,7 @@
 // flow's hash picks one, so that copies by other entries go to the same.
 func (e *Entry) candidates(now time.Time, v *belief.View, route *belief.Route, f segs.Flow) (list []steer.Candidate) {
 	for _, s := range v.Servers(pick(route.Shares, f)) {
-		if s.State == belief.Unknown {
+		if s.State == belief.Unknown || e.evacuated(v, s.Domain) {
 			continue
 		}
 		list = append(list, steer.Candidate{
--- a/internal/node/local/caller.go
+++ b/internal/node/local/caller.go
@@ -161,7 +161,7 @@
 	v := a.Log.View()
 	self, _ := a.self(v)
 	for _, s := range v.Servers(a.Service) {
-		if s.State == belief.Ready && s.Addr.Addr() != a.Self {
+		if s.State == belief.Ready && s.Addr.Addr() != a.Self && !v.Evacuated(s.Domain) {
 			agents = append(agents, share.Server{Agent: s.Addr.Addr(), Near: s.Domain == self.Domain})
 		}
 	}
@@ -189,6 +189,8 @@
 		// The address was another service's server's until a moment ago, and the entry
 		// doesn't know yet. Without the check its flow would run on a foreign service.
 		return msgs.WhyService
+	case v.Evacuated(a.Domain):
+		return msgs.WhyEvacuated
 	case a.leaving:
 		return msgs.WhyLeaving
 	case now.Sub(a.down) < downFor:
--- a/internal/node/local/counts.go
+++ b/internal/node/local/counts.go
@@ -17,6 +17,8 @@
 	searchTime = metrics.NewHistogram(`mangowinch_search_seconds`)
 	openTime   = metrics.NewHistogram(`mangowinch_open_seconds`)
 	answerTime = metrics.NewHistogram(`mangowinch_answer_seconds`)
+
+	evacuatedFlows = metrics.NewGauge(`mangowinch_evacuated_flows`, nil)
 )
 
 // dropped counts a packet that went nowhere.
--- a/internal/node/local/local.go
+++ b/internal/node/local/local.go
@@ -50,6 +50,7 @@
 // Config is what an Agent is made of.
 type Config struct {
 	Self    netip.Addr
+	Domain  string // failure domain
 	Service string
 	Backend netip.AddrPort
 	Log     *belief.Log
@@ -104,6 +105,7 @@
 	ending   []segs.Flow // that rest at a server that breaks off its requests
 	server   sight
 	down     time.Time // when the server's address was last found closed
+	emptied  bool      // the agent has believed its failure domain evacuated
 	unheard  time.Time // when the first packet went to the server that it has sent nothing after
 	tried    time.Time // when a mute server last got an opening packet
 	buf      []byte
@@ -179,6 +181,7 @@
 	a.expireProbes(now)
 	a.tickSearches(now)
 	a.tickRounds(now)
+	a.countResting()
 }
 
 func (a *Agent) idle() time.Duration {
@@ -193,6 +196,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	v := a.Log.View()
+	a.evacuate(now, v)
 	if self, ok := a.self(v); ok {
 		a.see(v, self)
 	} else if a.server.first == 0 {
@@ -225,7 +229,8 @@
 
 // see notes which start of the server is there now. One whose entry was first written after the
 // agent's first belief, and that is still cold, has started beside a running agent, which so
-// sees all of its flows. An entry that lapsed and came back is no new start: it isn't cold.
+// sees all of its flows. An entry that lapsed and came back is no new start: it isn't cold, unless an
+// evacuation has made servers cold that are there all the while.
 func (a *Agent) see(v *belief.View, self belief.Server) {
 	if a.server.first == 0 {
 		a.server.first = v.Revision
@@ -234,7 +239,7 @@
 		return
 	}
 	a.server.id, a.server.born = self.ID, self.Born
-	a.server.whole = self.Created > a.server.first && self.Cold > 0
+	a.server.whole = self.Created > a.server.first && self.Cold > 0 && !a.emptied
 	a.Events.State("server").Str("id", self.ID).Uint64("created", self.Created).Dur("cold", self.Cold).
 		Bool("whole", a.server.whole).Send()
 }
--- a/internal/node/opaque/agent.go
+++ b/internal/node/opaque/agent.go
@@ -30,6 +30,7 @@
 	}
 	g = local.New(local.Config{
 		Self:    s.Link.Addr(),
+		Domain:  s.Process.Domain,
 		Service: s.Agent.Service,
 		Backend: s.Agent.Backend,
 		Log:     p.log,
--- a/internal/node/opaque/opaque.go
+++ b/internal/node/opaque/opaque.go
@@ -168,12 +168,13 @@
 
 // Belief is the section of /status on what the process believes.
 type Belief struct {
-	Revision uint64 `json:"revision"`
-	Version  int64  `json:"version"`
-	Age      string `json:"age"`
-	Reading  bool   `json:"reading"`
-	Agents   int    `json:"agents"`
-	Entries  int    `json:"entries"`
+	Revision  uint64   `json:"revision"`
+	Version   int64    `json:"version"`
+	Age       string   `json:"age"`
+	Reading   bool     `json:"reading"`
+	Agents    int      `json:"agents"`
+	Entries   int      `json:"entries"`
+	Evacuated []string `json:"evacuated,omitempty"` // failure domains
 }
 
 func (p *process) belief() Belief {
@@ -183,11 +184,12 @@
 		age = d.Round(time.Millisecond).String()
 	}
 	return Belief{
-		Revision: v.Revision,
-		Version:  v.Version(),
-		Age:      age,
-		Reading:  p.follow.Reading(),
-		Agents:   len(v.Homes.Agents()),
-		Entries:  len(p.follow.Entries()),
+		Revision:  v.Revision,
+		Version:   v.Version(),
+		Age:       age,
+		Reading:   p.follow.Reading(),
+		Agents:    len(v.Homes.Agents()),
+		Entries:   len(p.follow.Entries()),
+		Evacuated: v.EvacuatedDomains(),
 	}
 }
