An answer whose closing packet comes first is an answer

Their server sends the packet that closes the flow before its data, or it overtakes it, and the request ended without being counted as answered.

Effect: the circuit breaker of a server with such flows only (uploads) never heard of an answer, so that five requests broken off at any time, hours apart, opened it, and nothing closed it: one new flow each 400 ms from then on. The average answer time was that of other flows. The test failed first.

--- a/internal/flow/owner/agent.go
+++ b/internal/flow/owner/agent.go
@@ -151,7 +151,7 @@
 	if s.Has(segs.Ack) && (!o.started || int32(s.Ack-o.end) > 0) {
 		o.end, o.started = s.Ack, true // what the server has is nothing new if it comes again
 	}
-	if s.Len > 0 && o.Busy() {
+	if o.Busy() && answers(s) {
 		took = now.Sub(o.Asked)
 		t.work.answered(took)
 		o.Asked = time.Time{}
@@ -166,6 +166,10 @@
 	return took
 }
 
+// answers says whether a server's packet is an answer's first to come. On a flow for one request the packet that closes it may
+// overtake the data before it; not counted as an answer, a server of such flows would seem never to answer any.
+func answers(s *segs.Segment) bool { return s.Len > 0 || s.Has(segs.Fin) && !s.Has(segs.Rst) }
+
 // Lives bound how long flows are remembered.
 type Lives struct {
 	Idle    time.Duration // without a packet
--- a/internal/flow/owner/owner_test.go
+++ b/internal/flow/owner/owner_test.go
@@ -102,6 +102,18 @@
 	assert.Equal(t, table.Expected(now), 0)
 }
 
+// Guards against a server that seems never to answer: the packet that closes a flow overtakes the answer's data.
+func TestClosingPacketBeforeItsDataIsAnAnswer(t *testing.T) {
+	table := NewAgent(10, parts.Off{})
+	o := table.Add(now, flow)
+	table.FromCaller(now, o, data(1))
+	after := now.Add(30 * time.Millisecond)
+	took := table.FromServer(after, o, &segs.Segment{Flow: flow, FromServer: true, Flags: segs.Ack | segs.Fin, Seq: 201, Ack: 101})
+	assert.Equal(t, took, 30*time.Millisecond)
+	took = table.FromServer(after, o, &segs.Segment{Flow: flow, FromServer: true, Flags: segs.Ack, Seq: 1, Ack: 101, Len: 200})
+	assert.Equal(t, took, time.Duration(0), "counted once")
+}
+
 // An agent has restarted and learns a flow from its server's acknowledgement, while the caller repeats the
 // request that the server already has.
 func TestAcknowledgedDataIsNoRequest(t *testing.T) {
