Few processes call a platform that is away, and changes in a row are read together

At the start of all, two readers made a call for each change for four seconds.

Change: who calls a platform that doesn't answer says so in its beacons; four do it for all, the others wait for their news, and one or two a second go on volunteering, since those four may be the ones that are turned away. A reader's pause after news doubles up to 0.48 s as long as they come in a row.

Ruled out: a pause that grows with the fleet alone; a process can't tell an island of three from a fleet.

--- a/internal/ctrl/follow/follow.go
+++ b/internal/ctrl/follow/follow.go
@@ -21,7 +21,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"time"
@@ -64,6 +63,8 @@
 	// wantedReaders is how many processes read at a time: a second one bridges the
 	// second or two that a lost answer costs the first.
 	wantedReaders = 2
+	// wantedTriers is how many processes call a platform that doesn't answer.
+	wantedTriers = 4
 	// gossipEvery is how often a process tells a random peer what it knows. It heals
 	// what lost datagrams left behind and spreads who is there.
 	gossipEvery = time.Second
@@ -175,7 +176,8 @@
 			delete(n.peers, a)
 		}
 	}
-	if !n.reading && n.shouldRead(now) {
+	begins := !n.reading && n.shouldRead(now)
+	if begins {
 		n.reading = true
 		n.Events.State("reading-begins").Dur("age", now.Sub(n.asOf)).Uint64("revision", n.Log.Revision()).Send()
 		wake(n.kick)
@@ -198,6 +200,9 @@
 		n.gossiped = now
 		to = n.gossipTo()
 	}
+	if begins && n.trying(now) {
+		to = n.without(n.known(), widest) // before they begin too
+	}
 	message := n.beacon(now, reply)
 	n.mu.Unlock()
 	for _, a := range to {
@@ -205,22 +210,6 @@
 	}
 }
 
-// shouldRead says whether the process is to read the platform. n.mu is held.
-func (n *Node) shouldRead(now time.Time) bool {
-	if n.leaving {
-		return false
-	}
-	if n.asOf.IsZero() {
-		return n.Role == msgs.Entry || now.Sub(n.start) > agentPatience+time.Duration(rand.Int64N(int64(agentPatience)))
-	}
-	age := now.Sub(n.asOf)
-	if age > n.tooOld()+time.Duration(rand.Int64N(int64(n.Bound/10))) {
-		return true
-	}
-	// One of all volunteers within a second or so when there are too few readers.
-	return n.readers(now) < wantedReaders && rand.IntN(10*(len(n.peers)+1)) == 0
-}
-
 // Learn takes a change in that came from a peer, and passes it on.
 func (n *Node) Learn(now time.Time, from netip.Addr, c belief.Change) {
 	before := n.Log.View()
--- a/internal/ctrl/follow/peers.go
+++ b/internal/ctrl/follow/peers.go
@@ -15,6 +15,7 @@
 	domain  uint8 // belief.DomainHash; 0 until it has been heard
 	heard   time.Time
 	reading time.Time // last heard as a reader
+	trying  time.Time // last heard calling the platform without an answer
 	leaving bool
 }
 
@@ -38,28 +39,6 @@
 	return list
 }
 
-// readers counts the other processes that read. n.mu is held.
-func (n *Node) readers(now time.Time) (count int) {
-	for _, p := range n.peers {
-		if !p.leaving && now.Sub(p.reading) < 2*n.wait() {
-			count++
-		}
-	}
-	return count
-}
-
-// surplus says whether enough others read. The one with the higher address stays, so that not
-// all stop at once. n.mu is held.
-func (n *Node) surplus(now time.Time) bool {
-	above := 0
-	for a, p := range n.peers {
-		if !p.leaving && now.Sub(p.reading) < 2*n.wait() && n.Self.Less(a) {
-			above++
-		}
-	}
-	return above >= wantedReaders || n.leaving
-}
-
 // gossipTo picks whom to tell now: a random peer, or all seeds and agents for who
 // knows nothing yet. n.mu is held.
 func (n *Node) gossipTo() (to []netip.Addr) {
@@ -97,7 +76,7 @@
 
 // beacon encodes what the process knows. n.mu is held.
 func (n *Node) beacon(now time.Time, reply bool) []byte {
-	m := msgs.Beacon{Role: n.Role, Domain: belief.DomainHash(n.Domain), Reader: n.reading && !n.lost, Leaving: n.leaving, Reply: reply, Age: msgs.MaxAge}
+	m := msgs.Beacon{Role: n.Role, Domain: belief.DomainHash(n.Domain), Reader: n.reading && !n.lost, Trying: n.trying(now), Leaving: n.leaving, Reply: reply, Age: msgs.MaxAge}
 	m.Revision = n.Log.Revision()
 	if !n.asOf.IsZero() {
 		m.Age = uint32(min(now.Sub(n.asOf).Milliseconds(), int64(msgs.MaxAge-1)))
@@ -156,6 +135,9 @@
 	if m.Reader {
 		p.reading = now
 	}
+	if m.Trying {
+		p.trying = now
+	}
 	n.hearReaders(now, m.Readers)
 	for _, a := range m.Peers {
 		if a != n.Self {
--- a/internal/ctrl/follow/read.go
+++ b/internal/ctrl/follow/read.go
@@ -21,8 +21,10 @@
 	// lateness is how much later than asked a watch may return before its connection is
 	// taken for silent: a slow platform needs some 250 ms.
 	lateness = 400 * time.Millisecond
-	// pauseAfterNews gathers changes that come in a row into one answer.
+	// pauseAfterNews gathers changes that come in a row into one answer. It doubles up to mostPause as long as they do: when a whole
+	// fleet starts, hundreds come within seconds.
 	pauseAfterNews = 60 * time.Millisecond
+	mostPause      = 480 * time.Millisecond
 	// backoffLeast and backoffMost bound the pause after a failed call.
 	backoffLeast = 100 * time.Millisecond
 	backoffMost  = time.Second
@@ -32,6 +34,7 @@
 func (n *Node) readLoop(ctx context.Context) {
 	failures := 0
 	list := false
+	pause := pauseAfterNews
 	for {
 		if !n.Reading() {
 			failures = 0
@@ -42,6 +45,7 @@
 			}
 			continue
 		}
+		began := time.Now()
 		c, err := n.readOnce(ctx, list || n.Log.Revision() == 0)
 		if ctx.Err() != nil {
 			return
@@ -58,8 +62,12 @@
 		default:
 			failures = 0
 			n.confirmed(now, c)
+			if now.Sub(began) > pauseAfterNews {
+				pause = pauseAfterNews // the row is over
+			}
 			if len(c.Items) > 0 {
-				sleep(ctx, pauseAfterNews)
+				sleep(ctx, pause)
+				pause = min(2*pause, mostPause)
 			}
 		}
 		n.mayStop(now, failures)
@@ -117,20 +125,23 @@
 	n.lost = true
 	age := now.Sub(n.asOf)
 	n.mu.Unlock()
+	if _, known := n.Age(now); known {
+		n.tell(now, nil, true) // so that others leave it to this process
+	}
 	if first {
 		n.Events.State("platform-lost").Err(err).Dur("age", age).Int("failures", failures).Send()
 	}
 }
 
-// mayStop ends reading when others do it: enough of them, or any while the platform
-// doesn't answer this process.
+// mayStop ends reading when others do it: enough of them, any while the platform
+// doesn't answer this process, or enough that it doesn't answer either.
 func (n *Node) mayStop(now time.Time, failures int) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	others := n.readers(now)
 	fresh := !n.asOf.IsZero() && now.Sub(n.asOf) < n.tooOld()
 	spared := failures > 0 && others > 0 && fresh
-	if !n.surplus(now) && !spared {
+	if !n.surplus(now) && !spared && !n.surplusTrier(now) {
 		return
 	}
 	n.reading = false
--- /dev/null
+++ b/internal/ctrl/follow/turn.go
@@ -0,0 +1,80 @@
+package follow
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"mangowinch/internal/flow/msgs"
+)
+
+// Whose turn it is to read the platform.
+//
+// Two processes read while the platform answers. While it is away every belief grows too old at the same time, and every process would
+// read: a fleet of a hundred then makes hundreds of calls a second, all of them priced, and the platform is met by them when it
+// comes back. So a few try for all, say so in their beacons, and the others wait for their news. Those who try may be the very ones
+// that the platform turns away, or have just been killed, so that others go on volunteering, one or two a second.
+
+// volunteerOnce is the mean number of ticks in which one process of all volunteers.
+const volunteerOnce = 10
+
+// shouldRead says whether the process is to read the platform. n.mu is held.
+func (n *Node) shouldRead(now time.Time) bool {
+	if n.leaving {
+		return false
+	}
+	if n.asOf.IsZero() {
+		return n.Role == msgs.Entry || now.Sub(n.start) > agentPatience+time.Duration(rand.Int64N(int64(agentPatience)))
+	}
+	others := len(n.peers)
+	if now.Sub(n.asOf) > n.tooOld() && n.triers(now) < wantedTriers {
+		return rand.IntN(others+1) < wantedTriers // a few of all in each tick, before they hear of each other
+	}
+	return n.readers(now) < wantedReaders && rand.IntN(volunteerOnce*(others+1)) == 0
+}
+
+// trying says whether the process calls a platform that doesn't answer, or that seems to answer nobody. n.mu is held.
+func (n *Node) trying(now time.Time) bool {
+	return n.reading && !n.asOf.IsZero() && (n.lost || now.Sub(n.asOf) > n.tooOld())
+}
+
+// readers counts the other processes that read. n.mu is held.
+func (n *Node) readers(now time.Time) (count int) {
+	return n.count(now, func(_ netip.Addr, p *peer) time.Time { return p.reading })
+}
+
+// triers counts the other processes that call the platform without an answer. n.mu is held.
+func (n *Node) triers(now time.Time) (count int) {
+	return n.count(now, func(_ netip.Addr, p *peer) time.Time { return p.trying })
+}
+
+// count counts the other processes for which something was heard lately. n.mu is held.
+func (n *Node) count(now time.Time, heard func(netip.Addr, *peer) time.Time) (count int) {
+	for a, p := range n.peers {
+		if !p.leaving && now.Sub(heard(a, p)) < 2*n.wait() {
+			count++
+		}
+	}
+	return count
+}
+
+// surplus says whether enough others read. The ones with the higher addresses stay, so that not
+// all stop at once. n.mu is held.
+func (n *Node) surplus(now time.Time) bool {
+	above := n.count(now, func(a netip.Addr, p *peer) time.Time { return n.above(a, p.reading) })
+	return above >= wantedReaders || n.leaving
+}
+
+// surplusTrier says whether enough others call a platform that doesn't answer. n.mu is held.
+func (n *Node) surplusTrier(now time.Time) bool {
+	above := n.count(now, func(a netip.Addr, p *peer) time.Time { return n.above(a, p.trying) })
+	return n.lost && above >= wantedTriers
+}
+
+// above returns a time for processes with a higher address than this one's, and the zero time for others.
+func (n *Node) above(a netip.Addr, at time.Time) time.Time {
+	if n.Self.Less(a) {
+		return at
+	}
+	return time.Time{}
+}
--- a/internal/flow/msgs/beacon.go
+++ b/internal/flow/msgs/beacon.go
@@ -20,6 +20,7 @@
 	Role    Role
 	Domain  uint8        // belief.DomainHash of the sender's failure domain
 	Reader  bool         // the sender reads the platform itself
+	Trying  bool         // the sender calls the platform and gets no answer
 	Leaving bool         // the sender is being stopped
 	Reply   bool         // wants a beacon back
 	Age     uint32       // milliseconds; maxAge stands for never
@@ -43,7 +44,7 @@
 // AppendTo appends the encoded message.
 func (m *Beacon) AppendTo(b []byte) []byte {
 	b = m.appendTo(b, KindBeacon)
-	b = append(b, byte(m.Role), m.Domain, flag(m.Reader)|flag(m.Leaving)<<1|flag(m.Reply)<<2)
+	b = append(b, byte(m.Role), m.Domain, flag(m.Reader)|flag(m.Leaving)<<1|flag(m.Reply)<<2|flag(m.Trying)<<3)
 	b = binary.LittleEndian.AppendUint32(b, m.Age)
 	b = append(b, byte(len(m.Readers)))
 	for _, r := range m.Readers {
@@ -60,7 +61,7 @@
 	if len(b) < beaconSize || len(b) < beaconSize+int(b[beaconSize-1])*readerSize {
 		return Beacon{}, ErrShort
 	}
-	m = Beacon{Head: h, Role: Role(b[0]), Domain: b[1], Reader: b[2]&1 != 0, Leaving: b[2]&2 != 0, Reply: b[2]&4 != 0}
+	m = Beacon{Head: h, Role: Role(b[0]), Domain: b[1], Reader: b[2]&1 != 0, Leaving: b[2]&2 != 0, Reply: b[2]&4 != 0, Trying: b[2]&8 != 0}
 	m.Age = binary.LittleEndian.Uint32(b[3:])
 	count := int(b[beaconSize-1])
 	b = b[beaconSize:]
