A cold server gets no more new flows than its service states

Cause: a service may state what a server bears in the seconds after its start (0 on all deployments so far: not limited).

Change: warm-up time and rate come with the configuration; the agent beside the server counts its new flows in a sliding second (package warm), passes the rest on or lets them wait, no more than can be served while their callers wait. A server that was away and answers again counts as cold until its entry says otherwise. An entry's own memory of who is cold follows the servers' entries, also without a new start, instead of 3 s at most.

Not covered: an agent and its server that start together while the platform is away are taken for warm by an older entry.

--- a/internal/ctrl/belief/belief.go
+++ b/internal/ctrl/belief/belief.go
@@ -65,10 +65,18 @@
 	Target   time.Duration // in which requests are to be answered
 }
 
+// WarmUp is what a service states of its servers that have just started.
+type WarmUp struct {
+	Service string
+	Time    time.Duration // how long a server is cold after its start
+	Rate    float64       // requests a second that a cold server bears; 0: not limited
+}
+
 // Config is one version of the configuration.
 type Config struct {
 	Version int64
 	Routes  []Route
+	WarmUps []WarmUp      `json:",omitempty"` // of services that limit a cold server
 	Idle    time.Duration // after which a flow without packets may be forgotten
 }
 
--- a/internal/ctrl/belief/view.go
+++ b/internal/ctrl/belief/view.go
@@ -108,6 +108,18 @@
 	return r != nil && slices.ContainsFunc(r.Shares, func(s Share) bool { return s.Service == service && s.Weight > 0 })
 }
 
+// WarmUp is what a service states of its cold servers; its rate is 0 if nothing is stated.
+func (v *View) WarmUp(service string) WarmUp {
+	if v.Config == nil {
+		return WarmUp{}
+	}
+	i := slices.IndexFunc(v.Config.WarmUps, func(w WarmUp) bool { return w.Service == service })
+	if i < 0 {
+		return WarmUp{}
+	}
+	return v.Config.WarmUps[i]
+}
+
 // Hash names a service in messages.
 func Hash(service string) uint32 { return uint32(xxhash.Sum64String(service)) }
 
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -75,8 +75,6 @@
 	idleLeast = 5 * time.Second
 	// maxTries is how many agents get the opening packet of one flow from this entry.
 	maxTries = 4
-	// coldFor is how long a server counts as cold after it was first seen, if it said that it is.
-	coldFor = 3 * time.Second
 )
 
 // Entry is one running entry's state.
@@ -91,12 +89,19 @@
 	answers uint64                // of agents, to anything that the entry sent
 	doubted map[netip.Addr]*doubt // agents that have left something unanswered
 	ending  []segs.Flow           // of lost agents, whose callers are to be told
-	cold    map[string]time.Time  // server ID -> until when
+	cold    map[string]warmth     // by server ID
 	emptied map[string]uint64     // failure domains that agents called evacuated, and their revision: this entry is behind
 	buf     []byte                // of the message being sent
 	packet  []byte                // of the reset being sent
 }
 
+// warmth is how long a server is cold, by its last entry. It may turn cold without a new start, when its failure domain is
+// taken back.
+type warmth struct {
+	left  time.Duration // that the entry says
+	until time.Time
+}
+
 // New returns an entry without flows.
 func New(c Config) *Entry {
 	return &Entry{
@@ -105,7 +110,7 @@
 		chooser: steer.New(c.Domain, c.Rand, c.Off),
 		agents:  detect.New(cutOff),
 		doubted: map[netip.Addr]*doubt{},
-		cold:    map[string]time.Time{},
+		cold:    map[string]warmth{},
 		emptied: map[string]uint64{},
 	}
 }
@@ -143,8 +148,8 @@
 	for _, a := range v.Homes.Agents() {
 		s, _ := v.Server(a)
 		present[s.ID] = true
-		if _, seen := e.cold[s.ID]; !seen {
-			e.cold[s.ID] = now.Add(min(s.Cold, coldFor))
+		if w, seen := e.cold[s.ID]; !seen || w.left != s.Cold {
+			e.cold[s.ID] = warmth{left: s.Cold, until: now.Add(s.Cold)}
 		}
 	}
 	for id := range e.cold {
--- a/internal/node/local/caller.go
+++ b/internal/node/local/caller.go
@@ -89,7 +89,7 @@
 	if r := a.Log.View().Route(s.Flow.Called()); r != nil {
 		w.Priority, w.Target = r.Priority, r.Target
 	}
-	if last := a.waiting.Add(now, w, a.slots()*waitingPerSlot); last != nil {
+	if last := a.waiting.Add(now, w, a.waitingLimit(now)); last != nil {
 		a.handBackWaiting(now, last, msgs.WhyBusy)
 		if last == w {
 			return
@@ -108,9 +108,19 @@
 // served before their callers give up, and half of the slots go to flows that are in time.
 const waitingPerSlot = 15
 
+// waitingLimit is how many flows may wait: no more than the server can be given before their callers give up.
+func (a *Agent) waitingLimit(now time.Time) int {
+	limit := a.slots() * waitingPerSlot
+	rate := a.Log.View().WarmUp(a.Service).Rate
+	if rate <= 0 || !a.warmth.Cold(now) {
+		return limit
+	}
+	return min(limit, max(1, int(rate*a.Callers.Patience().Seconds())))
+}
+
 // admit gives the server the flows that it has room for.
 func (a *Agent) admit(now time.Time) {
-	for a.waiting.Len() > 0 {
+	for a.waiting.Len() > 0 && a.mayOpen(now) {
 		expected := a.flows.Expected(now)
 		if a.Off.Waiting {
 			expected = 0
@@ -125,6 +135,7 @@
 			continue
 		}
 		o.Origin = w.Origin
+		a.warmth.Took(now)
 		if a.unheard.IsZero() {
 			a.unheard = now
 		}
@@ -151,9 +162,13 @@
 	return 1
 }
 
-// work is how busy the own server is, in hundredths of its slots.
+// work is how busy the own server is, in hundredths of its slots. One that is cold and has had its share counts as full.
 func (a *Agent) work(now time.Time) uint16 {
-	return uint16(min((a.flows.Expected(now)+a.flows.Overdue(now)+a.waiting.Len())*100/a.slots(), 0xffff))
+	requests := a.flows.Expected(now) + a.flows.Overdue(now)
+	if !a.mayOpen(now) {
+		requests = max(requests, a.slots())
+	}
+	return uint16(min((requests+a.waiting.Len())*100/a.slots(), 0xffff))
 }
 
 // others lists the agents of the service whose servers take new flows.
--- /dev/null
+++ b/internal/node/local/cold.go
@@ -0,0 +1,38 @@
+package local
+
+import (
+	"time"
+
+	"mangowinch/internal/ctrl/belief"
+)
+
+// A server that has just started (package warm).
+//
+// Its entry says how much longer it is cold. Before the entry is known the agent tells by itself: a server whose address was closed, or
+// that said nothing, and that answers again may have started anew.
+
+// unseen stands for an entry whose remaining time hasn't been read yet.
+const unseen = time.Duration(-1)
+
+// seeCold takes the entry's word. An entry that says the same as before hasn't been written again.
+func (a *Agent) seeCold(now time.Time, self belief.Server) {
+	if self.Cold == a.server.cold {
+		return
+	}
+	a.server.cold = self.Cold
+	a.warmth.ColdFor(now, self.Cold)
+}
+
+// heardServer notes that the server has sent something.
+func (a *Agent) heardServer(now time.Time) {
+	away := !a.down.IsZero() || !a.unheard.IsZero() && now.Sub(a.unheard) >= muteAfter
+	if away {
+		a.warmth.AtLeast(now, a.Log.View().WarmUp(a.Service).Time)
+	}
+	a.down, a.unheard = time.Time{}, time.Time{}
+}
+
+// mayOpen says whether the server may get a new flow as far as its warm-up goes.
+func (a *Agent) mayOpen(now time.Time) bool {
+	return a.warmth.Allows(now, a.Log.View().WarmUp(a.Service).Rate)
+}
--- a/internal/node/local/local.go
+++ b/internal/node/local/local.go
@@ -32,6 +32,7 @@
 	"mangowinch/internal/load/hold"
 	"mangowinch/internal/load/parts"
 	"mangowinch/internal/load/trip"
+	"mangowinch/internal/load/warm"
 	"mangowinch/internal/oper/event"
 )
 
@@ -102,6 +103,7 @@
 	rounds   *seek.Rounds          // as a lead
 	leaving  bool
 	breaker  trip.Breaker
+	warmth   warm.Limiter
 	ending   []segs.Flow // that rest at a server that breaks off its requests
 	server   sight
 	down     time.Time // when the server's address was last found closed
@@ -199,6 +201,7 @@
 	a.evacuate(now, v)
 	if self, ok := a.self(v); ok {
 		a.see(v, self)
+		a.seeCold(now, self)
 	} else if a.server.first == 0 {
 		a.server.first = v.Revision
 	}
@@ -224,7 +227,8 @@
 	first uint64 // revision of the agent's first belief
 	id    string
 	born  int64
-	whole bool // the agent has run since before the server started
+	cold  time.Duration // how much longer it was to be cold by the last entry
+	whole bool          // the agent has run since before the server started
 }
 
 // see notes which start of the server is there now. One whose entry was first written after the
@@ -238,7 +242,7 @@
 	if self.ID == a.server.id && self.Born == a.server.born {
 		return
 	}
-	a.server.id, a.server.born = self.ID, self.Born
+	a.server.id, a.server.born, a.server.cold = self.ID, self.Born, unseen
 	a.server.whole = self.Created > a.server.first && self.Cold > 0 && !a.emptied
 	a.Events.State("server").Str("id", self.ID).Uint64("created", self.Created).Dur("cold", self.Cold).
 		Bool("whole", a.server.whole).Send()
--- a/internal/node/local/server.go
+++ b/internal/node/local/server.go
@@ -18,7 +18,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.down, a.unheard = time.Time{}, time.Time{}
+	a.heardServer(now)
 	if s.Has(segs.Returned) {
 		a.Codec.Restore(datagram)
 		s.Flags &^= segs.Returned
