A service document empties failure domains by one word

evacuate = DOMAIN in [service] makes the service's servers there leave, so that an operator of the product's own interface can empty a failure domain as on the users' platform. A domain without a server of the service is a fault that the check names. Leaving by document is what entries and agents know already: no new work, open flows go on.

--- a/internal/conf/docs/docs.go
+++ b/internal/conf/docs/docs.go
@@ -51,6 +51,8 @@
 	Callers []Caller       // ordered as declared
 	Current string         // name of the key that new connection IDs are sealed with
 	Former  []string       // names of keys that open connection IDs besides: former ones and the next one
+	// Evacuated are the failure domains whose servers get no new work; Parse has made these Leaving.
+	Evacuated []string
 }
 
 // Server is one backend server instance and the agent beside it.
--- a/internal/conf/docs/docs_test.go
+++ b/internal/conf/docs/docs_test.go
@@ -35,6 +35,17 @@
 	assert.Assert(t, !ok)
 }
 
+// Guards against a failure domain that is to be emptied and whose servers still get new work, and against a slip in its name.
+func TestServersOfAnEvacuatedDomainLeave(t *testing.T) {
+	good := string(read(t, "good.ini"))
+	s, err := Parse("good.ini", []byte(strings.Replace(good, "former =", "evacuate = zg-a\nformer =", 1)))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, s.Evacuated, []string{"zg-a"})
+	assert.Equal(t, s.Servers[0].State, Leaving)
+	_, err = Parse("good.ini", []byte(strings.Replace(good, "former =", "evacuate = zg-z\nformer =", 1)))
+	assert.ErrorContains(t, err, "no server is in zg-z")
+}
+
 // A team mends a document and sends it again. If only the first fault were shown it
 // would take a try per fault; and a typing error in a key that is silently
 // ignored would put a default in force on the whole fleet.
--- a/internal/conf/docs/parse.go
+++ b/internal/conf/docs/parse.go
@@ -30,8 +30,10 @@
 
 	f := strict.Read(file, text)
 	s := &Service{}
-	readService(f.One("service"), s)
+	head := f.One("service")
+	readService(head, s)
 	readServers(f, s)
+	evacuate(head, s)
 	readClasses(f, s)
 	readCallers(f, s)
 	if err := f.Err(); err != nil {
@@ -53,6 +55,25 @@
 	}
 }
 
+// evacuate makes the servers of failure domains that are to be emptied leave.
+func evacuate(from *strict.Section, s *Service) {
+	if !from.Has("evacuate") {
+		return
+	}
+	s.Evacuated = from.Words("evacuate")
+	for _, domain := range s.Evacuated {
+		known := false
+		for i := range s.Servers {
+			if s.Servers[i].Domain == domain {
+				s.Servers[i].State, known = Leaving, true
+			}
+		}
+		if !known {
+			from.Fault("evacuate", strict.Invalid, "no server is in "+domain)
+		}
+	}
+}
+
 func readServers(f *strict.File, s *Service) {
 	ids := map[uint32]string{}
 	agents := map[netip.AddrPort]string{}
