--- /dev/null
+++ b/internal/node/doubt/doubt.go
@@ -0,0 +1,132 @@
+// Package doubt watches the agents that have left something unanswered, and says which are lost.
+//
+// An agent in doubt is asked whether it is alive, directly and by way of other agents, by the bounds of a failure detector
+// (package detect) of its own. Entries and agents both need that: an entry tells callers whose agent is lost, and an agent that looks for
+// a flow's owner doesn't wait for one that is lost.
+//
+// What looks alike and is not a loss:
+//   - Only the way between the observer and the agent is broken: the helpers reach it.
+//   - What the observer sends is lost: nobody answers any of its questions.
+//   - The observer was frozen: its time doesn't count (package detect).
+//   - The agent is stopped as planned: it has said so, and is never lost. It is killed and starts again: it is back before the bound.
+//
+// The package sends nothing by itself and says nothing of what follows from a loss. It is not safe for concurrent use.
+//
+// # Usage
+//
+//	w := doubt.New(voucher, rand)
+//	w.Doubt(now, agent)
+//	w.Heard(agent)
+//	lost := w.Tick(now, agents, leaving)
+package doubt
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"mangowinch/internal/load/detect"
+)
+
+// lostAfter is when an agent is lost: 0.95 s after the first unanswered packet. Killed ones are back after 0.65 s.
+var lostAfter = detect.Bounds{Doubt: 150 * time.Millisecond, Wait: 200 * time.Millisecond, Checks: 4}
+
+// helpers is how many other agents ask a doubted one too.
+const helpers = 2
+
+// Voucher asks whether a process is alive, directly and by way of helpers.
+type Voucher interface {
+	Ask(target netip.Addr, helpers []netip.Addr)
+}
+
+// Watch is one observer's doubts.
+type Watch struct {
+	voucher Voucher
+	rand    *rand.Rand
+	agents  map[netip.Addr]*agent
+	answers uint64 // of others, to anything that the observer sent
+}
+
+// agent is one in doubt.
+type agent struct {
+	*detect.Detector
+	answers uint64 // to the observer when the doubt began
+}
+
+// New returns a watch without doubts.
+func New(v Voucher, r *rand.Rand) *Watch {
+	return &Watch{voucher: v, rand: r, agents: map[netip.Addr]*agent{}}
+}
+
+// Doubt notes that an agent has left something unanswered.
+func (w *Watch) Doubt(now time.Time, a netip.Addr) {
+	d := w.agents[a]
+	if d == nil {
+		d = &agent{detect.New(lostAfter), w.answers}
+		d.Tick(now)
+		w.agents[a] = d
+	}
+	d.Asked(now)
+}
+
+// Lost says whether an agent is lost.
+func (w *Watch) Lost(a netip.Addr) bool {
+	d := w.agents[a]
+	return d != nil && d.Lost()
+}
+
+// Heard ends all doubt about an agent. It says whether it was lost.
+func (w *Watch) Heard(a netip.Addr) (back bool) {
+	back = w.Lost(a)
+	delete(w.agents, a)
+	return back
+}
+
+// Answered notes that somebody has answered something that the observer sent.
+func (w *Watch) Answered() { w.answers++ }
+
+// Tick asks the agents in doubt and returns those that are lost as of now. Agents are all that there are; one for which exempt
+// says so is in no doubt.
+func (w *Watch) Tick(now time.Time, agents []netip.Addr, exempt func(netip.Addr) bool) (lost []netip.Addr) {
+	for a, d := range w.agents {
+		if _, there := slices.BinarySearchFunc(agents, a, netip.Addr.Compare); !there || exempt(a) {
+			delete(w.agents, a)
+			continue
+		}
+		switch d.Tick(now) {
+		case detect.Check:
+			w.ask(a, agents)
+		case detect.Lost:
+			if d.answers == w.answers {
+				delete(w.agents, a) // nobody hears the observer
+				continue
+			}
+			lost = append(lost, a)
+		case detect.Fine:
+		}
+	}
+	return lost
+}
+
+// ask asks an agent, and its helpers, whose answers show that the observer is heard.
+func (w *Watch) ask(a netip.Addr, agents []netip.Addr) {
+	others := w.some(agents, a)
+	w.voucher.Ask(a, others)
+	for _, o := range others {
+		w.voucher.Ask(o, nil)
+	}
+}
+
+// some draws helpers from the agents but one.
+func (w *Watch) some(agents []netip.Addr, but netip.Addr) (drawn []netip.Addr) {
+	for _, i := range w.rand.Perm(len(agents)) {
+		if len(drawn) == helpers {
+			break
+		}
+		if agents[i] != but {
+			drawn = append(drawn, agents[i])
+		}
+	}
+	return drawn
+}
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -29,6 +29,7 @@
 	"mangowinch/internal/load/detect"
 	"mangowinch/internal/load/parts"
 	"mangowinch/internal/load/steer"
+	"mangowinch/internal/node/doubt"
 	"mangowinch/internal/oper/event"
 )
 
@@ -45,18 +46,13 @@
 	Age(now time.Time) (age time.Duration, ok bool)
 }
 
-// Voucher asks whether a process is alive, directly and by way of helpers. The answer comes to Entry.Heard.
-type Voucher interface {
-	Ask(target netip.Addr, helpers []netip.Addr)
-}
-
 // Config is what an Entry is made of.
 type Config struct {
 	Self   netip.Addr
 	Domain string
 	Log    *belief.Log
 	Ctrl   Control
-	Vouch  Voucher
+	Vouch  doubt.Voucher // its answers come to Entry.Heard
 	Codec  segs.Codec
 	Wire   Wire
 	Events *event.Log
@@ -85,14 +81,13 @@
 	mu      sync.Mutex
 	flows   *owner.Entry
 	chooser *steer.Chooser
-	agents  *detect.Detector      // of all agents together: is this entry cut off?
-	answers uint64                // of agents, to anything that the entry sent
-	doubted map[netip.Addr]*doubt // agents that have left something unanswered
-	ending  []segs.Flow           // of lost agents, whose callers are to be told
-	cold    map[string]warmth     // by server ID
-	emptied map[string]uint64     // failure domains that agents called evacuated, and their revision: this entry is behind
-	buf     []byte                // of the message being sent
-	packet  []byte                // of the reset being sent
+	agents  *detect.Detector  // of all agents together: is this entry cut off?
+	doubted *doubt.Watch      // agents that have left something unanswered
+	ending  []segs.Flow       // of lost agents, whose callers are to be told
+	cold    map[string]warmth // by server ID
+	emptied map[string]uint64 // failure domains that agents called evacuated, and their revision: this entry is behind
+	buf     []byte            // of the message being sent
+	packet  []byte            // of the reset being sent
 }
 
 // warmth is how long a server is cold, by its last entry. It may turn cold without a new start, when its failure domain is
@@ -109,7 +104,7 @@
 		flows:   owner.NewEntry(flowLimit),
 		chooser: steer.New(c.Domain, c.Rand, c.Off),
 		agents:  detect.New(cutOff),
-		doubted: map[netip.Addr]*doubt{},
+		doubted: doubt.New(c.Vouch, c.Rand),
 		cold:    map[string]warmth{},
 		emptied: map[string]uint64{},
 	}
@@ -232,7 +227,7 @@
 		e.doubt(now, agent)
 	}
 	switch {
-	case !e.lost(agent):
+	case !e.doubted.Lost(agent):
 		e.carry(v, agent, datagram)
 		return true
 	case p.Owner == agent:
--- a/internal/node/edge/lost.go
+++ b/internal/node/edge/lost.go
@@ -6,7 +6,6 @@
 
 	"mangowinch/internal/flow/owner"
 	"mangowinch/internal/flow/segs"
-	"mangowinch/internal/load/detect"
 	"mangowinch/internal/oper/event"
 )
 
@@ -22,59 +21,24 @@
 // rests is not there to be used.
 //
 // Why it holds. A lost agent answers neither this entry nor the helpers for most of a second, so nothing that its server
-// sends reaches a caller either, since it goes by the agent. What looks alike and is not:
-//   - Only the way between the entry and the agent is broken: the helpers reach it.
-//   - The entry is cut off, or only what it sends is lost: nobody answers any of its questions.
-//   - The entry was frozen: its time doesn't count (package detect).
+// sends reaches a caller either, since it goes by the agent. Package doubt says what looks alike and is no loss. Besides:
 //   - Another server holds the flow than the one that this entry was told first, as after a freeze: only flows whose owner is
 //     proved are told (owner.Places).
-//   - The agent restarts: it is back after 0.7 s. It is stopped as planned: it has said so, and is never lost.
 
-// lostAfter is when an agent is lost: 0.95 s after the first unanswered packet. Killed ones are back after 0.65 s.
-var lostAfter = detect.Bounds{Doubt: 150 * time.Millisecond, Wait: 200 * time.Millisecond, Checks: 4}
-
-const (
-	// helpers is how many other agents ask a doubted one too.
-	helpers = 2
-	// endingsPerTick paces the resets after a loss: 2,000 a second, so that those callers' next tries
-	// don't come all at once to the servers that are left.
-	endingsPerTick = 100
-)
-
-// doubt is an agent in doubt.
-type doubt struct {
-	*detect.Detector
-	answers uint64 // of agents to this entry when the doubt began
-}
+// endingsPerTick paces the resets after a loss: 2,000 a second, so that those callers' next tries
+// don't come all at once to the servers that are left.
+const endingsPerTick = 100
 
 // doubt notes that an agent has left a packet unanswered.
 func (e *Entry) doubt(now time.Time, agent netip.Addr) {
-	if e.Off.Lost || e.Ctrl.Leaving(agent) {
-		return
-	}
-	d := e.doubted[agent]
-	if d == nil {
-		d = &doubt{detect.New(lostAfter), e.answers}
-		d.Tick(now)
-		e.doubted[agent] = d
+	if !e.Off.Lost && !e.Ctrl.Leaving(agent) {
+		e.doubted.Doubt(now, agent)
 	}
-	d.Asked(now)
-}
-
-// lost says whether an agent is lost.
-func (e *Entry) lost(agent netip.Addr) bool {
-	d := e.doubted[agent]
-	return d != nil && d.Lost()
 }
 
 // clear ends all doubt about an agent.
 func (e *Entry) clear(agent netip.Addr) {
-	d := e.doubted[agent]
-	if d == nil {
-		return
-	}
-	delete(e.doubted, agent)
-	if d.Lost() {
+	if e.doubted.Heard(agent) {
 		e.Events.State("agent-back").Stringer("agent", agent).Send()
 	}
 }
@@ -82,29 +46,11 @@
 // watchDoubted asks the agents in doubt, and notes who is lost.
 func (e *Entry) watchDoubted(now time.Time) {
 	v := e.Log.View()
-	for agent, d := range e.doubted {
-		if _, there := v.Server(agent); !there || e.agents.Lost() || e.Ctrl.Leaving(agent) {
-			delete(e.doubted, agent)
-			continue
-		}
-		switch d.Tick(now) {
-		case detect.Check:
-			others := e.some(v.Homes.Agents(), helpers)
-			e.Vouch.Ask(agent, others)
-			for _, o := range others {
-				e.Vouch.Ask(o, nil) // whose answer shows that this entry is heard
-			}
-			asks.Inc()
-		case detect.Lost:
-			if d.answers == e.answers {
-				delete(e.doubted, agent) // nobody hears this entry
-				continue
-			}
-			before := len(e.ending)
-			e.ending = append(e.ending, e.flows.Of(agent)...)
-			e.Events.State("agent-lost").Stringer("agent", agent).Int("flows", len(e.ending)-before).Uint64("revision", v.Revision).Send()
-		case detect.Fine:
-		}
+	exempt := func(agent netip.Addr) bool { return e.agents.Lost() || e.Ctrl.Leaving(agent) }
+	for _, agent := range e.doubted.Tick(now, v.Homes.Agents(), exempt) {
+		before := len(e.ending)
+		e.ending = append(e.ending, e.flows.Of(agent)...)
+		e.Events.State("agent-lost").Stringer("agent", agent).Int("flows", len(e.ending)-before).Uint64("revision", v.Revision).Send()
 	}
 }
 
@@ -116,7 +62,7 @@
 		if p == nil {
 			continue
 		}
-		if e.lost(p.Owner) {
+		if e.doubted.Lost(p.Owner) {
 			e.end(now, f, p)
 		}
 	}
--- a/internal/node/edge/place.go
+++ b/internal/node/edge/place.go
@@ -97,7 +97,7 @@
 			Slots:    s.Slots,
 			Draining: s.State == belief.Draining || e.Ctrl.Leaving(s.Addr.Addr()),
 			Cold:     now.Before(e.cold[s.ID].until),
-			Lost:     e.lost(s.Addr.Addr()),
+			Lost:     e.doubted.Lost(s.Addr.Addr()),
 		})
 	}
 	return list
--- a/internal/node/edge/reach.go
+++ b/internal/node/edge/reach.go
@@ -47,7 +47,7 @@
 	if _, ok := e.Log.View().Server(from); !ok {
 		return
 	}
-	e.answers++
+	e.doubted.Answered()
 	if e.agents.Heard() {
 		e.Events.State("reached").Send()
 	}
