Searches don't wait for agents that are lost, and lost homes are replaced

Change: an agent that has left a lead's questions unanswered is in doubt as at an entry, and once lost, rounds don't wait for it, unless half of all are. Entries put a home in doubt whose caller repeats its packet, and ask the next home of the flow when it is lost. A home puts an owner in doubt whose caller repeats data that was passed on, and looks for the flow when it is lost.

What is left: each home finds out by itself, at the second packet of each flow.

--- a/internal/flow/homes/homes.go
+++ b/internal/flow/homes/homes.go
@@ -59,7 +59,7 @@
 
 // Of returns the home of a flow; ok is false if there is no agent.
 func (l *List) Of(f segs.Flow) (home netip.Addr, ok bool) {
-	return l.Except(f, netip.Addr{})
+	return l.Except(f, func(netip.Addr) bool { return false })
 }
 
 const (
@@ -97,15 +97,12 @@
 	return at
 }
 
-// Except returns the home that a flow would have without one agent.
-func (l *List) Except(f segs.Flow, left netip.Addr) (home netip.Addr, ok bool) {
+// Except returns the home that a flow would have without some agents.
+func (l *List) Except(f segs.Flow, left func(netip.Addr) bool) (home netip.Addr, ok bool) {
 	h := f.Hash()
 	best := uint64(0)
 	for i, a := range l.agents {
-		if a == left {
-			continue
-		}
-		if w := mix(h ^ l.seeds[i]); !ok || w > best {
+		if w := mix(h ^ l.seeds[i]); (!ok || w > best) && !left(a) {
 			home, best, ok = a, w, true
 		}
 	}
--- a/internal/flow/msgs/packet.go
+++ b/internal/flow/msgs/packet.go
@@ -14,6 +14,7 @@
 	Probe  bool
 	Named  bool // the sender knows the receiver as the flow's owner
 	Insist bool // other agents have handed it back: a server that fails now and then is better than none
+	AsHome bool // the receiver is to act as the flow's home, whose place it takes: the home is lost
 	Packet []byte
 }
 
@@ -22,7 +23,8 @@
 	probeBit  = 0x80
 	namedBit  = 0x40
 	insistBit = 0x20
-	hopsMask  = insistBit - 1
+	homeBit   = 0x10
+	hopsMask  = homeBit - 1
 )
 
 // AppendTo appends the encoded message.
@@ -39,6 +41,9 @@
 	if m.Insist {
 		hops |= insistBit
 	}
+	if m.AsHome {
+		hops |= homeBit
+	}
 	b = append(b, hops, m.Domain)
 	return append(b, m.Packet...)
 }
@@ -56,6 +61,7 @@
 		Probe:  b[4]&probeBit != 0,
 		Named:  b[4]&namedBit != 0,
 		Insist: b[4]&insistBit != 0,
+		AsHome: b[4]&homeBit != 0,
 		Packet: b[carrySize:],
 	}, nil
 }
--- a/internal/node/doubt/doubt.go
+++ b/internal/node/doubt/doubt.go
@@ -76,6 +76,9 @@
 	return d != nil && d.Lost()
 }
 
+// None says whether nobody is in doubt.
+func (w *Watch) None() bool { return len(w.agents) == 0 }
+
 // Heard ends all doubt about an agent. It says whether it was lost.
 func (w *Watch) Heard(a netip.Addr) (back bool) {
 	back = w.Lost(a)
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -205,14 +205,40 @@
 	if p := e.flows.Get(s.Flow); p != nil && e.followKnown(now, v, p, s, datagram) {
 		return
 	}
+	e.ask(now, v, s, datagram)
+}
+
+// ask sends a packet of a flow that this entry doesn't know to the flow's home, or to whoever takes its place.
+func (e *Entry) ask(now time.Time, v *belief.View, s *segs.Segment, datagram []byte) {
 	home, ok := v.Homes.Of(s.Flow)
+	lost := e.doubted.Lost(home)
+	if lost {
+		home, ok = v.Homes.Except(s.Flow, e.doubted.Lost)
+	}
 	if !ok {
 		dropped("homeless")
 		return
 	}
+	e.noteAsked(now, home, s)
 	asked.Inc()
 	e.Events.Flow(event.Ordinary, "asked", s.Flow).Stringer("home", home).Uint64("revision", v.Revision).Send()
-	e.carry(v, home, datagram)
+	e.send(v, home, msgs.Carry{AsHome: lost, Packet: datagram})
+}
+
+// noteAsked remembers that a home was asked about a flow. If the caller repeats the packet, the home is in doubt: it may be lost, and
+// nobody else is asked meanwhile. Flows that nobody has opened take half of the table at most.
+func (e *Entry) noteAsked(now time.Time, home netip.Addr, s *segs.Segment) {
+	p := e.flows.Get(s.Flow)
+	if p == nil && e.flows.Len() < flowLimit/2 {
+		p = e.flows.Add(now, s.Flow)
+	}
+	if p == nil {
+		return
+	}
+	p.Used = now
+	if p.Repeats(s) {
+		e.doubt(now, home)
+	}
 }
 
 // followKnown sends a packet of a flow that this entry knows to its agent, or tells the caller that the agent is lost. It returns false
--- a/internal/node/local/caller.go
+++ b/internal/node/local/caller.go
@@ -270,12 +270,17 @@
 		return
 	}
 	if owner, ok := a.home.Find(s.Flow, s.Ack); ok && owner != a.Self {
+		if a.doubted.Lost(owner) {
+			a.searchFor(now, m, s)
+			return
+		}
+		a.notePassed(now, owner, s)
 		m.Named = true
 		a.forward(owner, m)
 		return
 	}
 	home, ok := a.Log.View().Homes.Of(s.Flow)
-	if !ok || home == a.Self || m.Hops >= mostHops-1 {
+	if !ok || home == a.Self || m.AsHome || m.Hops >= mostHops-1 {
 		a.searchFor(now, m, s)
 		return
 	}
@@ -284,6 +289,7 @@
 
 func (a *Agent) forward(to netip.Addr, m msgs.Carry) {
 	m.Hops++
+	m.AsHome = false
 	m.Head = a.head()
 	m.Service = 0
 	a.buf = m.AppendTo(a.buf[:0])
--- a/internal/node/local/lead.go
+++ b/internal/node/local/lead.go
@@ -24,7 +24,7 @@
 
 // askAll sends the questions that are due.
 func (a *Agent) askAll(now time.Time) {
-	for _, ask := range a.rounds.Next(now, a.Log.View().Homes.Agents()) {
+	for _, ask := range a.rounds.Next(now, a.present()) {
 		find := msgs.Find{Head: a.head(), Round: ask.Round, Questions: ask.Questions}
 		a.buf = find.AppendTo(a.buf[:0])
 		for _, to := range ask.To {
@@ -36,6 +36,9 @@
 		if ask.Repeats == 0 {
 			rounds.Inc()
 		}
+		if ask.Repeats >= seek.Slow {
+			a.doubtAll(now, ask.To)
+		}
 		if ask.Repeats == seek.Slow {
 			a.sayUnheard(ask)
 			a.tellHomes(now, a.rounds.SoFar(ask.Round))
@@ -86,7 +89,8 @@
 
 // found takes an agent's answer in.
 func (a *Agent) found(now time.Time, from netip.Addr, m msgs.Found) {
-	a.tellHomes(now, a.rounds.Answer(from, m.Round, m.Verdicts, a.Log.View().Homes.Agents()))
+	a.doubted.Answered()
+	a.tellHomes(now, a.rounds.Answer(from, m.Round, m.Verdicts, a.present()))
 }
 
 // tellHomes tells homes what rounds have shown.
@@ -109,7 +113,7 @@
 
 // tickRounds asks again whoever hasn't answered, begins rounds, and ends those that wait for nobody.
 func (a *Agent) tickRounds(now time.Time) {
-	results, unheard := a.rounds.Expire(now, a.Log.View().Homes.Agents())
+	results, unheard := a.rounds.Expire(now, a.present())
 	a.tellHomes(now, results)
 	for _, u := range unheard {
 		for _, f := range u.Flows {
--- a/internal/node/local/local.go
+++ b/internal/node/local/local.go
@@ -33,6 +33,7 @@
 	"mangowinch/internal/load/parts"
 	"mangowinch/internal/load/trip"
 	"mangowinch/internal/load/warm"
+	"mangowinch/internal/node/doubt"
 	"mangowinch/internal/oper/event"
 )
 
@@ -46,6 +47,7 @@
 // Control is the part of package follow that an agent uses.
 type Control interface {
 	Age(now time.Time) (age time.Duration, ok bool)
+	Leaving(agent netip.Addr) bool
 }
 
 // Config is what an Agent is made of.
@@ -56,6 +58,7 @@
 	Backend netip.AddrPort
 	Log     *belief.Log
 	Ctrl    Control
+	Vouch   doubt.Voucher // its answers come to Agent.Heard
 	Codec   segs.Codec
 	Callers segs.Callers
 	Wire    Wire
@@ -101,6 +104,9 @@
 	probes   map[segs.Flow]probe
 	searches map[segs.Flow]*search // as the home of flows
 	rounds   *seek.Rounds          // as a lead
+	doubted  *doubt.Watch          // agents that have left something unanswered
+	passed   map[segs.Flow]uint32  // as the home: the end of the data that was last passed on to a flow's owner
+	forget   time.Time             // when passed was last emptied
 	leaving  bool
 	breaker  trip.Breaker
 	warmth   warm.Limiter
@@ -125,6 +131,8 @@
 		probes:   map[segs.Flow]probe{},
 		searches: map[segs.Flow]*search{},
 		rounds:   seek.New(rand.Uint32()),
+		doubted:  doubt.New(c.Vouch, c.Rand),
+		passed:   map[segs.Flow]uint32{},
 	}
 }
 
@@ -182,6 +190,7 @@
 	a.tellResting(now)
 	a.expireProbes(now)
 	a.tickSearches(now)
+	a.watchDoubted(now)
 	a.tickRounds(now)
 	a.countResting()
 }
--- a/internal/node/opaque/agent.go
+++ b/internal/node/opaque/agent.go
@@ -35,6 +35,7 @@
 		Backend: s.Agent.Backend,
 		Log:     p.log,
 		Ctrl:    p.follow,
+		Vouch:   p.vouch,
 		Codec:   a.Codec,
 		Callers: a.Callers,
 		Wire:    p.sockets,
@@ -45,6 +46,7 @@
 		Rand:    newRand(),
 		Off:     s.Without,
 	})
+	p.vouch.OnAlive, p.vouch.OnAnswer = g.Heard, g.Answered
 	p.admin.Section("belief", func() any { return p.belief() })
 	p.admin.Section("load", func() any { return g.Load(time.Now()) })
 	staying := p.admin.Condition("staying")
