A flow's home finds out from the first packet whether the owner is lost

A home keeps the packet that it passes on to an owner which hasn't been heard lately, and puts the owner in doubt at once instead of when the caller repeats it; once the owner is lost, it looks for the flow by that packet. A lead tells homes whom it has found lost.

--- a/internal/flow/msgs/alive.go
+++ b/internal/flow/msgs/alive.go
@@ -52,3 +52,33 @@
 	}
 	return Alive{Head: h, Target: addrFrom(b), Origin: addrFrom(b[4:])}, nil
 }
+
+// Lost names agents that answer nobody, as the sender has found out.
+type Lost struct {
+	Head
+	Agents []netip.Addr
+}
+
+// MaxLost is how many agents fit into a datagram of 1,200 bytes.
+const MaxLost = (1200 - headSize) / addrSize
+
+// AppendTo appends the encoded message.
+func (m *Lost) AppendTo(b []byte) []byte {
+	b = m.appendTo(b, KindLost)
+	for _, a := range m.Agents {
+		b = appendAddr(b, a)
+	}
+	return b
+}
+
+// ReadLost reads the rest of a message.
+func ReadLost(h Head, b []byte) (m Lost, err error) {
+	if len(b)%addrSize != 0 {
+		return Lost{}, ErrShort
+	}
+	m = Lost{Head: h}
+	for ; len(b) > 0; b = b[addrSize:] {
+		m.Agents = append(m.Agents, addrFrom(b))
+	}
+	return m, nil
+}
--- a/internal/flow/msgs/msgs.go
+++ b/internal/flow/msgs/msgs.go
@@ -38,16 +38,17 @@
 	KindSeek                     // home to lead: who holds this flow?
 	KindSought                   // the answer to it
 	KindTried                    // the answer to a Carry that was a probe
+	KindLost                     // lead to home: these agents answer nobody
 )
 
 // Kinds is more than any kind, for tables by kind; 0 is none.
-const Kinds = int(KindTried) + 1
+const Kinds = int(KindLost) + 1
 
 // kinds are the names of kinds in counters.
 var kinds = [...]string{
 	KindCarry: "carry", KindOpened: "opened", KindRefused: "refused", KindOwner: "owner", KindRegister: "register", KindFind: "find",
 	KindFound: "found", KindBeacon: "beacon", KindNews: "news", KindOffer: "offer", KindAsk: "ask", KindAlive: "alive",
-	KindSeek: "seek", KindSought: "sought", KindTried: "tried",
+	KindSeek: "seek", KindSought: "sought", KindTried: "tried", KindLost: "lost",
 }
 
 // String returns the kind's name.
--- a/internal/node/doubt/doubt.go
+++ b/internal/node/doubt/doubt.go
@@ -32,8 +32,14 @@
 // lostAfter is when an agent is lost: 0.95 s after the first unanswered packet. Killed ones are back after 0.65 s.
 var lostAfter = detect.Bounds{Doubt: 150 * time.Millisecond, Wait: 200 * time.Millisecond, Checks: 4}
 
-// helpers is how many other agents ask a doubted one too.
-const helpers = 2
+const (
+	// helpers is how many other agents ask a doubted one too.
+	helpers = 2
+	// lately is for how long an agent that was heard needs no question.
+	lately = time.Second
+	// toldFor is how long another's word counts that an agent is lost. Whoever says so goes on asking.
+	toldFor = 2 * time.Second
+)
 
 // Voucher asks whether a process is alive, directly and by way of helpers.
 type Voucher interface {
@@ -45,6 +51,8 @@
 	voucher Voucher
 	rand    *rand.Rand
 	agents  map[netip.Addr]*agent
+	told    map[netip.Addr]time.Time // lost by another's word, as of when
+	heard   map[netip.Addr]time.Time
 	answers uint64 // of others, to anything that the observer sent
 }
 
@@ -52,37 +60,73 @@
 type agent struct {
 	*detect.Detector
 	answers uint64 // to the observer when the doubt began
+	checks  int    // questions asked
 }
 
 // New returns a watch without doubts.
 func New(v Voucher, r *rand.Rand) *Watch {
-	return &Watch{voucher: v, rand: r, agents: map[netip.Addr]*agent{}}
+	return &Watch{voucher: v, rand: r, agents: map[netip.Addr]*agent{}, told: map[netip.Addr]time.Time{}, heard: map[netip.Addr]time.Time{}}
 }
 
 // Doubt notes that an agent has left something unanswered.
 func (w *Watch) Doubt(now time.Time, a netip.Addr) {
 	d := w.agents[a]
 	if d == nil {
-		d = &agent{detect.New(lostAfter), w.answers}
+		d = &agent{Detector: detect.New(lostAfter), answers: w.answers}
 		d.Tick(now)
 		w.agents[a] = d
 	}
 	d.Asked(now)
 }
 
+// DoubtUnheard is Doubt for an agent that hasn't been heard lately, for who sends something without an answer to itself.
+func (w *Watch) DoubtUnheard(now time.Time, a netip.Addr) {
+	if now.Sub(w.heard[a]) > lately {
+		w.Doubt(now, a)
+	}
+}
+
 // Lost says whether an agent is lost.
 func (w *Watch) Lost(a netip.Addr) bool {
 	d := w.agents[a]
-	return d != nil && d.Lost()
+	if d != nil && d.Lost() {
+		return true
+	}
+	_, told := w.told[a]
+	return told
+}
+
+// InDoubt says whether an agent is in doubt or lost.
+func (w *Watch) InDoubt(a netip.Addr) bool { return w.agents[a] != nil || w.Lost(a) }
+
+// Told takes another observer's word that agents are lost. It counts until one is heard, or for a while.
+func (w *Watch) Told(now time.Time, agents []netip.Addr) {
+	for _, a := range agents {
+		if now.Sub(w.heard[a]) > lately {
+			w.told[a] = now
+		}
+	}
+}
+
+// Found returns the agents that the observer itself has found lost.
+func (w *Watch) Found() (lost []netip.Addr) {
+	for a, d := range w.agents {
+		if d.Lost() {
+			lost = append(lost, a)
+		}
+	}
+	return lost
 }
 
-// None says whether nobody is in doubt.
-func (w *Watch) None() bool { return len(w.agents) == 0 }
+// None says whether nobody is in doubt or lost.
+func (w *Watch) None() bool { return len(w.agents)+len(w.told) == 0 }
 
 // Heard ends all doubt about an agent. It says whether it was lost.
-func (w *Watch) Heard(a netip.Addr) (back bool) {
+func (w *Watch) Heard(now time.Time, a netip.Addr) (back bool) {
 	back = w.Lost(a)
 	delete(w.agents, a)
+	delete(w.told, a)
+	w.heard[a] = now
 	return back
 }
 
@@ -92,14 +136,15 @@
 // Tick asks the agents in doubt and returns those that are lost as of now. Agents are all that there are; one for which exempt
 // says so is in no doubt.
 func (w *Watch) Tick(now time.Time, agents []netip.Addr, exempt func(netip.Addr) bool) (lost []netip.Addr) {
+	w.forget(now, agents)
 	for a, d := range w.agents {
-		if _, there := slices.BinarySearchFunc(agents, a, netip.Addr.Compare); !there || exempt(a) {
+		if !isOne(agents, a) || exempt(a) {
 			delete(w.agents, a)
 			continue
 		}
 		switch d.Tick(now) {
 		case detect.Check:
-			w.ask(a, agents)
+			w.ask(a, d, agents)
 		case detect.Lost:
 			if d.answers == w.answers {
 				delete(w.agents, a) // nobody hears the observer
@@ -112,8 +157,33 @@
 	return lost
 }
 
-// ask asks an agent, and its helpers, whose answers show that the observer is heard.
-func (w *Watch) ask(a netip.Addr, agents []netip.Addr) {
+// forget drops others' word that is old, and who is no longer there.
+func (w *Watch) forget(now time.Time, agents []netip.Addr) {
+	for a, at := range w.told {
+		if now.Sub(at) > toldFor || !isOne(agents, a) {
+			delete(w.told, a)
+		}
+	}
+	for a, at := range w.heard {
+		if now.Sub(at) > lately {
+			delete(w.heard, a)
+		}
+	}
+}
+
+func isOne(agents []netip.Addr, a netip.Addr) bool {
+	_, there := slices.BinarySearchFunc(agents, a, netip.Addr.Compare)
+	return there
+}
+
+// ask asks an agent, from the second time on by way of helpers too, whose answers show that the observer is heard: most who are
+// asked answer the first question.
+func (w *Watch) ask(a netip.Addr, d *agent, agents []netip.Addr) {
+	d.checks++
+	if d.checks == 1 {
+		w.voucher.Ask(a, nil)
+		return
+	}
 	others := w.some(agents, a)
 	w.voucher.Ask(a, others)
 	for _, o := range others {
--- a/internal/node/edge/lost.go
+++ b/internal/node/edge/lost.go
@@ -37,8 +37,8 @@
 }
 
 // clear ends all doubt about an agent.
-func (e *Entry) clear(agent netip.Addr) {
-	if e.doubted.Heard(agent) {
+func (e *Entry) clear(now time.Time, agent netip.Addr) {
+	if e.doubted.Heard(now, agent) {
 		e.Events.State("agent-back").Stringer("agent", agent).Send()
 	}
 }
--- a/internal/node/edge/reach.go
+++ b/internal/node/edge/reach.go
@@ -27,13 +27,13 @@
 const askAgents = 4
 
 // Heard notes that another process is alive: a message has come from it, or from one that has heard it.
-func (e *Entry) Heard(from netip.Addr) {
+func (e *Entry) Heard(now time.Time, from netip.Addr) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if _, ok := e.Log.View().Server(from); ok && e.agents.InDoubt() {
 		e.Vouch.Ask(from, nil) // an agent that greets others has just started
 	}
-	e.clear(from)
+	e.clear(now, from)
 }
 
 // Answered notes that another process has answered something that this entry sent.
--- a/internal/node/local/caller.go
+++ b/internal/node/local/caller.go
@@ -274,7 +274,7 @@
 			a.searchFor(now, m, s)
 			return
 		}
-		a.notePassed(now, owner, s)
+		a.keepPassed(now, owner, m, s)
 		m.Named = true
 		a.forward(owner, m)
 		return
--- a/internal/node/local/local.go
+++ b/internal/node/local/local.go
@@ -105,8 +105,7 @@
 	searches map[segs.Flow]*search // as the home of flows
 	rounds   *seek.Rounds          // as a lead
 	doubted  *doubt.Watch          // agents that have left something unanswered
-	passed   map[segs.Flow]uint32  // as the home: the end of the data that was last passed on to a flow's owner
-	forget   time.Time             // when passed was last emptied
+	passed   map[segs.Flow]passing // as the home: packets on their way to owners in doubt
 	leaving  bool
 	breaker  trip.Breaker
 	warmth   warm.Limiter
@@ -132,7 +131,7 @@
 		searches: map[segs.Flow]*search{},
 		rounds:   seek.New(rand.Uint32()),
 		doubted:  doubt.New(c.Vouch, c.Rand),
-		passed:   map[segs.Flow]uint32{},
+		passed:   map[segs.Flow]passing{},
 	}
 }
 
--- a/internal/node/local/lost.go
+++ b/internal/node/local/lost.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"mangowinch/internal/flow/msgs"
 	"mangowinch/internal/flow/segs"
 )
 
@@ -14,9 +15,9 @@
 // whatever flow, and callers of flows that nobody holds wait until their deadlines: those of the lost servers, whose
 // packets now come by entries that don't know them.
 //
-// The guard: an agent that has left a lead's questions unanswered, or that is a flow's owner and whose caller repeats the data that was passed on
-// to it, is in doubt (package doubt). When it is lost, rounds don't wait for it, and its flows are looked for: another server may hold
-// them.
+// The guard: an agent that has left a lead's questions unanswered, or to which a home has passed on a packet and that hasn't been heard
+// lately, is in doubt (package doubt). When it is lost, rounds don't wait for it, and its flows are looked for, as another server may hold
+// them. A lead tells homes whom it has found lost with the results of their searches.
 //
 // Why it holds: nothing that a lost agent's server sends reaches a caller, since it goes by the agent. If half of all agents or more are
 // lost, it may be the lead that is cut off, with some others: then nobody is left out.
@@ -35,29 +36,58 @@
 }
 
 const (
-	// passedFor is how long passed-on data is remembered: callers repeat it after 0.2, 0.6 and 1.4 s.
-	passedFor = 2 * time.Second
-	// mostPassed bounds the memory for it, some 40 bytes each.
-	mostPassed = 4096
+	// passedFor is how long a packet is kept that was passed on to a flow's owner: an owner that doesn't answer is lost by then.
+	passedFor = 1500 * time.Millisecond
+	// mostPassed bounds the memory for it, one packet of 1.2 KB each.
+	mostPassed = 1024
 )
 
-// notePassed remembers what was passed on to a flow's owner. The same data again puts the owner in doubt.
-func (a *Agent) notePassed(now time.Time, owner netip.Addr, s *segs.Segment) {
-	if now.Sub(a.forget) > passedFor {
-		a.forget = now
-		clear(a.passed)
-	}
-	if s.Len == 0 {
+// passing is a packet that a home has passed on to a flow's owner.
+type passing struct {
+	owner  netip.Addr
+	carry  msgs.Carry
+	packet []byte
+	at     time.Time
+}
+
+// keepPassed keeps a packet that goes to an owner which hasn't been heard lately, and puts the owner in doubt.
+func (a *Agent) keepPassed(now time.Time, owner netip.Addr, m msgs.Carry, s *segs.Segment) {
+	if a.Off.Lost || a.Ctrl.Leaving(owner) {
 		return
 	}
-	end := s.Seq + uint32(s.Len)
-	if before, known := a.passed[s.Flow]; known && before == end {
-		a.doubtAll(now, []netip.Addr{owner})
+	a.doubted.DoubtUnheard(now, owner)
+	if s.Len == 0 || len(a.passed) >= mostPassed || !a.doubted.InDoubt(owner) {
 		return
 	}
-	if len(a.passed) < mostPassed {
-		a.passed[s.Flow] = end
+	p := passing{owner: owner, carry: m, packet: slices.Clone(m.Packet), at: now}
+	p.carry.Packet = p.packet
+	a.passed[s.Flow] = p
+}
+
+// seekPassed looks for the flows whose owners are lost, by the packets that were passed on to them, and forgets those that have come.
+func (a *Agent) seekPassed(now time.Time) {
+	for f, p := range a.passed {
+		switch {
+		case a.doubted.Lost(p.owner):
+			delete(a.passed, f)
+			if s, err := a.Codec.Decode(p.packet, segs.CallerEnd); err == nil {
+				a.searchFor(now, p.carry, &s)
+			}
+		case !a.doubted.InDoubt(p.owner) || now.Sub(p.at) > passedFor:
+			delete(a.passed, f)
+		}
+	}
+}
+
+// tellLost tells a home which agents the lead has found lost, so that it needn't find out by itself.
+func (a *Agent) tellLost(home netip.Addr) {
+	lost := a.doubted.Found()
+	if len(lost) == 0 || home == a.Self {
+		return
 	}
+	m := msgs.Lost{Head: a.head(), Agents: lost[:min(len(lost), msgs.MaxLost)]}
+	a.buf = m.AppendTo(a.buf[:0])
+	a.Wire.ToPeer(home, a.buf)
 }
 
 // doubtAll notes that agents have left a question unanswered.
@@ -78,13 +108,14 @@
 	for _, other := range a.doubted.Tick(now, v.Homes.Agents(), a.Ctrl.Leaving) {
 		a.Events.State("agent-lost").Stringer("agent", other).Uint64("revision", v.Revision).Send()
 	}
+	a.seekPassed(now)
 }
 
 // Heard notes that another process is alive: a message has come from it, or from one that has heard it.
-func (a *Agent) Heard(from netip.Addr) {
+func (a *Agent) Heard(now time.Time, from netip.Addr) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.doubted.Heard(from) {
+	if a.doubted.Heard(now, from) {
 		a.Events.State("agent-back").Stringer("agent", from).Send()
 	}
 }
--- a/internal/node/local/peer.go
+++ b/internal/node/local/peer.go
@@ -30,6 +30,8 @@
 		err = msgs.Take(h, rest, msgs.ReadFind, func(m msgs.Find) { a.find(now, from, m) })
 	case msgs.KindFound:
 		err = msgs.Take(h, rest, msgs.ReadFound, func(m msgs.Found) { a.found(now, from, m) })
+	case msgs.KindLost:
+		err = msgs.Take(h, rest, msgs.ReadLost, func(m msgs.Lost) { a.doubted.Told(now, m.Agents) })
 	default:
 		return false
 	}
--- a/internal/node/opaque/messages.go
+++ b/internal/node/opaque/messages.go
@@ -44,7 +44,7 @@
 
 // took handles one message.
 func (p *process) took(now time.Time, from netip.Addr, h msgs.Head, rest []byte, take flowMessages) error {
-	p.vouch.Heard(from)
+	p.vouch.Heard(now, from)
 	switch h.Kind {
 	case msgs.KindBeacon:
 		m, err := msgs.ReadBeacon(h, rest)
@@ -66,7 +66,7 @@
 	case msgs.KindAsk:
 		return msgs.Take(h, rest, msgs.ReadAsk, func(m msgs.Ask) { p.vouch.Asked(from, m) })
 	case msgs.KindAlive:
-		return msgs.Take(h, rest, msgs.ReadAlive, func(m msgs.Alive) { p.vouch.Alive(m) })
+		return msgs.Take(h, rest, msgs.ReadAlive, func(m msgs.Alive) { p.vouch.Alive(now, m) })
 	}
 	if !take(now, from, h, rest) {
 		return errKind
--- a/internal/node/vouch/vouch.go
+++ b/internal/node/vouch/vouch.go
@@ -16,6 +16,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"mangowinch/internal/flow/msgs"
 )
@@ -24,7 +25,7 @@
 type Node struct {
 	// OnAlive is called with each process from which a message has come, or of which another says that it
 	// is alive; nil: nobody wants to know. It is set before the first message.
-	OnAlive func(process netip.Addr)
+	OnAlive func(now time.Time, process netip.Addr)
 	// OnAnswer is called with each process that has answered a question of this one, which so has been heard
 	// itself; nil: nobody wants to know. It is set before the first message.
 	OnAnswer func(process netip.Addr)
@@ -61,20 +62,20 @@
 }
 
 // Alive takes an answer: it is for this process, or handed on to who wants to know.
-func (n *Node) Alive(m msgs.Alive) {
+func (n *Node) Alive(now time.Time, m msgs.Alive) {
 	if m.Origin != n.self {
 		n.send(m.Origin, m.AppendTo(nil))
 		return
 	}
-	n.Heard(m.Target)
+	n.Heard(now, m.Target)
 	if n.OnAnswer != nil {
 		n.OnAnswer(m.Target)
 	}
 }
 
 // Heard notes that a process is alive.
-func (n *Node) Heard(process netip.Addr) {
+func (n *Node) Heard(now time.Time, process netip.Addr) {
 	if n.OnAlive != nil {
-		n.OnAlive(process)
+		n.OnAlive(now, process)
 	}
 }
--- a/internal/node/vouch/vouch_test.go
+++ b/internal/node/vouch/vouch_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -43,13 +44,13 @@
 		n.Asked(from, m)
 	case msgs.KindAlive:
 		m, _ := msgs.ReadAlive(h, rest)
-		n.Alive(m)
+		n.Alive(time.Time{}, m)
 	}
 }
 
 // ask returns whether node 0 hears that a process is alive.
 func (w *network) ask(target netip.Addr, helpers ...netip.Addr) (alive bool) {
-	w.nodes[addr(0)].OnAlive = func(process netip.Addr) { alive = alive || process == target }
+	w.nodes[addr(0)].OnAlive = func(_ time.Time, process netip.Addr) { alive = alive || process == target }
 	w.nodes[addr(0)].Ask(target, helpers)
 	return alive
 }
