Entries tell homes, and homes leads, which agents are lost

Who found out that an agent is lost tells whom it asks, with the age of the word, which counts for two seconds from its origin and not after the agent was heard; passed on, it grows old, so that it can't go round.

Tests failed first.

--- a/internal/flow/msgs/alive.go
+++ b/internal/flow/msgs/alive.go
@@ -1,6 +1,9 @@
 package msgs
 
-import "net/netip"
+import (
+	"encoding/binary"
+	"net/netip"
+)
 
 // Ask asks a process whether it is alive, directly or by way of another one: who gets it and isn't
 // Target hands it on to Target once. So a broken way between two processes is told from a process that is gone.
@@ -53,32 +56,40 @@
 	return Alive{Head: h, Target: addrFrom(b), Origin: addrFrom(b[4:])}, nil
 }
 
-// Lost names agents that answer nobody, as the sender has found out.
+// Lost names agents that answer nobody.
 type Lost struct {
 	Head
-	Agents []netip.Addr
+	Agents []Silent
 }
 
+// Silent is an agent that answers nobody.
+type Silent struct {
+	Agent netip.Addr
+	Age   uint16 // milliseconds since whoever found out was sure of it
+}
+
+const silentSize = 6
+
 // MaxLost is how many agents fit into a datagram of 1,200 bytes.
-const MaxLost = (1200 - headSize) / addrSize
+const MaxLost = (1200 - headSize) / silentSize
 
 // AppendTo appends the encoded message.
 func (m *Lost) AppendTo(b []byte) []byte {
 	b = m.appendTo(b, KindLost)
-	for _, a := range m.Agents {
-		b = appendAddr(b, a)
+	for _, s := range m.Agents {
+		b = binary.LittleEndian.AppendUint16(appendAddr(b, s.Agent), s.Age)
 	}
 	return b
 }
 
 // ReadLost reads the rest of a message.
 func ReadLost(h Head, b []byte) (m Lost, err error) {
-	if len(b)%addrSize != 0 {
+	if len(b)%silentSize != 0 {
 		return Lost{}, ErrShort
 	}
 	m = Lost{Head: h}
-	for ; len(b) > 0; b = b[addrSize:] {
-		m.Agents = append(m.Agents, addrFrom(b))
+	for ; len(b) > 0; b = b[silentSize:] {
+		m.Agents = append(m.Agents, Silent{Agent: addrFrom(b), Age: binary.LittleEndian.Uint16(b[4:])})
 	}
 	return m, nil
 }
--- a/internal/flow/msgs/msgs.go
+++ b/internal/flow/msgs/msgs.go
@@ -38,7 +38,7 @@
 	KindSeek                     // home to lead: who holds this flow?
 	KindSought                   // the answer to it
 	KindTried                    // the answer to a Carry that was a probe
-	KindLost                     // lead to home: these agents answer nobody
+	KindLost                     // entry to home, between home and lead: these agents answer nobody
 )
 
 // Kinds is more than any kind, for tables by kind; 0 is none.
--- a/internal/flow/msgs/msgs_test.go
+++ b/internal/flow/msgs/msgs_test.go
@@ -94,6 +94,13 @@
 	tried, err := ReadTried(h, r)
 	assert.NilError(t, err)
 	assert.Assert(t, tried.Flow == flow && tried.Held)
+
+	h, r = rest(t, (&Lost{Head: head, Agents: []Silent{{Agent: entry, Age: 700}, {Agent: entry}}}).AppendTo(nil), KindLost)
+	lost, err := ReadLost(h, r)
+	assert.NilError(t, err)
+	assert.Assert(t, slices.Equal(lost.Agents, []Silent{{Agent: entry, Age: 700}, {Agent: entry}}))
+	_, err = ReadLost(h, r[:len(r)-1])
+	assert.ErrorIs(t, err, ErrShort)
 }
 
 func TestForeignDatagramsAreRefused(t *testing.T) {
@@ -140,6 +147,7 @@
 		_, _ = ReadSeek(h, rest)
 		_, _ = ReadSought(h, rest)
 		_, _ = ReadTried(h, rest)
+		_, _ = ReadLost(h, rest)
 		_, _ = ReadBeacon(h, rest)
 		if m, err := ReadOffer(h, rest); err == nil {
 			assert.DeepEqual(t, m.AppendTo(nil)[headSize:headSize+4], rest[:4])
--- a/internal/node/doubt/doubt.go
+++ b/internal/node/doubt/doubt.go
@@ -26,6 +26,7 @@
 	"slices"
 	"time"
 
+	"mangowinch/internal/flow/msgs"
 	"mangowinch/internal/load/detect"
 )
 
@@ -37,6 +38,8 @@
 	helpers = 2
 	// lately is for how long an agent that was heard needs no question.
 	lately = time.Second
+	// informEvery is how often a process is told who is lost.
+	informEvery = 500 * time.Millisecond
 	// toldFor is how long another's word counts that an agent is lost. Whoever says so goes on asking.
 	toldFor = 2 * time.Second
 )
@@ -54,6 +57,8 @@
 	told    map[netip.Addr]time.Time // lost by another's word, as of when
 	heard   map[netip.Addr]time.Time
 	answers uint64 // of others, to anything that the observer sent
+
+	informed map[netip.Addr]time.Time // processes that were told who is lost
 }
 
 // agent is one in doubt.
@@ -65,7 +70,7 @@
 
 // New returns a watch without doubts.
 func New(v Voucher, r *rand.Rand) *Watch {
-	return &Watch{voucher: v, rand: r, agents: map[netip.Addr]*agent{}, told: map[netip.Addr]time.Time{}, heard: map[netip.Addr]time.Time{}}
+	return &Watch{voucher: v, rand: r, agents: map[netip.Addr]*agent{}, told: map[netip.Addr]time.Time{}, heard: map[netip.Addr]time.Time{}, informed: map[netip.Addr]time.Time{}}
 }
 
 // Doubt notes that an agent has left something unanswered.
@@ -99,23 +104,37 @@
 // InDoubt says whether an agent is in doubt or lost.
 func (w *Watch) InDoubt(a netip.Addr) bool { return w.agents[a] != nil || w.Lost(a) }
 
-// Told takes another observer's word that agents are lost. It counts until one is heard, or for a while.
-func (w *Watch) Told(now time.Time, agents []netip.Addr) {
-	for _, a := range agents {
-		if now.Sub(w.heard[a]) > lately {
-			w.told[a] = now
+// Told takes others' word that agents are lost. It counts from when whoever found out was sure, until the agent is heard, or
+// for a while: word that is passed on grows old on its way, so that it can't go round.
+func (w *Watch) Told(now time.Time, list []msgs.Silent) {
+	for _, s := range list {
+		at := now.Add(-time.Duration(s.Age) * time.Millisecond)
+		if at.After(w.told[s.Agent]) && at.After(w.heard[s.Agent]) && now.Sub(at) < toldFor {
+			w.told[s.Agent] = at
 		}
 	}
 }
 
-// Found returns the agents that the observer itself has found lost.
-func (w *Watch) Found() (lost []netip.Addr) {
+// Tell returns whom a process is to be told to be lost, by what the observer found itself and what it was told: nobody, if
+// there is none or the process was told lately.
+func (w *Watch) Tell(now time.Time, process netip.Addr) (list []msgs.Silent) {
+	if w.None() || now.Sub(w.informed[process]) < informEvery {
+		return nil
+	}
 	for a, d := range w.agents {
-		if d.Lost() {
-			lost = append(lost, a)
+		if d.Lost() && len(list) < msgs.MaxLost {
+			list = append(list, msgs.Silent{Agent: a})
 		}
 	}
-	return lost
+	for a, at := range w.told {
+		if d := w.agents[a]; (d == nil || !d.Lost()) && len(list) < msgs.MaxLost {
+			list = append(list, msgs.Silent{Agent: a, Age: uint16(now.Sub(at).Milliseconds())})
+		}
+	}
+	if len(list) > 0 {
+		w.informed[process] = now
+	}
+	return list
 }
 
 // None says whether nobody is in doubt or lost.
@@ -169,6 +188,11 @@
 			delete(w.heard, a)
 		}
 	}
+	for a, at := range w.informed {
+		if now.Sub(at) > informEvery {
+			delete(w.informed, a)
+		}
+	}
 }
 
 func isOne(agents []netip.Addr, a netip.Addr) bool {
--- /dev/null
+++ b/internal/node/doubt/doubt_test.go
@@ -0,0 +1,84 @@
+package doubt
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mangowinch/internal/flow/msgs"
+)
+
+var now = time.Unix(1_700_000_000, 0)
+
+const tick = 50 * time.Millisecond
+
+func addr(i int) netip.Addr { return netip.AddrFrom4([4]byte{10, 0, 1, byte(i)}) }
+
+// silence answers nothing and counts the questions.
+type silence struct{ asked map[netip.Addr]int }
+
+// Ask is part of Voucher.
+func (s *silence) Ask(target netip.Addr, _ []netip.Addr) { s.asked[target]++ }
+
+func newWatch() (w *Watch, agents []netip.Addr) {
+	for i := range 6 {
+		agents = append(agents, addr(i))
+	}
+	return New(&silence{map[netip.Addr]int{}}, rand.New(rand.NewPCG(1, 1))), agents
+}
+
+func nobody(netip.Addr) bool { return false }
+
+// run ticks for a while, in which somebody answers the observer, or nobody does.
+func run(w *Watch, from time.Time, d time.Duration, agents []netip.Addr, answered bool) (at time.Time) {
+	for at = from; at.Before(from.Add(d)); at = at.Add(tick) {
+		if answered {
+			w.Answered()
+		}
+		w.Tick(at, agents, nobody)
+	}
+	return at
+}
+
+// Guards against an observer that nobody hears and that takes others for lost.
+func TestObserverThatNobodyHearsLosesNobody(t *testing.T) {
+	for _, answered := range []bool{true, false} {
+		w, agents := newWatch()
+		w.Doubt(now, addr(1))
+		run(w, now, 2*time.Second, agents, answered)
+		assert.Equal(t, w.Lost(addr(1)), answered)
+	}
+}
+
+// Guards against two processes that keep telling each other that an agent is lost which neither watches any more.
+func TestWordThatIsPassedOnGrowsOld(t *testing.T) {
+	one, agents := newWatch()
+	two, _ := newWatch()
+	one.Told(now, []msgs.Silent{{Agent: addr(1), Age: 400}})
+	assert.Assert(t, one.Lost(addr(1)))
+	at := now
+	for range 40 {
+		at = at.Add(100 * time.Millisecond)
+		one.Tick(at, agents, nobody)
+		two.Tick(at, agents, nobody)
+		two.Told(at, one.Tell(at, addr(2)))
+		one.Told(at, two.Tell(at, addr(3)))
+		if at.Sub(now) > toldFor {
+			assert.Assert(t, !one.Lost(addr(1)) && !two.Lost(addr(1)))
+		}
+	}
+}
+
+// Guards against an agent that is back and is taken for lost by an older word.
+func TestAgentThatWasHeardIsNotLostByAnOlderWord(t *testing.T) {
+	w, _ := newWatch()
+	w.Told(now, []msgs.Silent{{Agent: addr(1)}})
+	assert.Assert(t, w.Heard(now.Add(tick), addr(1)), "it was lost")
+	w.Told(now.Add(2*tick), []msgs.Silent{{Agent: addr(1), Age: 200}})
+	assert.Assert(t, !w.Lost(addr(1)))
+	w.DoubtUnheard(now.Add(2*tick), addr(1))
+	assert.Assert(t, !w.InDoubt(addr(1)), "it was heard just now")
+}
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -222,6 +222,7 @@
 	e.noteAsked(now, home, s)
 	asked.Inc()
 	e.Events.Flow(event.Ordinary, "asked", s.Flow).Stringer("home", home).Uint64("revision", v.Revision).Send()
+	e.tellLost(now, v, home)
 	e.send(v, home, msgs.Carry{AsHome: lost, Packet: datagram})
 }
 
--- a/internal/node/edge/lost.go
+++ b/internal/node/edge/lost.go
@@ -4,6 +4,8 @@
 	"net/netip"
 	"time"
 
+	"mangowinch/internal/ctrl/belief"
+	"mangowinch/internal/flow/msgs"
 	"mangowinch/internal/flow/owner"
 	"mangowinch/internal/flow/segs"
 	"mangowinch/internal/oper/event"
@@ -54,6 +56,17 @@
 	}
 }
 
+// tellLost tells a home whom this entry knows to be lost: the home may be about to pass a packet on to one of them.
+func (e *Entry) tellLost(now time.Time, v *belief.View, home netip.Addr) {
+	list := e.doubted.Tell(now, home)
+	if len(list) == 0 {
+		return
+	}
+	m := msgs.Lost{Head: msgs.Head{Revision: v.Revision}, Agents: list}
+	e.buf = m.AppendTo(e.buf[:0])
+	e.Wire.ToPeer(home, e.buf)
+}
+
 // tellEnding tells some callers that their flows' agent is lost, if it still is.
 func (e *Entry) tellEnding(now time.Time) {
 	n := min(len(e.ending), endingsPerTick)
--- a/internal/node/local/lead.go
+++ b/internal/node/local/lead.go
@@ -95,7 +95,6 @@
 
 // tellHomes tells homes what rounds have shown.
 func (a *Agent) tellHomes(now time.Time, results []seek.Result) {
-	told := map[netip.Addr]bool{}
 	for _, r := range results {
 		m := msgs.Sought{Head: a.head(), Flow: r.Flow, Owner: r.Owner, Unsure: r.Unsure, Partial: r.Partial}
 		if len(m.Unsure) > msgs.MaxUnsure {
@@ -108,10 +107,7 @@
 			}
 			a.buf = m.AppendTo(a.buf[:0])
 			a.Wire.ToPeer(home, a.buf)
-			if !told[home] {
-				told[home] = true
-				a.tellLost(home)
-			}
+			a.tellLost(now, home)
 		}
 	}
 }
--- a/internal/node/local/lost.go
+++ b/internal/node/local/lost.go
@@ -17,7 +17,7 @@
 //
 // The guard: an agent that has left a lead's questions unanswered, or to which a home has passed on a packet and that hasn't been heard
 // lately, is in doubt (package doubt). When it is lost, rounds don't wait for it, and its flows are looked for, as another server may hold
-// them. A lead tells homes whom it has found lost with the results of their searches.
+// them. Who knows of lost agents tells whom it asks or answers: an entry the homes, a home the lead, a lead the homes.
 //
 // Why it holds: nothing that a lost agent's server sends reaches a caller, since it goes by the agent. If half of all agents or more are
 // lost, it may be the lead that is cut off, with some others: then nobody is left out.
@@ -79,15 +79,15 @@
 	}
 }
 
-// tellLost tells a home which agents the lead has found lost, so that it needn't find out by itself.
-func (a *Agent) tellLost(home netip.Addr) {
-	lost := a.doubted.Found()
-	if len(lost) == 0 || home == a.Self {
+// tellLost tells a process whom this agent knows to be lost, so that it needn't find out by itself.
+func (a *Agent) tellLost(now time.Time, to netip.Addr) {
+	list := a.doubted.Tell(now, to)
+	if len(list) == 0 {
 		return
 	}
-	m := msgs.Lost{Head: a.head(), Agents: lost[:min(len(lost), msgs.MaxLost)]}
+	m := msgs.Lost{Head: a.head(), Agents: list}
 	a.buf = m.AppendTo(a.buf[:0])
-	a.Wire.ToPeer(home, a.buf)
+	a.Wire.ToPeer(to, a.buf)
 }
 
 // doubtAll notes that agents have left a question unanswered.
--- a/internal/node/local/search.go
+++ b/internal/node/local/search.go
@@ -117,6 +117,7 @@
 		a.want(now, a.Self, q.question)
 		return
 	}
+	a.tellLost(now, lead)
 	m := msgs.Seek{Head: a.head(), Question: q.question}
 	a.buf = m.AppendTo(a.buf[:0])
 	a.Wire.ToPeer(lead, a.buf)
