--- a/internal/node/doubt/doubt.go
+++ b/internal/node/doubt/doubt.go
@@ -26,10 +26,14 @@
 	"slices"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"mangowinch/internal/flow/msgs"
 	"mangowinch/internal/load/detect"
 )
 
+var rounds = metrics.NewCounter(`mangowinch_doubt_rounds_total`)
+
 // lostAfter is when an agent is lost: 0.95 s after the first unanswered packet. Killed ones are back after 0.65 s.
 var lostAfter = detect.Bounds{Doubt: 150 * time.Millisecond, Wait: 200 * time.Millisecond, Checks: 4}
 
@@ -203,6 +207,7 @@
 // ask asks an agent, from the second time on by way of helpers too, whose answers show that the observer is heard: most who are
 // asked answer the first question.
 func (w *Watch) ask(a netip.Addr, d *agent, agents []netip.Addr) {
+	rounds.Inc()
 	d.checks++
 	if d.checks == 1 {
 		w.voucher.Ask(a, nil)
