--- a/internal/flow/owner/entry.go
+++ b/internal/flow/owner/entry.go
@@ -107,7 +107,8 @@
 	p.Candidates = append(p.Candidates, Candidate{Agent: agent, Seq: seq, Opened: true})
 }
 
-// Returned notes that an agent has handed the opening packet back. If it had said that the flow waits there, nobody has the flow now.
+// Returned notes that an agent has handed the opening packet back. If it had said that the flow waits there, nobody has the flow now;
+// remembered as waiting, it would be placed nowhere, and its caller would wait until it gives up.
 func (p *Places) Returned(agent netip.Addr) {
 	if last := p.Last(); last != nil && last.Agent == agent && !p.Owner.IsValid() {
 		p.Told = false
--- a/internal/node/local/cold.go
+++ b/internal/node/local/cold.go
@@ -8,8 +8,10 @@
 
 // A server that has just started (package warm).
 //
-// Its entry says how much longer it is cold. Before the entry is known the agent tells by itself: a server whose address was closed, or
-// that said nothing, and that answers again may have started anew.
+// The failure: a server comes back cold, all entries find it idle, and it gets more than it bears. The guard: its agent, which sees every
+// opening packet for it, counts them against the rate that the service states. Why it holds: the entry in the platform says how much longer
+// the server is cold, and before that entry is known the agent tells by itself, as a server whose address was closed, or that said
+// nothing, and that answers again may have started anew.
 
 // unseen stands for an entry whose remaining time hasn't been read yet.
 const unseen = time.Duration(-1)
--- a/internal/node/local/evacuate.go
+++ b/internal/node/local/evacuate.go
@@ -10,9 +10,9 @@
 // An evacuated failure domain.
 //
 // An operator empties a failure domain before work on it: its servers are to get no new flows, and flows that are open go on to their
-// end. The agent beside the server is the one that refuses, since an entry may not know the order yet; entries that know it
-// place nothing here. A process learns order and taking back with everything else that it believes, so that neither an
-// old belief nor a restart brings a domain back.
+// end. The failure: an entry that doesn't know the order yet, or was cut off, goes on placing flows here, and the domain is never empty. The
+// guard: the agent beside the server refuses, whatever an entry believes. Why it holds: every opening packet for the server passes it, and it learns
+// order and taking back with everything else that it believes, so that neither an old belief nor a restart brings a domain back.
 
 // evacuate hands back what waits, if the agent's failure domain is evacuated.
 func (a *Agent) evacuate(now time.Time, v *belief.View) {
