Silence counts only where others answered the same round

Cause: an entry whose link of 10 Mbit/s is full of uploads gets every answer a second late. It asked agents whether they are alive four times in 0.95 s and took those for lost that hadn't answered by then, and reset their open flows. The guard was that anybody had answered anything since the doubt began; behind a queue answers to old questions come all the time.

Ruled out: that the agents were slow or away (they served the same flows by other entries); that callers gave up (the resets were the entry's, owner-lost).

Change: each round of questions goes to three others too, whose answers name the round (package doubt, round.go). Silence counts against an agent only if all of them have answered that round; a round that nobody answered is repeated after a longer wait.

--- a/internal/flow/msgs/alive.go
+++ b/internal/flow/msgs/alive.go
@@ -12,16 +12,18 @@
 	Target  netip.Addr
 	Origin  netip.Addr // who wants to know
 	Relayed bool       // it has been handed on
+	Round   uint32     // of questions, by which Origin knows the answers
 }
 
-const askSize = 9
+const askSize = 13
 
 // AppendTo appends the encoded message.
 func (m *Ask) AppendTo(b []byte) []byte {
 	b = m.appendTo(b, KindAsk)
 	b = appendAddr(b, m.Target)
 	b = appendAddr(b, m.Origin)
-	return append(b, flag(m.Relayed))
+	b = append(b, flag(m.Relayed))
+	return binary.LittleEndian.AppendUint32(b, m.Round)
 }
 
 // ReadAsk reads the rest of a message.
@@ -29,7 +31,7 @@
 	if len(b) < askSize {
 		return Ask{}, ErrShort
 	}
-	return Ask{Head: h, Target: addrFrom(b), Origin: addrFrom(b[4:]), Relayed: b[8] != 0}, nil
+	return Ask{Head: h, Target: addrFrom(b), Origin: addrFrom(b[4:]), Relayed: b[8] != 0, Round: binary.LittleEndian.Uint32(b[9:])}, nil
 }
 
 // Alive answers Ask, by the way that it came.
@@ -37,15 +39,17 @@
 	Head
 	Target netip.Addr
 	Origin netip.Addr
+	Round  uint32 // of the question
 }
 
-const aliveSize = 8
+const aliveSize = 12
 
 // AppendTo appends the encoded message.
 func (m *Alive) AppendTo(b []byte) []byte {
 	b = m.appendTo(b, KindAlive)
 	b = appendAddr(b, m.Target)
-	return appendAddr(b, m.Origin)
+	b = appendAddr(b, m.Origin)
+	return binary.LittleEndian.AppendUint32(b, m.Round)
 }
 
 // ReadAlive reads the rest of a message.
@@ -53,7 +57,7 @@
 	if len(b) < aliveSize {
 		return Alive{}, ErrShort
 	}
-	return Alive{Head: h, Target: addrFrom(b), Origin: addrFrom(b[4:])}, nil
+	return Alive{Head: h, Target: addrFrom(b), Origin: addrFrom(b[4:]), Round: binary.LittleEndian.Uint32(b[8:])}, nil
 }
 
 // Lost names agents that answer nobody.
--- a/internal/load/detect/detect.go
+++ b/internal/load/detect/detect.go
@@ -9,7 +9,9 @@
 // wakes up. So a step of the clock between two ticks counts as mostStep at the most, and what came meanwhile is read before
 // the next steps add up. A party that answers any one of Checks questions is not lost: with a hundredth of the packets
 // lost each way, two questions in a row go unanswered once in 2,500 doubts, each of which takes a loss itself; who can't
-// afford that asks several at a time, or over a way that loses nothing.
+// afford that asks several at a time, or over a way that loses nothing. An observer whose own link is full gets answers late or not
+// at all: it asks others beside the party, and a question counts only if they have answered meanwhile. One that doesn't
+// count is repeated, after a longer wait if nobody has answered.
 //
 // It says nothing of what follows from a loss, and it sends nothing. It is pure: time is handed in. It is not safe for
 // concurrent use.
@@ -19,7 +21,7 @@
 //	d := detect.New(detect.Bounds{Doubt: 150 * time.Millisecond, Wait: 150 * time.Millisecond, Checks: 3})
 //	d.Asked(now) // something was sent that is answered at once
 //	d.Heard(now) // anything has come
-//	switch d.Tick(now) {
+//	switch d.Tick(now, detect.Open) {
 //	case detect.Check:
 //		askDirectly()
 //	case detect.Lost:
@@ -46,10 +48,23 @@
 	Lost                 // it is lost as of now; said once
 )
 
+// Progress is how the observer's way was while it waited for an answer, by those of others.
+type Progress uint8
+
+// The ways.
+const (
+	Open    Progress = iota // all others have answered: silence counts
+	Patchy                  // some have: it doesn't count, and waiting longer is of no use
+	Blocked                 // none has: it doesn't count, and answers may take longer
+)
+
 // mostStep bounds what one step between two ticks counts for: twice the 50 ms of the ticks of
 // both roles, so that a late tick counts and a pause doesn't.
 const mostStep = 100 * time.Millisecond
 
+// mostWaits bounds how long a question that doesn't count is waited for, in Bounds.Wait.
+const mostWaits = 8
+
 // Detector watches one party. Its zero value is of no use.
 type Detector struct {
 	bounds Bounds
@@ -59,11 +74,12 @@
 	doubts bool          // there is one
 	checks int           // questions asked since
 	asked  time.Duration // awake time of the last question
+	wait   time.Duration // for its answer
 	lost   bool
 }
 
 // New returns a detector of a party that nothing speaks against.
-func New(b Bounds) *Detector { return &Detector{bounds: b} }
+func New(b Bounds) *Detector { return &Detector{bounds: b, wait: b.Wait} }
 
 // Lost says whether the party is lost.
 func (d *Detector) Lost() bool { return d.lost }
@@ -89,21 +105,22 @@
 // Heard notes that something has come from the party. It says whether it was lost.
 func (d *Detector) Heard() (back bool) {
 	back = d.lost
-	d.doubts, d.checks, d.lost = false, 0, false
+	d.doubts, d.checks, d.lost, d.wait = false, 0, false, d.bounds.Wait
 	return back
 }
 
-// Tick says what is to be done now. It is to be called each 50 ms. A lost party is still to be asked directly every
-// now and then, so that its return shows.
-func (d *Detector) Tick(now time.Time) Verdict {
+// Tick says what is to be done now. It is to be called each 50 ms. Way is how it was since the last question. A lost party is still to be asked directly every now and then, so that its return shows.
+func (d *Detector) Tick(now time.Time, way Progress) Verdict {
 	d.awake, d.last = d.clock(now), now
 	switch {
 	case !d.doubts:
 		return Fine
 	case d.checks == 0 && d.awake-d.since < d.bounds.Doubt:
 		return Fine
-	case d.checks > 0 && d.awake-d.asked < d.bounds.Wait:
+	case d.checks > 0 && d.awake-d.asked < d.wait:
 		return Fine
+	case d.checks > 0 && way != Open:
+		return d.repeat(way)
 	case d.checks >= d.bounds.Checks && !d.lost:
 		d.lost = true
 		return Lost
@@ -113,3 +130,12 @@
 		return Check
 	}
 }
+
+// repeat asks once more, as the last question doesn't count.
+func (d *Detector) repeat(way Progress) Verdict {
+	if way == Blocked {
+		d.wait = min(2*d.wait, mostWaits*d.bounds.Wait)
+	}
+	d.asked = d.awake
+	return Check
+}
--- a/internal/load/detect/detect_test.go
+++ b/internal/load/detect/detect_test.go
@@ -22,14 +22,14 @@
 
 func newWorld() *world {
 	w := &world{now: time.Unix(1_700_000_000, 0), d: New(bounds)}
-	w.d.Tick(w.now)
+	w.d.Tick(w.now, Open)
 	return w
 }
 
 func (w *world) run(d time.Duration) {
 	for end := w.now.Add(d); w.now.Before(end); {
 		w.now = w.now.Add(tick)
-		switch w.d.Tick(w.now) {
+		switch w.d.Tick(w.now, Open) {
 		case Check:
 			if w.answers {
 				w.d.Heard()
@@ -80,15 +80,35 @@
 	w := newWorld()
 	w.d.Asked(w.now)
 	w.now = w.now.Add(5 * time.Second)
-	assert.Equal(t, w.d.Tick(w.now), Fine)
+	assert.Equal(t, w.d.Tick(w.now, Open), Fine)
 	w.now = w.now.Add(tick)
-	verdict := w.d.Tick(w.now)
+	verdict := w.d.Tick(w.now, Open)
 	assert.Assert(t, verdict != Lost)
 	w.d.Heard()
 	w.run(time.Second)
 	assert.Assert(t, w.lost.IsZero())
 }
 
+// Guards against a party that is lost by questions whose answers couldn't come, and against asking ever more often meanwhile.
+func TestQuestionsThatDoNotCountLoseNobody(t *testing.T) {
+	w := newWorld()
+	w.d.Asked(w.now)
+	questions := 0
+	for range 200 {
+		w.now = w.now.Add(tick)
+		switch w.d.Tick(w.now, Blocked) {
+		case Check:
+			questions++
+		case Lost:
+			t.Fatal("lost")
+		case Fine:
+		}
+	}
+	assert.Assert(t, questions > 0 && questions <= 10, questions)
+	w.run(bounds.Wait * time.Duration(bounds.Checks) * mostWaits)
+	assert.Assert(t, !w.lost.IsZero(), "the way is open again, and the party has answered nothing")
+}
+
 // Whatever pauses the observer has, a party that answers each question within two ticks is never lost.
 func TestPartyThatLivesIsNeverLost(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
@@ -102,7 +122,7 @@
 			if i == due {
 				w.d.Heard()
 			}
-			verdict := w.d.Tick(w.now)
+			verdict := w.d.Tick(w.now, Open)
 			assert.Assert(r, verdict != Lost)
 			if verdict == Check {
 				due = i + 2
--- a/internal/node/doubt/doubt_test.go
+++ b/internal/node/doubt/doubt_test.go
@@ -17,39 +17,32 @@
 
 func addr(i int) netip.Addr { return netip.AddrFrom4([4]byte{10, 0, 1, byte(i)}) }
 
-// silence answers nothing and counts the questions.
-type silence struct{ asked map[netip.Addr]int }
+// silence answers nothing.
+type silence struct{}
 
 // Ask is part of Voucher.
-func (s *silence) Ask(target netip.Addr, _ []netip.Addr) { s.asked[target]++ }
+func (silence) Ask(netip.Addr, []netip.Addr, uint32) {}
 
 func newWatch() (w *Watch, agents []netip.Addr) {
 	for i := range 6 {
 		agents = append(agents, addr(i))
 	}
-	return New(&silence{map[netip.Addr]int{}}, rand.New(rand.NewPCG(1, 1))), agents
+	return New(observer, silence{}, rand.New(rand.NewPCG(1, 1))), agents
 }
 
 func nobody(netip.Addr) bool { return false }
 
-// run ticks for a while, in which somebody answers the observer, or nobody does.
-func run(w *Watch, from time.Time, d time.Duration, agents []netip.Addr, answered bool) (at time.Time) {
-	for at = from; at.Before(from.Add(d)); at = at.Add(tick) {
-		if answered {
-			w.Answered()
-		}
-		w.Tick(at, agents, nobody)
-	}
-	return at
-}
-
 // Guards against an observer that nobody hears and that takes others for lost.
 func TestObserverThatNobodyHearsLosesNobody(t *testing.T) {
-	for _, answered := range []bool{true, false} {
-		w, agents := newWatch()
-		w.Doubt(now, addr(1))
-		run(w, now, 2*time.Second, agents, answered)
-		assert.Equal(t, w.Lost(addr(1)), answered)
+	for _, heard := range []bool{true, false} {
+		w := newWorld(6, 1)
+		w.gone[addr(1)] = true
+		if !heard {
+			w.out.loss = 1
+		}
+		w.press(2 * time.Second)
+		assert.Equal(t, w.watch.Lost(addr(1)), heard)
+		assert.Equal(t, len(w.lost) > 0, heard)
 	}
 }
 
--- /dev/null
+++ b/internal/node/doubt/round.go
@@ -0,0 +1,185 @@
+package doubt
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"mangowinch/internal/load/detect"
+)
+
+const (
+	// witnesses is how many others are asked beside the agents in doubt. On a link that drops three in ten packets each way, all
+	// of them answer one round in eight.
+	witnesses = 3
+	// helpers is how many others ask an agent in doubt too. On such a link an agent that lives is silent by all four ways in one
+	// round of fifteen.
+	helpers = 3
+)
+
+// NoRound is the round of a question whose answer no doubt depends on.
+const NoRound = 0
+
+// keepFor is for how long answers to a round are waited for: longer than any question is (package detect).
+const keepFor = 2 * time.Second
+
+// round is one round of questions. Beside the agents in doubt others are asked at the same time, by whose answers the observer knows
+// that its way was open: they went out and came back by the same link, and with the same luck.
+type round struct {
+	number uint32
+	at     time.Time
+	others []netip.Addr // witnesses
+	silent []netip.Addr // of the others, those that haven't answered
+}
+
+// progress says whether all others have answered, so that silence of a doubted agent counts against it, or some, so that the way is
+// no longer than the wait.
+func (r *round) progress() detect.Progress {
+	switch {
+	case r == nil || len(r.silent) == len(r.others):
+		return detect.Blocked
+	case len(r.silent) > 0:
+		return detect.Patchy
+	default:
+		return detect.Open
+	}
+}
+
+// rounds are the rounds of an observer that may still be answered.
+type rounds struct {
+	rand    *rand.Rand
+	last    uint32
+	open    map[uint32]*round
+	answers map[netip.Addr]time.Time // the last answer to a round
+	misses  map[netip.Addr]time.Time // when a round began without an answer to the one before
+}
+
+func newRounds(r *rand.Rand) *rounds {
+	return &rounds{
+		rand:    r,
+		last:    rand.Uint32(), // answers to an observer that ran here before don't count
+		open:    map[uint32]*round{},
+		answers: map[netip.Addr]time.Time{},
+		misses:  map[netip.Addr]time.Time{},
+	}
+}
+
+// begin begins a round with others.
+func (q *rounds) begin(now time.Time, others []netip.Addr) *round {
+	if before := q.open[q.last]; before != nil {
+		for _, a := range before.silent {
+			q.misses[a] = now
+		}
+	}
+	q.last++
+	if q.last == NoRound {
+		q.last++
+	}
+	r := &round{number: q.last, at: now, others: others, silent: slices.Clone(others)}
+	q.open[r.number] = r
+	return r
+}
+
+// class is how an agent would do among the others of a round.
+type class int
+
+const (
+	silent  class = iota // it has left something unanswered
+	unasked              // nothing speaks against it
+	proved               // it has answered a round lately
+)
+
+// class tells that of an agent.
+func (w *Watch) class(a netip.Addr) class {
+	answer, miss := w.rounds.answers[a], w.rounds.misses[a]
+	switch {
+	case miss.After(answer):
+		return silent
+	case !answer.IsZero():
+		return proved
+	default:
+		return unasked
+	}
+}
+
+// candidate is an agent that may be asked beside the doubted ones.
+type candidate struct {
+	agent netip.Addr
+	class class
+	heard time.Time // zero: not lately
+}
+
+// others draws who is asked beside the doubted ones: of the best class those that were heard last, at random who wasn't, and none that is
+// in doubt itself unless all are.
+func (w *Watch) others(agents []netip.Addr) (drawn []netip.Addr) {
+	all := w.shuffled(agents)
+	calm := slices.DeleteFunc(slices.Clone(all), func(a netip.Addr) bool { return w.agents[a] != nil })
+	if len(calm) == 0 {
+		calm = all
+	}
+	var list []candidate
+	for _, a := range calm {
+		list = append(list, candidate{agent: a, class: w.class(a), heard: w.heard[a]})
+	}
+	slices.SortStableFunc(list, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(b.class, a.class), b.heard.Compare(a.heard))
+	})
+	for _, c := range list[:min(witnesses, len(list))] {
+		drawn = append(drawn, c.agent)
+	}
+	return drawn
+}
+
+// some draws helpers from the agents but one, anew each time: some of them may not reach it either.
+func (w *Watch) some(agents []netip.Addr, but netip.Addr) (drawn []netip.Addr) {
+	for _, a := range w.shuffled(agents) {
+		if len(drawn) == helpers {
+			break
+		}
+		if a != but {
+			drawn = append(drawn, a)
+		}
+	}
+	return drawn
+}
+
+// shuffled returns the other agents that aren't lost in any order.
+func (w *Watch) shuffled(agents []netip.Addr) (list []netip.Addr) {
+	for _, i := range w.rounds.rand.Perm(len(agents)) {
+		if agents[i] != w.self && !w.Lost(agents[i]) {
+			list = append(list, agents[i])
+		}
+	}
+	return list
+}
+
+// answered notes an answer.
+func (q *rounds) answered(now time.Time, a netip.Addr, number uint32) {
+	r := q.open[number]
+	if r == nil {
+		return
+	}
+	q.answers[a] = now
+	r.silent = slices.DeleteFunc(r.silent, func(s netip.Addr) bool { return s == a })
+}
+
+// forget drops what is too old to tell anything.
+func (q *rounds) forget(now time.Time) {
+	for n, r := range q.open {
+		if now.Sub(r.at) > keepFor {
+			delete(q.open, n)
+		}
+	}
+	for a, at := range q.answers {
+		if now.Sub(at) > lately {
+			delete(q.answers, a)
+		}
+	}
+	for a, at := range q.misses {
+		if now.Sub(at) > lately {
+			delete(q.misses, a)
+		}
+	}
+}
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -104,7 +104,7 @@
 		flows:   owner.NewEntry(flowLimit),
 		chooser: steer.New(c.Domain, c.Rand, c.Off),
 		agents:  detect.New(cutOff),
-		doubted: doubt.New(c.Vouch, c.Rand),
+		doubted: doubt.New(c.Self, c.Vouch, c.Rand),
 		cold:    map[string]warmth{},
 		emptied: map[string]uint64{},
 	}
--- a/internal/node/edge/reach.go
+++ b/internal/node/edge/reach.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"mangowinch/internal/load/detect"
+	"mangowinch/internal/node/doubt"
 )
 
 // An entry that is cut off from the rest of the system.
@@ -31,23 +32,24 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if _, ok := e.Log.View().Server(from); ok && e.agents.InDoubt() {
-		e.Vouch.Ask(from, nil) // an agent that greets others has just started
+		e.Vouch.Ask(from, nil, doubt.NoRound) // an agent that greets others has just started
 	}
 	e.clear(now, from)
 }
 
-// Answered notes that another process has answered something that this entry sent.
-func (e *Entry) Answered(from netip.Addr) {
+// Answered notes that another process has answered a question of a round.
+func (e *Entry) Answered(now time.Time, from netip.Addr, round uint32) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.doubted.Answered(now, from, round)
 	e.answered(from)
 }
 
+// answered notes that another process has answered something that this entry sent.
 func (e *Entry) answered(from netip.Addr) {
 	if _, ok := e.Log.View().Server(from); !ok {
 		return
 	}
-	e.doubted.Answered()
 	if e.agents.Heard() {
 		e.Events.State("reached").Send()
 	}
@@ -62,10 +64,10 @@
 
 // watch asks agents when they are silent.
 func (e *Entry) watch(now time.Time) {
-	switch e.agents.Tick(now) {
+	switch e.agents.Tick(now, detect.Open) {
 	case detect.Check:
 		for _, a := range e.some(e.Log.View().Homes.Agents(), askAgents) {
-			e.Vouch.Ask(a, nil)
+			e.Vouch.Ask(a, nil, doubt.NoRound)
 		}
 		asks.Inc()
 	case detect.Lost:
--- a/internal/node/local/lead.go
+++ b/internal/node/local/lead.go
@@ -89,7 +89,6 @@
 
 // found takes an agent's answer in.
 func (a *Agent) found(now time.Time, from netip.Addr, m msgs.Found) {
-	a.doubted.Answered()
 	a.tellHomes(now, a.rounds.Answer(from, m.Round, m.Verdicts, a.present()))
 }
 
--- a/internal/node/local/local.go
+++ b/internal/node/local/local.go
@@ -130,7 +130,7 @@
 		probes:   map[segs.Flow]probe{},
 		searches: map[segs.Flow]*search{},
 		rounds:   seek.New(rand.Uint32()),
-		doubted:  doubt.New(c.Vouch, c.Rand),
+		doubted:  doubt.New(c.Self, c.Vouch, c.Rand),
 		passed:   map[segs.Flow]passing{},
 	}
 }
--- a/internal/node/local/lost.go
+++ b/internal/node/local/lost.go
@@ -120,9 +120,9 @@
 	}
 }
 
-// Answered notes that another process has answered something that this agent sent.
-func (a *Agent) Answered(netip.Addr) {
+// Answered notes that another process has answered a question of a round.
+func (a *Agent) Answered(now time.Time, from netip.Addr, round uint32) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.doubted.Answered()
+	a.doubted.Answered(now, from, round)
 }
--- a/internal/node/vouch/vouch.go
+++ b/internal/node/vouch/vouch.go
@@ -11,7 +11,7 @@
 //
 //	n := vouch.New(self, send)
 //	n.OnAlive, n.OnAnswer = heard, answered
-//	n.Ask(target, helpers)
+//	n.Ask(target, helpers, round)
 package vouch
 
 import (
@@ -27,8 +27,8 @@
 	// is alive; nil: nobody wants to know. It is set before the first message.
 	OnAlive func(now time.Time, process netip.Addr)
 	// OnAnswer is called with each process that has answered a question of this one, which so has been heard
-	// itself; nil: nobody wants to know. It is set before the first message.
-	OnAnswer func(process netip.Addr)
+	// itself, and with the question's round; nil: nobody wants to know. It is set before the first message.
+	OnAnswer func(now time.Time, process netip.Addr, round uint32)
 
 	self netip.Addr
 	send func(to netip.Addr, message []byte)
@@ -39,9 +39,9 @@
 	return &Node{self: self, send: send}
 }
 
-// Ask asks a process whether it is alive, directly and by way of helpers.
-func (n *Node) Ask(target netip.Addr, helpers []netip.Addr) {
-	m := msgs.Ask{Target: target, Origin: n.self}
+// Ask asks a process whether it is alive, directly and by way of helpers. Its answer names the round.
+func (n *Node) Ask(target netip.Addr, helpers []netip.Addr, round uint32) {
+	m := msgs.Ask{Target: target, Origin: n.self, Round: round}
 	message := m.AppendTo(nil)
 	n.send(target, message)
 	for _, h := range helpers {
@@ -53,7 +53,7 @@
 func (n *Node) Asked(from netip.Addr, m msgs.Ask) {
 	switch {
 	case m.Target == n.self:
-		answer := msgs.Alive{Target: n.self, Origin: m.Origin}
+		answer := msgs.Alive{Target: n.self, Origin: m.Origin, Round: m.Round}
 		n.send(from, answer.AppendTo(nil))
 	case !m.Relayed:
 		m.Relayed = true
@@ -69,7 +69,7 @@
 	}
 	n.Heard(now, m.Target)
 	if n.OnAnswer != nil {
-		n.OnAnswer(m.Target)
+		n.OnAnswer(now, m.Target, m.Round)
 	}
 }
 
--- a/internal/node/vouch/vouch_test.go
+++ b/internal/node/vouch/vouch_test.go
@@ -51,7 +51,7 @@
 // ask returns whether node 0 hears that a process is alive.
 func (w *network) ask(target netip.Addr, helpers ...netip.Addr) (alive bool) {
 	w.nodes[addr(0)].OnAlive = func(_ time.Time, process netip.Addr) { alive = alive || process == target }
-	w.nodes[addr(0)].Ask(target, helpers)
+	w.nodes[addr(0)].Ask(target, helpers, 0)
 	return alive
 }
 
