Trial: entries that start leave the platform to seeds

Try: a process that knows nothing reads at once only if it is a seed. Others volunteer ever more, and fetch from whoever knows something. A fetched belief is as fresh as that of the peer it came from (before, it had no age until the next beacon).

--- a/internal/ctrl/follow/fetch.go
+++ b/internal/ctrl/follow/fetch.go
@@ -87,32 +87,45 @@
 // ahead is a peer that knows more than this process.
 type ahead struct {
 	peer     netip.Addr
-	revision uint64 // 0: nobody
-	near     bool   // it is in this process's failure domain
-	of       int    // peers among which it was drawn
+	revision uint64    // 0: nobody
+	asOf     time.Time // its belief is known to be complete as of then; zero: not known
+	near     bool      // it is in this process's failure domain
+	of       int       // peers among which it was drawn
 }
 
 // Noticed says that a peer is complete up to a revision, as every message tells.
 func (n *Node) Noticed(from netip.Addr, revision uint64) {
-	if revision <= n.Log.Revision() {
+	n.noticed(ahead{peer: from, revision: revision})
+}
+
+// noticed takes a peer into account that may be ahead.
+func (n *Node) noticed(a ahead) {
+	known := n.Log.Revision()
+	if a.revision <= known {
 		return
 	}
 	n.mu.Lock()
-	n.ahead.consider(from, revision, n.near(from))
+	if known == 0 && n.offered.IsZero() {
+		n.offered = time.Now()
+	}
+	a.near = n.near(a.peer)
+	n.ahead.consider(a)
 	n.mu.Unlock()
 	wake(n.behind)
 }
 
 // consider takes a peer that is ahead into account: near ones go before others, and of equals one is drawn. The first to be
 // heard are the same for all when all start at once, and would have to give everything to everybody.
-func (a *ahead) consider(peer netip.Addr, revision uint64, near bool) {
+func (a *ahead) consider(other ahead) {
 	switch {
-	case a.revision == 0 || near && !a.near:
-		*a = ahead{peer: peer, revision: revision, near: near, of: 1}
-	case near == a.near:
+	case a.revision == 0 || other.near && !a.near:
+		*a = other
+		a.of = 1
+	case other.near == a.near:
 		a.of++
 		if rand.IntN(a.of) == 0 {
-			a.peer, a.revision = peer, revision
+			other.of = a.of
+			*a = other
 		}
 	}
 }
@@ -149,24 +162,33 @@
 }
 
 // takeAhead returns whom to ask, if anybody still knows more.
-func (n *Node) takeAhead() (peer netip.Addr, ok bool) {
+func (n *Node) takeAhead() (a ahead, ok bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	a := n.ahead
-	n.ahead = ahead{}
-	return a.peer, a.revision > n.Log.Revision()
+	a, n.ahead = n.ahead, ahead{}
+	return a, a.revision > n.Log.Revision()
 }
 
-func (n *Node) fetch(ctx context.Context, from netip.Addr) {
+func (n *Node) fetch(ctx context.Context, from ahead) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTime)
 	defer cancel()
 	revision := n.Log.Revision()
-	c, err := n.Fetch(ctx, from, revision)
+	c, err := n.Fetch(ctx, from.peer, revision)
 	if err != nil {
 		metrics.GetOrCreateCounter(`mangowinch_fetches_total{result="failed"}`).Inc()
-		n.Events.State("fetch-failed").Stringer("peer", from).Uint64("revision", revision).Err(err).Send()
+		n.Events.State("fetch-failed").Stringer("peer", from.peer).Uint64("revision", revision).Err(err).Send()
 		return
 	}
 	metrics.GetOrCreateCounter(`mangowinch_fetches_total{result="ok"}`).Inc()
-	n.Learn(time.Now(), from, c)
+	n.Learn(time.Now(), from.peer, c)
+	n.fresh(from)
+}
+
+// fresh makes the belief as fresh as that of a peer from which it was fetched.
+func (n *Node) fresh(from ahead) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.Log.Revision() >= from.revision && from.asOf.After(n.asOf) {
+		n.asOf = from.asOf
+	}
 }
--- a/internal/ctrl/follow/follow.go
+++ b/internal/ctrl/follow/follow.go
@@ -73,7 +73,7 @@
 	greetings = 4
 	// helloEvery is how often a process that knows nothing asks seeds and agents.
 	helloEvery = 200 * time.Millisecond
-	// agentPatience is how long a starting agent waits for entries to tell it before it reads
+	// agentPatience is how long a starting agent waits for others to tell it before it may read
 	// itself: an agent carries packets without any belief.
 	agentPatience = 700 * time.Millisecond
 	// peerLife is how long a peer that isn't heard of is kept in mind: gossip among 100
@@ -92,7 +92,8 @@
 	mu       sync.Mutex
 	asOf     time.Time // the belief is known to be complete as of then
 	peers    map[netip.Addr]*peer
-	ahead    ahead // whom to ask for what this process lacks
+	offered  time.Time // when a peer that knew something was first heard by this process, which knew nothing
+	ahead    ahead     // whom to ask for what this process lacks
 	reading  bool
 	leaving  bool
 	gossiped time.Time
--- a/internal/ctrl/follow/peers.go
+++ b/internal/ctrl/follow/peers.go
@@ -157,7 +157,15 @@
 		n.Send(from, message)
 	}
 	n.sendAll(to, message)
-	n.Noticed(from, m.Revision)
+	n.noticed(ahead{peer: from, revision: m.Revision, asOf: confirmedAt(now, m)})
+}
+
+// confirmedAt is as of when a beacon's sender knows its belief to be complete; zero: it doesn't know.
+func confirmedAt(now time.Time, m msgs.Beacon) time.Time {
+	if m.Age == msgs.MaxAge {
+		return time.Time{}
+	}
+	return now.Add(-time.Duration(m.Age)*time.Millisecond - transit)
 }
 
 func (n *Node) meet(a netip.Addr) *peer {
@@ -175,11 +183,8 @@
 
 // credit makes the belief as fresh as a peer's that doesn't know more. n.mu is held.
 func (n *Node) credit(now time.Time, m msgs.Beacon) {
-	if m.Age == msgs.MaxAge || m.Revision > n.Log.Revision() {
-		return
-	}
-	asOf := now.Add(-time.Duration(m.Age)*time.Millisecond - transit)
-	if asOf.After(n.asOf) {
+	asOf := confirmedAt(now, m)
+	if m.Revision <= n.Log.Revision() && asOf.After(n.asOf) {
 		n.asOf = asOf
 	}
 }
--- a/internal/ctrl/follow/spread_test.go
+++ b/internal/ctrl/follow/spread_test.go
@@ -67,16 +67,16 @@
 // border after the other. A peer of the own failure domain goes before others, and of equals any may be asked.
 func TestFetchesGoToNearPeersAndAreSpread(t *testing.T) {
 	var a ahead
-	a.consider(addr(1), 5, false)
-	a.consider(addr(2), 9, true)
-	a.consider(addr(3), 9, false)
+	a.consider(ahead{peer: addr(1), revision: 5, near: false})
+	a.consider(ahead{peer: addr(2), revision: 9, near: true})
+	a.consider(ahead{peer: addr(3), revision: 9, near: false})
 	assert.Assert(t, a.peer == addr(2) && a.near)
 
 	asked := map[netip.Addr]int{}
 	for range 1000 {
 		var a ahead
 		for i := range 4 {
-			a.consider(addr(i), 5, true)
+			a.consider(ahead{peer: addr(i), revision: 5, near: true})
 		}
 		asked[a.peer]++
 	}
--- a/internal/ctrl/follow/turn.go
+++ b/internal/ctrl/follow/turn.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"mangowinch/internal/flow/msgs"
@@ -18,13 +19,45 @@
 // volunteerOnce is the mean number of ticks in which one process of all volunteers.
 const volunteerOnce = 10
 
+// A process that has just started knows nothing, and a whole fleet may start at once. If each entry then read by itself, hundreds
+// would list everything and watch hundreds of changes. So seeds read at once, as all others ask them, and of the others ever more volunteer while they hear of
+// nobody who knows anything. Who hears of somebody fetches from it.
+
+const (
+	// firstVolunteers is the mean number of processes of which one volunteers in the first tick without news; it halves with each tick.
+	firstVolunteers = 64
+	// offerPatience is how long a process that knows nothing tries to fetch from those that know something. They may all be busy.
+	offerPatience = 1500 * time.Millisecond
+)
+
+// shouldBegin says whether a process that knows nothing is to read the platform. n.mu is held.
+func (n *Node) shouldBegin(now time.Time) bool {
+	waited := now.Sub(n.start)
+	if n.Role == msgs.Agent {
+		waited -= agentPatience
+	}
+	if !n.offered.IsZero() {
+		waited = now.Sub(n.offered) - offerPatience
+	}
+	switch {
+	case waited < 0:
+		return false
+	case n.offered.IsZero() && slices.Contains(n.Seeds, n.Self):
+		return true
+	case waited < Tick:
+		return false
+	default:
+		return rand.IntN(max(1, firstVolunteers>>(waited/Tick))) == 0
+	}
+}
+
 // shouldRead says whether the process is to read the platform. n.mu is held.
 func (n *Node) shouldRead(now time.Time) bool {
 	if n.leaving {
 		return false
 	}
 	if n.asOf.IsZero() {
-		return n.Role == msgs.Entry || now.Sub(n.start) > agentPatience+time.Duration(rand.Int64N(int64(agentPatience)))
+		return n.shouldBegin(now)
 	}
 	others := len(n.peers)
 	if now.Sub(n.asOf) > n.tooOld() && n.triers(now) < wantedTriers {
