A server that answers far too fast gets few flows

Cause: five of forty servers answer each request by an error after 4 ms in place of 47 to 61 ms. Nobody can read an answer on an opaque flow.

Change: the agent learns for each called address the time under which a tenth of the answers take (package load/quick). Three answers in less than a third of that open a breaker for new flows; five good ones close it. Flows that are open go on. Who is turned away by one agent is taken by the next, so that a service whose requests all turn short stays in use.

Ways: a flow's time against the other servers' needs reports of them all; the own past needs none. The mean of all answers can't tell a server that fails two of five.

What can't be told is in the package comment: requests as short as an error, a server that has always failed.

--- a/internal/flow/msgs/packet.go
+++ b/internal/flow/msgs/packet.go
@@ -130,7 +130,7 @@
 	WhyTable                    // the agent's table is full
 	WhyBusy                     // more flows wait than can be served before their callers give up
 	WhyMute                     // the server doesn't answer
-	WhyFails                    // the server breaks off its requests
+	WhyFails                    // the server breaks off its requests, or fails them at once
 	WhyEvacuated                // the server's failure domain is evacuated
 )
 
--- a/internal/load/parts/parts.go
+++ b/internal/load/parts/parts.go
@@ -28,6 +28,7 @@
 	Reach    bool // an entry that hears no agent isn't ready (package edge)
 	Lost     bool // callers of an agent that answers nobody are told (edge)
 	Breaker  bool // no flows for a server that breaks off its requests, whose callers are told (package trip)
+	Quick    bool // few flows for a server that answers far too fast (package quick)
 }
 
 // part is one mechanism: its name in settings and its field.
@@ -49,6 +50,7 @@
 	{"reach", func(o *Off) *bool { return &o.Reach }},
 	{"lost", func(o *Off) *bool { return &o.Lost }},
 	{"breaker", func(o *Off) *bool { return &o.Breaker }},
+	{"quick", func(o *Off) *bool { return &o.Quick }},
 }
 
 // Names returns the names of all mechanisms.
--- a/internal/node/local/caller.go
+++ b/internal/node/local/caller.go
@@ -212,7 +212,7 @@
 		return msgs.WhyDown
 	case a.mute(now):
 		return msgs.WhyMute
-	case !m.Insist && !a.breaker.Allows(now):
+	case !m.Insist && (!a.breaker.Allows(now) || !a.quick.Allows(now)):
 		return msgs.WhyFails
 	case v.Revision > m.Revision && v.Config != nil && !v.Allows(s.Flow.Called(), a.Service):
 		// The entry is behind, or was frozen and has just woken up with an old route.
--- a/internal/node/local/local.go
+++ b/internal/node/local/local.go
@@ -31,6 +31,7 @@
 	"mangowinch/internal/flow/segs"
 	"mangowinch/internal/load/hold"
 	"mangowinch/internal/load/parts"
+	"mangowinch/internal/load/quick"
 	"mangowinch/internal/load/trip"
 	"mangowinch/internal/load/warm"
 	"mangowinch/internal/node/doubt"
@@ -108,6 +109,7 @@
 	passed   map[segs.Flow]passing // as the home: packets on their way to owners in doubt
 	leaving  bool
 	breaker  trip.Breaker
+	quick    *quick.Watch
 	warmth   warm.Limiter
 	ending   []segs.Flow // that rest at a server that breaks off its requests
 	server   sight
@@ -132,6 +134,7 @@
 		rounds:   seek.New(rand.Uint32()),
 		doubted:  doubt.New(c.Self, c.Vouch, c.Rand),
 		passed:   map[segs.Flow]passing{},
+		quick:    quick.New(),
 	}
 }
 
--- a/internal/node/local/server.go
+++ b/internal/node/local/server.go
@@ -60,6 +60,7 @@
 	}
 	if took := a.flows.FromServer(now, o, s); took > 0 {
 		a.answered()
+		a.judge(now, s.Flow, took)
 		answerTime.Update(took.Seconds())
 		defer a.admit(now)
 	}
