Flows that fill an entry's link for long wait for their turn

Cause: callers send a window of 16 packets at once.

Change: an entry learns what a flow to an address sends. Of those that take over 25 ms of its link only as many are under way at a time as fill 50 ms with their windows; others wait at the entry, and one that can't begin before its caller gives up is refused at once (package load/bulk). The rate is a setting of the link that operators know.

--- a/internal/conf/carry/carry.go
+++ b/internal/conf/carry/carry.go
@@ -30,6 +30,7 @@
 	Process  Process
 	Platform netip.AddrPort   // HTTP
 	Link     netip.AddrPort   // UDP and TCP between processes, as others reach it; every process has the same port
+	Rate     float64          // of the instance's link, bytes a second; 0: not stated
 	LinkBind netip.AddrPort   // what the process opens for it; another one where addresses are translated on the way
 	Seeds    []netip.AddrPort // of some processes that may be up; only the IP numbers count
 	Bounds   Bounds
@@ -95,6 +96,9 @@
 	if link := f.One("link"); link.Has("bind") {
 		s.LinkBind = link.AddrPort("bind")
 	}
+	if link := f.One("link"); link.Has("rate") {
+		s.Rate = link.Rate("rate")
+	}
 	if process.Has("metrics") {
 		s.Process.Metrics = process.AddrPort("metrics")
 	}
--- a/internal/conf/strict/value.go
+++ b/internal/conf/strict/value.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/netip"
 	"strconv"
 	"strings"
@@ -102,6 +103,29 @@
 	return d
 }
 
+// rates are the units of Rate, in bytes a second.
+var rates = []struct {
+	unit  string
+	bytes float64
+}{{"kbit", 1e3 / 8}, {"Mbit", 1e6 / 8}, {"Gbit", 1e9 / 8}}
+
+// Rate returns the bytes a second of a rate over zero. It needs a unit.
+func (s *Section) Rate(key string) float64 {
+	text := s.Text(key)
+	if text == "" {
+		return 0
+	}
+	for _, r := range rates {
+		if digits, ok := strings.CutSuffix(text, r.unit); ok {
+			if n, err := strconv.ParseFloat(digits, 64); err == nil && n > 0 && !math.IsInf(n, 0) {
+				return n * r.bytes
+			}
+		}
+	}
+	s.Fault(key, Invalid, fmt.Sprintf("%q is not a rate over zero with a unit, such as 200Mbit or 2.5Gbit, a second", text))
+	return 0
+}
+
 // Choice returns one of the given words.
 func (s *Section) Choice(key string, words ...string) string {
 	text := s.Text(key)
--- a/internal/load/parts/parts.go
+++ b/internal/load/parts/parts.go
@@ -29,6 +29,7 @@
 	Lost     bool // callers of an agent that answers nobody are told (edge)
 	Breaker  bool // no flows for a server that breaks off its requests, whose callers are told (package trip)
 	Quick    bool // few flows for a server that answers far too fast (package quick)
+	Bulk     bool // flows that fill the entry's link for long wait for their turn (package bulk)
 }
 
 // part is one mechanism: its name in settings and its field.
@@ -51,6 +52,7 @@
 	{"lost", func(o *Off) *bool { return &o.Lost }},
 	{"breaker", func(o *Off) *bool { return &o.Breaker }},
 	{"quick", func(o *Off) *bool { return &o.Quick }},
+	{"bulk", func(o *Off) *bool { return &o.Bulk }},
 }
 
 // Names returns the names of all mechanisms.
--- /dev/null
+++ b/internal/node/edge/bulk.go
@@ -0,0 +1,81 @@
+package edge
+
+import (
+	"time"
+
+	"mangowinch/internal/ctrl/belief"
+	"mangowinch/internal/flow/owner"
+	"mangowinch/internal/flow/segs"
+	"mangowinch/internal/load/bulk"
+	"mangowinch/internal/oper/event"
+)
+
+// Flows that fill the entry's link for long (package bulk).
+
+func newGate(c *Config) *bulk.Gate {
+	rate := c.Rate
+	if c.Off.Bulk {
+		rate = 0
+	}
+	return bulk.New(rate, c.Callers.Patience())
+}
+
+// mayBegin says whether a new flow may be placed now. Otherwise it waits for its turn, or is refused.
+func (e *Entry) mayBegin(now time.Time, v *belief.View, s *segs.Segment, datagram []byte) bool {
+	if e.bulk.Waits(s.Flow) {
+		return false // a copy
+	}
+	switch e.bulk.Open(now, s.Flow, e.Callers.Age(s.Ack), datagram) {
+	case bulk.Hold:
+		heldUp.Inc()
+		e.Events.Flow(event.Ordinary, "link-waits", s.Flow).Int("waiting", e.bulk.Waiting()).Uint64("revision", v.Revision).Send()
+		return false
+	case bulk.Refuse:
+		e.refuse(now, s, "link")
+		return false
+	default:
+		return true
+	}
+}
+
+// noteBulk notes what a caller has sent on an open flow.
+func (e *Entry) noteBulk(now time.Time, s *segs.Segment, size int) {
+	if s.Len > 0 {
+		e.bulk.Sent(now, s.Flow, size)
+	}
+	if s.Flags&(segs.Fin|segs.Rst) != 0 {
+		e.bulk.Closed(s.Flow)
+		e.beginBulk(now)
+	}
+}
+
+// beginBulk places the flows whose turn it is.
+func (e *Entry) beginBulk(now time.Time) {
+	for w, ok := e.bulk.Late(now); ok; w, ok = e.bulk.Late(now) {
+		e.refuse(now, &segs.Segment{Flow: w.Flow, Flags: segs.Syn}, "link")
+	}
+	for w, ok := e.bulk.Next(now); ok; w, ok = e.bulk.Next(now) {
+		e.beginOne(now, &w)
+	}
+}
+
+// beginOne places a flow that has waited.
+func (e *Entry) beginOne(now time.Time, w *bulk.Waiting) {
+	s, err := e.Codec.Decode(w.Packet, segs.CallerEnd)
+	if err != nil {
+		dropped("malformed")
+		return
+	}
+	v := e.Log.View()
+	route := v.Route(w.Flow.Called())
+	if route == nil {
+		e.unrouted(now, v, &s)
+		return
+	}
+	var p *owner.Places
+	if p = e.flows.Add(now, w.Flow); p == nil {
+		e.refuse(now, &s, "full")
+		return
+	}
+	e.place(now, v, route, p, &s, p.Tried(), w.Packet)
+}
--- a/internal/node/edge/counts.go
+++ b/internal/node/edge/counts.go
@@ -9,6 +9,7 @@
 	asked    = metrics.NewCounter(`mangowinch_flows_asked_total`)
 	expired  = metrics.NewCounter(`mangowinch_flows_expired_total`)
 	asks     = metrics.NewCounter(`mangowinch_reach_questions_total`)
+	heldUp   = metrics.NewCounter(`mangowinch_link_waits_total`)
 	silent   = metrics.NewCounter(`mangowinch_flows_unanswered_total`)
 )
 
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -26,6 +26,7 @@
 	"mangowinch/internal/flow/msgs"
 	"mangowinch/internal/flow/owner"
 	"mangowinch/internal/flow/segs"
+	"mangowinch/internal/load/bulk"
 	"mangowinch/internal/load/detect"
 	"mangowinch/internal/load/parts"
 	"mangowinch/internal/load/steer"
@@ -54,12 +55,15 @@
 	Ctrl   Control
 	Vouch  doubt.Voucher // its answers come to Entry.Heard
 	Codec  segs.Codec
-	Wire   Wire
-	Events *event.Log
-	Bound  time.Duration // a change is in force within it
-	Life   time.Duration // no flow lives longer
-	Rand   *rand.Rand    // used under the entry's lock
-	Off    parts.Off
+	// Callers says how long callers wait for a flow to open.
+	Callers segs.Callers
+	Wire    Wire
+	Events  *event.Log
+	Bound   time.Duration // a change is in force within it
+	Life    time.Duration // no flow lives longer
+	Rand    *rand.Rand    // used under the entry's lock
+	Off     parts.Off
+	Rate    float64 // of the entry's link in bytes a second, as its operator states it; 0: not stated
 }
 
 const (
@@ -81,6 +85,7 @@
 	mu      sync.Mutex
 	flows   *owner.Entry
 	chooser *steer.Chooser
+	bulk    *bulk.Gate
 	agents  *detect.Detector  // of all agents together: is this entry cut off?
 	doubted *doubt.Watch      // agents that have left something unanswered
 	ending  []segs.Flow       // of lost agents, whose callers are to be told
@@ -104,6 +109,7 @@
 		flows:   owner.NewEntry(flowLimit),
 		chooser: steer.New(c.Domain, c.Rand, c.Off),
 		agents:  detect.New(cutOff),
+		bulk:    newGate(&c),
 		doubted: doubt.New(c.Self, c.Vouch, c.Rand),
 		cold:    map[string]warmth{},
 		emptied: map[string]uint64{},
@@ -128,6 +134,8 @@
 	if n := e.flows.Expire(now, idle); n > 0 {
 		expired.Add(n)
 	}
+	e.bulk.Expire(now)
+	e.beginBulk(now)
 	e.watch(now)
 	e.watchDoubted(now)
 	e.tellEnding(now)
@@ -175,6 +183,7 @@
 		e.open(now, v, route, &s, datagram)
 		return
 	}
+	e.noteBulk(now, &s, len(datagram))
 	e.follow(now, v, &s, datagram)
 }
 
--- a/internal/node/edge/place.go
+++ b/internal/node/edge/place.go
@@ -20,6 +20,9 @@
 	}
 	p := e.flows.Get(s.Flow)
 	if p == nil {
+		if !e.mayBegin(now, v, s, datagram) {
+			return
+		}
 		if p = e.flows.Add(now, s.Flow); p == nil {
 			e.refuse(now, s, "full")
 			return
--- a/internal/node/opaque/entry.go
+++ b/internal/node/opaque/entry.go
@@ -36,18 +36,20 @@
 		return err
 	}
 	e = edge.New(edge.Config{
-		Self:   s.Link.Addr(),
-		Domain: s.Process.Domain,
-		Log:    p.log,
-		Ctrl:   p.follow,
-		Vouch:  p.vouch,
-		Codec:  a.Codec,
-		Wire:   p.sockets,
-		Events: p.events,
-		Bound:  s.Bounds.Change,
-		Life:   s.Bounds.Life,
-		Rand:   newRand(),
-		Off:    s.Without,
+		Self:    s.Link.Addr(),
+		Domain:  s.Process.Domain,
+		Log:     p.log,
+		Ctrl:    p.follow,
+		Vouch:   p.vouch,
+		Codec:   a.Codec,
+		Callers: a.Callers,
+		Rate:    s.Rate,
+		Wire:    p.sockets,
+		Events:  p.events,
+		Bound:   s.Bounds.Change,
+		Life:    s.Bounds.Life,
+		Rand:    newRand(),
+		Off:     s.Without,
 	})
 	p.admin.Section("belief", func() any { return p.belief() })
 	p.admin.Section("flows", func() any { return e.Len() })
