An entry that starts lists everything and leaves watching to seeds

Change: an entry lists at once as before, and reads on only if it is a seed, or volunteers later as anybody does. Agents fetch from whoever knows something.

--- a/internal/ctrl/follow/read.go
+++ b/internal/ctrl/follow/read.go
@@ -46,7 +46,8 @@
 			continue
 		}
 		began := time.Now()
-		c, err := n.readOnce(ctx, list || n.Log.Revision() == 0)
+		first := n.Log.Revision() == 0
+		c, err := n.readOnce(ctx, list || first)
 		if ctx.Err() != nil {
 			return
 		}
@@ -70,7 +71,7 @@
 				pause = min(2*pause, mostPause)
 			}
 		}
-		n.mayStop(now, failures)
+		n.mayStop(now, failures, first && err == nil)
 	}
 }
 
@@ -134,14 +135,15 @@
 }
 
 // mayStop ends reading when others do it: enough of them, any while the platform
-// doesn't answer this process, or enough that it doesn't answer either.
-func (n *Node) mayStop(now time.Time, failures int) {
+// doesn't answer this process, or enough that it doesn't answer either. First says that everything has just been listed for the first time.
+func (n *Node) mayStop(now time.Time, failures int, first bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	others := n.readers(now)
 	fresh := !n.asOf.IsZero() && now.Sub(n.asOf) < n.tooOld()
 	spared := failures > 0 && others > 0 && fresh
-	if !n.surplus(now) && !spared && !n.surplusTrier(now) {
+	begun := first && n.hasBegun()
+	if !begun && !spared && !n.surplus(now) && !n.surplusTrier(now) {
 		return
 	}
 	n.reading = false
--- a/internal/ctrl/follow/turn.go
+++ b/internal/ctrl/follow/turn.go
@@ -19,38 +19,33 @@
 // volunteerOnce is the mean number of ticks in which one process of all volunteers.
 const volunteerOnce = 10
 
-// A process that has just started knows nothing, and a whole fleet may start at once. If each entry then read by itself, hundreds
-// would list everything and watch hundreds of changes. So seeds read at once, as all others ask them, and of the others ever more volunteer while they hear of
-// nobody who knows anything. Who hears of somebody fetches from it.
+// A process that has just started knows nothing, and a whole fleet may start at once. An entry lists everything at once, since it serves
+// nobody until it knows something, and leaves the changes that follow to seeds: if each watched them, hundreds would do so while
+// servers come up one by one. An agent carries packets without knowing anything, and fetches from whoever knows something; of agents that hear of
+// nobody ever more volunteer.
 
 const (
-	// firstVolunteers is the mean number of processes of which one volunteers in the first tick without news; it halves with each tick.
+	// firstVolunteers is the mean number of agents of which one volunteers in the first tick without news; it halves with each tick.
 	firstVolunteers = 64
-	// offerPatience is how long a process that knows nothing tries to fetch from those that know something. They may all be busy.
+	// offerPatience is how long an agent that knows nothing tries to fetch from those that know something. They may all be busy.
 	offerPatience = 1500 * time.Millisecond
 )
 
 // shouldBegin says whether a process that knows nothing is to read the platform. n.mu is held.
 func (n *Node) shouldBegin(now time.Time) bool {
-	waited := now.Sub(n.start)
-	if n.Role == msgs.Agent {
-		waited -= agentPatience
+	if n.Role == msgs.Entry {
+		return true
 	}
+	waited := now.Sub(n.start) - agentPatience
 	if !n.offered.IsZero() {
 		waited = now.Sub(n.offered) - offerPatience
 	}
-	switch {
-	case waited < 0:
-		return false
-	case n.offered.IsZero() && slices.Contains(n.Seeds, n.Self):
-		return true
-	case waited < Tick:
-		return false
-	default:
-		return rand.IntN(max(1, firstVolunteers>>(waited/Tick))) == 0
-	}
+	return waited >= 0 && rand.IntN(max(1, firstVolunteers>>(waited/Tick))) == 0
 }
 
+// hasBegun says whether a process that has just listed everything leaves it at that. n.mu is held.
+func (n *Node) hasBegun() bool { return len(n.Seeds) > 0 && !slices.Contains(n.Seeds, n.Self) }
+
 // shouldRead says whether the process is to read the platform. n.mu is held.
 func (n *Node) shouldRead(now time.Time) bool {
 	if n.leaving {
