--- a/internal/load/bulk/bulk.go
+++ b/internal/load/bulk/bulk.go
@@ -8,7 +8,7 @@
 //   - What a flow to an address sends is learned. Only flows that take over longFlow of the link's time are held up.
 //   - So many of them are under way at a time as fill the link with their windows, and no more: the others wait for their turn in
 //     the order in which they came, as their callers repeat an opening packet for a while.
-//   - One that can't begin before its caller gives up is refused at once: its caller's next try comes by another entry.
+//   - One that can't begin in time is refused at once: its caller's next try comes by another entry.
 //
 // A flow is under way from its turn until its caller closes it, or has sent nothing for restFor. Flows that other entries began are counted as
 // soon as they are seen.
@@ -56,7 +56,7 @@
 const (
 	Pass   Verdict = iota // it may begin
 	Hold                  // Next returns it when it may begin, or Late when it can't any more
-	Refuse                // it can't begin before its caller gives up
+	Refuse                // it can't begin in time
 )
 
 // Gate is that of one entry. Its zero value lets everything pass.
@@ -78,10 +78,10 @@
 type Waiting struct {
 	Flow   segs.Flow
 	Packet []byte    // its opening packet
-	until  time.Time // its caller gives up
+	until  time.Time // it has waited for too long
 }
 
-// New returns the gate of a link of a rate in bytes a second, for callers that wait so long for a flow to open.
+// New returns the gate of a link of a rate in bytes a second, at which a flow waits no longer than patience.
 func New(rate float64, patience time.Duration) *Gate {
 	return &Gate{rate: rate, patience: patience, kinds: map[netip.AddrPort]float64{}, active: map[segs.Flow]*flow{}}
 }
@@ -94,7 +94,7 @@
 	case len(g.waiting) == 0 && g.room():
 		g.begin(now, f)
 		return Pass
-	case age+g.expected(f) > g.patience:
+	case age+g.expected(f) > g.patience: // known now, so not told later
 		return Refuse
 	default:
 		g.waiting = append(g.waiting, Waiting{Flow: f, Packet: slices.Clone(packet), until: now.Add(g.patience - age)})
@@ -202,7 +202,7 @@
 	return w
 }
 
-// Late returns a flow whose caller gives up before it can have its turn.
+// Late returns a flow that has waited for too long.
 func (g *Gate) Late(now time.Time) (w Waiting, ok bool) {
 	if len(g.waiting) == 0 || now.Before(g.waiting[0].until) {
 		return Waiting{}, false
--- a/internal/node/edge/bulk.go
+++ b/internal/node/edge/bulk.go
@@ -12,12 +12,14 @@
 
 // Flows that fill the entry's link for long (package bulk).
 
+// newGate returns the gate of an entry's link. A flow waits for half of its caller's patience at most: the other half is left for
+// another entry, whose link may have room.
 func newGate(c *Config) *bulk.Gate {
 	rate := c.Rate
 	if c.Off.Bulk {
 		rate = 0
 	}
-	return bulk.New(rate, c.Callers.Patience())
+	return bulk.New(rate, c.Callers.Patience()/2)
 }
 
 // mayBegin says whether a new flow may be placed now. Otherwise it waits for its turn, or is refused.
