--- a/internal/conf/carry/carry_test.go
+++ b/internal/conf/carry/carry_test.go
@@ -35,6 +35,21 @@
 	assert.Assert(t, s.Link != s.LinkBind)
 }
 
+// Guards against a rate that is read in another unit than its operator meant.
+func TestRateOfTheLinkHasAUnit(t *testing.T) {
+	text, err := os.ReadFile("testdata/agent.ini")
+	assert.NilError(t, err)
+	for rate, want := range map[string]float64{"200Mbit": 25e6, "10.0Mbit": 1.25e6, "2.5Gbit": 312.5e6, "64kbit": 8e3} {
+		s, err := parse("agent.ini", bytes.Replace(text, []byte("[link]\n"), []byte("[link]\nrate = "+rate+"\n"), 1))
+		assert.NilError(t, err)
+		assert.Equal(t, s.Rate, want, rate)
+	}
+	for _, rate := range []string{"200", "Mbit", "-1Mbit", "0Mbit", "NaNMbit", "InfGbit"} {
+		_, err := parse("agent.ini", bytes.Replace(text, []byte("[link]\n"), []byte("[link]\nrate = "+rate+"\n"), 1))
+		assert.ErrorContains(t, err, "is not a rate over zero", rate)
+	}
+}
+
 // A measurement switches mechanisms off; a name that means nothing would measure nothing.
 func TestMechanismsAreSwitchedOffByName(t *testing.T) {
 	text, err := os.ReadFile("testdata/agent.ini")
--- a/internal/node/doubt/doubt.go
+++ b/internal/node/doubt/doubt.go
@@ -37,6 +37,10 @@
 // lostAfter is when an agent is lost: 0.95 s after the first unanswered packet. Killed ones are back after 0.65 s.
 var lostAfter = detect.Bounds{Doubt: 150 * time.Millisecond, Wait: 200 * time.Millisecond, Checks: 4}
 
+// mostAsks bounds how many agents in doubt are asked in a tick. When a failure domain goes, an observer may doubt a thousand at once;
+// the others' turn comes with the next ticks.
+const mostAsks = 64
+
 // lately is for how long an agent that was heard needs no question.
 const lately = time.Second
 
@@ -126,16 +130,21 @@
 func (w *Watch) Tick(now time.Time, agents []netip.Addr, exempt func(netip.Addr) bool) (lost []netip.Addr) {
 	w.forget(now, agents)
 	var current *round // of this tick
-	for a, d := range w.agents {
+	asked := 0
+	for a, d := range w.agents { // in any order, so that nobody is always the last
 		if !isOne(agents, a) || exempt(a) {
 			delete(w.agents, a)
 			continue
 		}
+		if asked == mostAsks {
+			break
+		}
 		switch d.Tick(now, d.round.progress()) {
 		case detect.Check:
 			if current == nil {
 				current = w.begin(now, agents)
 			}
+			asked++
 			w.ask(a, d, current, agents)
 		case detect.Lost:
 			lost = append(lost, a)
@@ -147,8 +156,8 @@
 
 // begin begins a round of questions, for all agents whose turn it is.
 func (w *Watch) begin(now time.Time, agents []netip.Addr) *round {
-	r := w.rounds.begin(now, w.others(agents))
-	for _, o := range r.others {
+	r := w.rounds.begin(now, w.witnesses(agents))
+	for _, o := range r.witnesses {
 		w.voucher.Ask(o, nil, r.number)
 	}
 	return r
--- a/internal/node/doubt/round.go
+++ b/internal/node/doubt/round.go
@@ -11,12 +11,12 @@
 )
 
 const (
-	// witnesses is how many others are asked beside the agents in doubt. On a link that drops three in ten packets each way, all
+	// mostWitnesses is how many others are asked beside the agents in doubt. On a link that drops three in ten packets each way, all
 	// of them answer one round in eight.
-	witnesses = 3
-	// helpers is how many others ask an agent in doubt too. On such a link an agent that lives is silent by all four ways in one
+	mostWitnesses = 3
+	// mostHelpers is how many others ask an agent in doubt too. On such a link an agent that lives is silent by all four ways in one
 	// round of fifteen.
-	helpers = 3
+	mostHelpers = 3
 )
 
 // NoRound is the round of a question whose answer no doubt depends on.
@@ -25,20 +25,20 @@
 // keepFor is for how long answers to a round are waited for: longer than any question is (package detect).
 const keepFor = 2 * time.Second
 
-// round is one round of questions. Beside the agents in doubt others are asked at the same time, by whose answers the observer knows
+// round is one round of questions. Beside the agents in doubt witnesses are asked at the same time, by whose answers the observer knows
 // that its way was open: they went out and came back by the same link, and with the same luck.
 type round struct {
-	number uint32
-	at     time.Time
-	others []netip.Addr // witnesses
-	silent []netip.Addr // of the others, those that haven't answered
+	number    uint32
+	at        time.Time
+	witnesses []netip.Addr
+	silent    []netip.Addr // of the witnesses, those that haven't answered
 }
 
-// progress says whether all others have answered, so that silence of a doubted agent counts against it, or some, so that the way is
+// progress says whether all witnesses have answered, so that silence of a doubted agent counts against it, or some, so that the way is
 // no longer than the wait.
 func (r *round) progress() detect.Progress {
 	switch {
-	case r == nil || len(r.silent) == len(r.others):
+	case r == nil || len(r.silent) == len(r.witnesses):
 		return detect.Blocked
 	case len(r.silent) > 0:
 		return detect.Patchy
@@ -66,8 +66,8 @@
 	}
 }
 
-// begin begins a round with others.
-func (q *rounds) begin(now time.Time, others []netip.Addr) *round {
+// begin begins a round with witnesses.
+func (q *rounds) begin(now time.Time, witnesses []netip.Addr) *round {
 	if before := q.open[q.last]; before != nil {
 		for _, a := range before.silent {
 			q.misses[a] = now
@@ -77,12 +77,12 @@
 	if q.last == NoRound {
 		q.last++
 	}
-	r := &round{number: q.last, at: now, others: others, silent: slices.Clone(others)}
+	r := &round{number: q.last, at: now, witnesses: witnesses, silent: slices.Clone(witnesses)}
 	q.open[r.number] = r
 	return r
 }
 
-// class is how an agent would do among the others of a round.
+// class is how an agent would do as a witness.
 type class int
 
 const (
@@ -104,16 +104,16 @@
 	}
 }
 
-// candidate is an agent that may be asked beside the doubted ones.
+// candidate is an agent that may be a witness.
 type candidate struct {
 	agent netip.Addr
 	class class
 	heard time.Time // zero: not lately
 }
 
-// others draws who is asked beside the doubted ones: of the best class those that were heard last, at random who wasn't, and none that is
+// witnesses draws who is asked beside the agents in doubt: of the best class those that were heard last, at random who wasn't, and none that is
 // in doubt itself unless all are.
-func (w *Watch) others(agents []netip.Addr) (drawn []netip.Addr) {
+func (w *Watch) witnesses(agents []netip.Addr) (drawn []netip.Addr) {
 	all := w.shuffled(agents)
 	calm := slices.DeleteFunc(slices.Clone(all), func(a netip.Addr) bool { return w.agents[a] != nil })
 	if len(calm) == 0 {
@@ -126,7 +126,7 @@
 	slices.SortStableFunc(list, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(b.class, a.class), b.heard.Compare(a.heard))
 	})
-	for _, c := range list[:min(witnesses, len(list))] {
+	for _, c := range list[:min(mostWitnesses, len(list))] {
 		drawn = append(drawn, c.agent)
 	}
 	return drawn
@@ -135,7 +135,7 @@
 // some draws helpers from the agents but one, anew each time: some of them may not reach it either.
 func (w *Watch) some(agents []netip.Addr, but netip.Addr) (drawn []netip.Addr) {
 	for _, a := range w.shuffled(agents) {
-		if len(drawn) == helpers {
+		if len(drawn) == mostHelpers {
 			break
 		}
 		if a != but {
--- a/internal/node/doubt/way_test.go
+++ b/internal/node/doubt/way_test.go
@@ -218,6 +218,28 @@
 	}
 }
 
+// Guards against a failure domain's loss in which an observer asks all of it in one tick, over a link that carries callers' packets too.
+func TestQuestionsOfATickAreBounded(t *testing.T) {
+	for _, agents := range []int{64, 250} {
+		w := newWorld(agents, 1)
+		for i := range agents / 2 {
+			w.gone[addr(i)] = true
+			w.watch.Doubt(w.now, addr(i))
+		}
+		most := 0
+		for range 100 {
+			before := w.asked
+			w.step(tick)
+			most = max(most, w.asked-before)
+		}
+		assert.Assert(t, most <= mostAsks*(1+mostHelpers)+mostWitnesses, "%d of %d agents", most, agents)
+		assert.Equal(t, len(w.lost), agents/2)
+		for a, at := range w.lost {
+			assert.Assert(t, at.Sub(now) <= 2*time.Second, "%v after %v", a, at.Sub(now))
+		}
+	}
+}
+
 // Whatever queues the observer waits behind, whoever has been there since the doubt began is not lost.
 func TestAgentThatLivesIsNeverLost(t *testing.T) {
 	rapid.Check(t, playQueues)
--- a/internal/oper/story/story.go
+++ b/internal/oper/story/story.go
@@ -150,6 +150,7 @@
 	"told":        "its packets go to the agent that owns it",
 	"learned":     "held by a server whose agent has restarted",
 	"waits":       "waiting at an agent for a slot of its server; whether it got one is not in these lines",
+	"link-waits":  "waiting at an entry for its turn at the entry's link; whether it got one is not in these lines",
 	"offered":     "passed on to another agent, whose lines aren't here",
 	"turned-back": "handed back by an agent to its entry and not placed again in these lines",
 	"placed":      "sent to an agent; whether its server accepted is not in these lines",
