--- a/internal/flow/msgs/msgs.go
+++ b/internal/flow/msgs/msgs.go
@@ -59,6 +59,16 @@
 	return "other"
 }
 
+// CarriesPacket says whether messages of the kind are a caller's packet and little else. All others are control.
+func (k Kind) CarriesPacket() bool {
+	switch k {
+	case KindCarry, KindOffer, KindRefused:
+		return true
+	default:
+		return false
+	}
+}
+
 // KindOf returns the kind of an encoded message, or 0.
 func KindOf(message []byte) Kind {
 	if len(message) < headSize {
--- a/internal/node/opaque/opaque.go
+++ b/internal/node/opaque/opaque.go
@@ -128,6 +128,10 @@
 		awake.Watch(inner, func(pause time.Duration) { p.events.State("woken").Dur("pause", pause).Send() })
 		return nil
 	})
+	g.Go(func() error {
+		watchTraffic(inner, p.events)
+		return nil
+	})
 	g.Go(func() error {
 		p.watchSettings(inner, p.reload, apply)
 		return nil
--- /dev/null
+++ b/internal/node/opaque/traffic_test.go
@@ -0,0 +1,35 @@
+package opaque
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"mangowinch/internal/flow/msgs"
+	"mangowinch/internal/oper/event"
+)
+
+// Guards against a busy second that the mean of many hides, and against callers' packets that count as control.
+func TestBusiestSecondOfControlIsTold(t *testing.T) {
+	var out strings.Builder
+	events := event.New(&out, "entry", "entry-1")
+	var tr traffic
+	var sent kindBytes
+	lines := 0
+	for i := range 2 * samplesTold {
+		sent[msgs.KindCarry] += 1_000_000
+		sent[msgs.KindBeacon] += 100
+		if i == 3 {
+			sent[msgs.KindNews] += 5000
+		}
+		if tr.sample(sent) {
+			tr.tell(events)
+			lines++
+		}
+	}
+	events.Close()
+	assert.Equal(t, lines, 2)
+	assert.Assert(t, strings.Contains(out.String(), `"control":6000,"busiest":5100,"kinds":{"carry":10000000,"beacon":1000,"news":5000}`), out.String())
+	assert.Assert(t, strings.Contains(out.String(), `"control":1000,"busiest":100,`), out.String())
+}
