--- a/internal/node/doubt/doubt.go
+++ b/internal/node/doubt/doubt.go
@@ -22,6 +22,7 @@
 package doubt
 
 import (
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -177,21 +178,15 @@
 // forget drops what is old, and who is no longer there.
 func (w *Watch) forget(now time.Time, agents []netip.Addr) {
 	w.rounds.forget(now)
-	for a, at := range w.told {
-		if now.Sub(at) > toldFor || !isOne(agents, a) {
-			delete(w.told, a)
-		}
-	}
-	for a, at := range w.heard {
-		if now.Sub(at) > lately {
-			delete(w.heard, a)
-		}
-	}
-	for a, at := range w.informed {
-		if now.Sub(at) > informEvery {
-			delete(w.informed, a)
-		}
-	}
+	dropOld(now, w.told, toldFor)
+	dropOld(now, w.heard, lately)
+	dropOld(now, w.informed, informEvery)
+	maps.DeleteFunc(w.told, func(a netip.Addr, _ time.Time) bool { return !isOne(agents, a) })
+}
+
+// dropOld drops what lies back longer than keep.
+func dropOld(now time.Time, times map[netip.Addr]time.Time, keep time.Duration) {
+	maps.DeleteFunc(times, func(_ netip.Addr, at time.Time) bool { return now.Sub(at) > keep })
 }
 
 func isOne(agents []netip.Addr, a netip.Addr) bool {
--- a/internal/node/doubt/round.go
+++ b/internal/node/doubt/round.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -17,6 +18,8 @@
 	// mostHelpers is how many others ask an agent in doubt too. On such a link an agent that lives is silent by all four ways in one
 	// round of fifteen.
 	mostHelpers = 3
+	// drawsPerHelper bounds the search for a helper where most agents are lost.
+	drawsPerHelper = 8
 )
 
 // NoRound is the round of a question whose answer no doubt depends on.
@@ -132,14 +135,16 @@
 	return drawn
 }
 
-// some draws helpers from the agents but one, anew each time: some of them may not reach it either.
+// some draws helpers from the agents but one, anew each time: some of them may not reach it either. It looks at few of the agents, as it
+// is called for each one in doubt.
 func (w *Watch) some(agents []netip.Addr, but netip.Addr) (drawn []netip.Addr) {
-	for _, a := range w.shuffled(agents) {
-		if len(drawn) == mostHelpers {
-			break
+	for range drawsPerHelper * mostHelpers {
+		a := agents[w.rounds.rand.IntN(len(agents))]
+		if a == but || a == w.self || w.Lost(a) || slices.Contains(drawn, a) {
+			continue
 		}
-		if a != but {
-			drawn = append(drawn, a)
+		if drawn = append(drawn, a); len(drawn) == mostHelpers {
+			break
 		}
 	}
 	return drawn
@@ -167,19 +172,7 @@
 
 // forget drops what is too old to tell anything.
 func (q *rounds) forget(now time.Time) {
-	for n, r := range q.open {
-		if now.Sub(r.at) > keepFor {
-			delete(q.open, n)
-		}
-	}
-	for a, at := range q.answers {
-		if now.Sub(at) > lately {
-			delete(q.answers, a)
-		}
-	}
-	for a, at := range q.misses {
-		if now.Sub(at) > lately {
-			delete(q.misses, a)
-		}
-	}
+	maps.DeleteFunc(q.open, func(_ uint32, r *round) bool { return now.Sub(r.at) > keepFor })
+	dropOld(now, q.answers, lately)
+	dropOld(now, q.misses, lately)
 }
