A large fleet's volunteers are counted by its size, and entries hear of each other

Cause, from lines of the fleet's first 34 s (984 instances): of 2,449 calls 302 are lists; 283 entries began to read again in the first three seconds, 10 a second later on. A process took those few that it had heard of for the whole fleet, so that far too many volunteered; entries that had just listed said that they read, so that seeds stopped; entries that listed before any seed was up never greeted one, heard of nobody, and all found their beliefs too old after four seconds; and entries heard from peers less often than agents, whom every process knows.

Tests failed first: 1,000 of 1,000 ticks volunteered in a fleet of 200, and entries that listed at once knew of no other.

--- a/internal/ctrl/follow/follow.go
+++ b/internal/ctrl/follow/follow.go
@@ -97,6 +97,7 @@
 	reading  bool
 	leaving  bool
 	gossiped time.Time
+	gossips  int  // how often a random peer was told
 	lost     bool // the platform doesn't answer
 	greeted  int  // how often all known processes were told that this one is there
 }
@@ -192,11 +193,12 @@
 	switch {
 	case n.greeted < greetings && !n.asOf.IsZero() && now.Sub(n.gossiped) >= helloEvery:
 		// Its predecessor at this address said that it was leaving, and until others hear otherwise
-		// they give an agent no new flows; gossip takes seconds. The replies name further processes.
+		// they give an agent no new flows; gossip takes seconds. The replies name further processes. Seeds are greeted since
+		// an entry that has listed everything at once may have heard of nobody.
 		n.greeted++
 		reply = true
 		n.gossiped = now
-		to = n.without(n.known(), widest)
+		to = n.without(append(n.known(), n.Seeds...), widest)
 	case now.Sub(n.gossiped) >= every:
 		n.gossiped = now
 		to = n.gossipTo()
--- a/internal/ctrl/follow/peers.go
+++ b/internal/ctrl/follow/peers.go
@@ -28,36 +28,40 @@
 }
 
 // Entries returns the entries heard of lately.
-func (n *Node) Entries() (list []netip.Addr) {
+func (n *Node) Entries() []netip.Addr {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for a, p := range n.peers {
-		if p.role == msgs.Entry {
-			list = append(list, a)
-		}
-	}
-	return list
+	return n.knownEntries()
 }
 
 // gossipTo picks whom to tell now: a random peer, or all seeds and agents for who
-// knows nothing yet. n.mu is held.
+// knows nothing yet. Every process knows all agents and only some entries, so that entries would hear from peers far less often than agents do; so they
+// tell each other every other time. n.mu is held.
 func (n *Node) gossipTo() (to []netip.Addr) {
 	if n.asOf.IsZero() {
 		to = append(to, n.Seeds...)
 		return n.without(append(to, n.known()...), widest)
 	}
+	n.gossips++
+	if n.Role == msgs.Entry && n.gossips%2 == 0 {
+		return n.without(n.knownEntries(), 1)
+	}
 	return n.without(n.known(), 1)
 }
 
 // known returns all processes known: peers heard of and agents of servers. n.mu is held.
 func (n *Node) known() []netip.Addr {
-	to := append([]netip.Addr(nil), n.Log.View().Homes.Agents()...)
+	return append(n.knownEntries(), n.Log.View().Homes.Agents()...)
+}
+
+// knownEntries returns the entries heard of lately. n.mu is held.
+func (n *Node) knownEntries() (list []netip.Addr) {
 	for a, p := range n.peers {
 		if p.role == msgs.Entry {
-			to = append(to, a)
+			list = append(list, a)
 		}
 	}
-	return to
+	return list
 }
 
 // without returns at most limit of the addresses at random, none of them its own.
@@ -76,7 +80,7 @@
 
 // beacon encodes what the process knows. n.mu is held.
 func (n *Node) beacon(now time.Time, reply bool) []byte {
-	m := msgs.Beacon{Role: n.Role, Domain: belief.DomainHash(n.Domain), Reader: n.reading && !n.lost, Trying: n.trying(now), Leaving: n.leaving, Reply: reply, Age: msgs.MaxAge}
+	m := msgs.Beacon{Role: n.Role, Domain: belief.DomainHash(n.Domain), Reader: n.reading && !n.lost && !n.asOf.IsZero(), Trying: n.trying(now), Leaving: n.leaving, Reply: reply, Age: msgs.MaxAge}
 	m.Revision = n.Log.Revision()
 	if !n.asOf.IsZero() {
 		m.Age = uint32(min(now.Sub(n.asOf).Milliseconds(), int64(msgs.MaxAge-1)))
@@ -147,7 +151,7 @@
 	before := n.asOf
 	n.credit(now, m)
 	var to []netip.Addr
-	if n.passesOn(before) {
+	if n.passesOn(now, before) {
 		to = n.audience(false)
 	}
 	reply := m.Reply || m.Revision < n.Log.Revision()
--- a/internal/ctrl/follow/read.go
+++ b/internal/ctrl/follow/read.go
@@ -62,6 +62,9 @@
 			sleep(ctx, n.backoff(failures))
 		default:
 			failures = 0
+			if first {
+				n.leaveToSeeds()
+			}
 			n.confirmed(now, c)
 			if now.Sub(began) > pauseAfterNews {
 				pause = pauseAfterNews // the row is over
@@ -71,7 +74,7 @@
 				pause = min(2*pause, mostPause)
 			}
 		}
-		n.mayStop(now, failures, first && err == nil)
+		n.mayStop(now, failures)
 	}
 }
 
@@ -135,15 +138,14 @@
 }
 
 // mayStop ends reading when others do it: enough of them, any while the platform
-// doesn't answer this process, or enough that it doesn't answer either. First says that everything has just been listed for the first time.
-func (n *Node) mayStop(now time.Time, failures int, first bool) {
+// doesn't answer this process, or enough that it doesn't answer either.
+func (n *Node) mayStop(now time.Time, failures int) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	others := n.readers(now)
 	fresh := !n.asOf.IsZero() && now.Sub(n.asOf) < n.tooOld()
 	spared := failures > 0 && others > 0 && fresh
-	begun := first && n.hasBegun()
-	if !begun && !spared && !n.surplus(now) && !n.surplusTrier(now) {
+	if !n.reading || !n.surplus(now) && !spared && !n.surplusTrier(now) {
 		return
 	}
 	n.reading = false
--- a/internal/ctrl/follow/spread.go
+++ b/internal/ctrl/follow/spread.go
@@ -58,8 +58,8 @@
 
 // passesOn says whether a beacon has made the belief so much fresher that a few near peers are to hear of it at once. Before
 // is as of when the belief was complete until then. n.mu is held.
-func (n *Node) passesOn(before time.Time) bool {
-	return n.asOf.Sub(before) >= n.Bound/6 && len(n.known()) > widest
+func (n *Node) passesOn(now, before time.Time) bool {
+	return n.asOf.Sub(before) >= n.Bound/6 && n.fleetAtLeast(now) >= widest
 }
 
 // audience picks whom to tell now. n.mu is held.
--- a/internal/ctrl/follow/turn.go
+++ b/internal/ctrl/follow/turn.go
@@ -29,6 +29,8 @@
 	firstVolunteers = 64
 	// offerPatience is how long an agent that knows nothing tries to fetch from those that know something. They may all be busy.
 	offerPatience = 1500 * time.Millisecond
+	// unheardOf is how many processes a fleet is taken to have at least by one that has just started.
+	unheardOf = 64
 )
 
 // shouldBegin says whether a process that knows nothing is to read the platform. n.mu is held.
@@ -43,8 +45,17 @@
 	return waited >= 0 && rand.IntN(max(1, firstVolunteers>>(waited/Tick))) == 0
 }
 
-// hasBegun says whether a process that has just listed everything leaves it at that. n.mu is held.
-func (n *Node) hasBegun() bool { return len(n.Seeds) > 0 && !slices.Contains(n.Seeds, n.Self) }
+// leaveToSeeds ends reading after the first listing, unless the process is a seed. It says so to nobody: for that moment hundreds
+// would seem to read, and the seeds would stop.
+func (n *Node) leaveToSeeds() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.Role == msgs.Agent || len(n.Seeds) == 0 || slices.Contains(n.Seeds, n.Self) {
+		return
+	}
+	n.reading = false
+	n.Events.State("reading-ends").Str("why", "seeds read").Send()
+}
 
 // shouldRead says whether the process is to read the platform. n.mu is held.
 func (n *Node) shouldRead(now time.Time) bool {
@@ -54,11 +65,24 @@
 	if n.asOf.IsZero() {
 		return n.shouldBegin(now)
 	}
-	others := len(n.peers)
 	if now.Sub(n.asOf) > n.tooOld() && n.triers(now) < wantedTriers {
-		return rand.IntN(others+1) < wantedTriers // a few of all in each tick, before they hear of each other
+		return rand.IntN(n.fleetAtLeast(now)) < wantedTriers // a few of all in each tick, before they hear of each other
 	}
-	return n.readers(now) < wantedReaders && rand.IntN(volunteerOnce*(others+1)) == 0
+	return n.readers(now) < wantedReaders && rand.IntN(volunteerOnce*n.fleetAtLeast(now)) == 0
+}
+
+// fleetAtLeast is the size of the fleet, or unheardOf while the process may have heard of hardly anybody yet. n.mu is held.
+func (n *Node) fleetAtLeast(now time.Time) int {
+	if now.Sub(n.start) < n.Bound {
+		return max(unheardOf, n.fleet())
+	}
+	return n.fleet()
+}
+
+// fleet is how many processes there are, as far as this one knows: servers' agents, and entries heard of lately. In a large fleet each process hears of
+// few others, and by the number of these alone far too many would volunteer. n.mu is held.
+func (n *Node) fleet() int {
+	return 1 + len(n.Log.View().Homes.Agents()) + len(n.knownEntries())
 }
 
 // trying says whether the process calls a platform that doesn't answer, or that seems to answer nobody. n.mu is held.
--- a/internal/ctrl/follow/turn_test.go
+++ b/internal/ctrl/follow/turn_test.go
@@ -6,6 +6,9 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"mangowinch/internal/ctrl/belief"
+	"mangowinch/internal/flow/msgs"
 )
 
 // Guards against a call for each of hundreds of changes that come in a row, as when a whole fleet starts.
@@ -43,6 +46,51 @@
 	}
 }
 
+// Guards against a large fleet in which each process takes those few that it hears of for all, so that dozens volunteer to read.
+func TestVolunteersAreFewWhereFewAreHeard(t *testing.T) {
+	const servers = 200
+	p := newPlatform()
+	p.servers = servers
+	c, err := p.List(t.Context())
+	assert.NilError(t, err)
+	for name, asOf := range map[string]time.Duration{"readers unheard": 0, "belief too old": bound} {
+		now := time.Now()
+		n := New(Config{Self: addr(0), Role: msgs.Entry, Log: belief.New(), Bound: bound})
+		n.Log.Apply(now, c)
+		n.start, n.asOf = now.Add(-time.Minute), now.Add(-asOf)
+		n.hearEntry(now, addr(1))
+		begins := 0
+		for range 1000 {
+			if n.shouldRead(now) {
+				begins++
+			}
+		}
+		assert.Assert(t, begins <= 1000*2*wantedTriers/servers, "%s: %d of 1000 ticks", name, begins)
+	}
+}
+
+// Guards against entries that list everything before any seed is up, hear of nobody, and all read again when their beliefs are too old.
+func TestEntriesThatListedAtOnceHearOfOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlatform()
+		f := start(t, entries, func(int) Source { return p })
+		f.mu.Lock()
+		f.cut[addr(0)] = true
+		f.mu.Unlock()
+		time.Sleep(150 * time.Millisecond)
+		f.mu.Lock()
+		f.cut[addr(0)] = false
+		f.mu.Unlock()
+		time.Sleep(time.Second)
+		for i := range entries {
+			assert.Assert(t, len(f.node(addr(i)).Entries()) > 1, i)
+		}
+		before := p.count()
+		time.Sleep(bound)
+		assert.Assert(t, p.count()-before < entries, "%d calls of %d entries", p.count()-before, entries)
+	})
+}
+
 // Guards against a fleet all of whose processes call a platform that is away, once their beliefs are too old.
 func TestFewProcessesCallAPlatformThatIsAway(t *testing.T) {
 	for name, fault := range map[string]func(p *platform){
