--- a/internal/load/detect/detect.go
+++ b/internal/load/detect/detect.go
@@ -48,14 +48,14 @@
 	Lost                 // it is lost as of now; said once
 )
 
-// Progress is how the observer's way was while it waited for an answer, by those of others.
-type Progress uint8
+// Way is how the way between the observer and the others was while it waited for an answer, by their answers.
+type Way uint8
 
 // The ways.
 const (
-	Open    Progress = iota // all others have answered: silence counts
-	Patchy                  // some have: it doesn't count, and waiting longer is of no use
-	Blocked                 // none has: it doesn't count, and answers may take longer
+	Open    Way = iota // all others have answered: silence counts
+	Patchy             // some have: it doesn't count, and waiting longer is of no use
+	Blocked            // none has: it doesn't count, and answers may take longer
 )
 
 // mostStep bounds what one step between two ticks counts for: twice the 50 ms of the ticks of
@@ -109,8 +109,9 @@
 	return back
 }
 
-// Tick says what is to be done now. It is to be called each 50 ms. Way is how it was since the last question. A lost party is still to be asked directly every now and then, so that its return shows.
-func (d *Detector) Tick(now time.Time, way Progress) Verdict {
+// Tick says what is to be done now. It is to be called each 50 ms. Way is how the way was since the last question. A lost party
+// is still to be asked directly every now and then, so that its return shows.
+func (d *Detector) Tick(now time.Time, way Way) Verdict {
 	d.awake, d.last = d.clock(now), now
 	switch {
 	case !d.doubts:
@@ -132,7 +133,7 @@
 }
 
 // repeat asks once more, as the last question doesn't count.
-func (d *Detector) repeat(way Progress) Verdict {
+func (d *Detector) repeat(way Way) Verdict {
 	if way == Blocked {
 		d.wait = min(2*d.wait, mostWaits*d.bounds.Wait)
 	}
--- a/internal/node/doubt/doubt.go
+++ b/internal/node/doubt/doubt.go
@@ -140,7 +140,7 @@
 		if asked == mostAsks {
 			break
 		}
-		switch d.Tick(now, d.round.progress()) {
+		switch d.Tick(now, d.round.way()) {
 		case detect.Check:
 			if current == nil {
 				current = w.begin(now, agents)
--- a/internal/node/doubt/round.go
+++ b/internal/node/doubt/round.go
@@ -37,9 +37,8 @@
 	silent    []netip.Addr // of the witnesses, those that haven't answered
 }
 
-// progress says whether all witnesses have answered, so that silence of a doubted agent counts against it, or some, so that the way is
-// no longer than the wait.
-func (r *round) progress() detect.Progress {
+// way says how the observer's way was, by the answers of witnesses.
+func (r *round) way() detect.Way {
 	switch {
 	case r == nil || len(r.silent) == len(r.witnesses):
 		return detect.Blocked
