--- a/internal/load/quick/quick.go
+++ b/internal/load/quick/quick.go
@@ -1,16 +1,16 @@
 // Package quick finds out, beside one backend server, that it answers far too fast: it fails its requests.
 //
 // The load pattern, and what goes wrong without it. A server that has lost what it needs answers each request by an error within a
-// few milliseconds, or a part of them, while its health check is good. Nobody can read an answer on an opaque flow. Such a server has nothing under way
-// and looks idle, so that whoever places by load sends it more than any other, and a request that must not run twice fails
-// for good.
+// few milliseconds, or a part of them, while its health check is good. Nobody can read an answer on an opaque flow. Such a server has
+// nothing under way and looks idle, so that whoever places by load sends it more than any other, and a request that must not run twice
+// fails for good.
 //
-// The rule: for each kind of request, by the address that is called, the time under which only a tenth of the answers take is learned. An answer in less than a third
-// of that hardly ever is a good one. When some of the last answers were so, the server gets no new flow but one each tryEvery, until
-// good answers outweigh.
+// The rule: for each kind of request, by the address that is called, the time that only a tenth of the answers stay under is learned. An
+// answer in less than a third of that hardly ever is a good one. When some of the last answers were so, the server gets no new flow but
+// one each tryEvery, until good answers outweigh.
 //
-// What it can't tell: requests that take as long as an error does, and a server that has failed ever since its agent knows it. A service whose requests all turn short at
-// once looks the same at each of its agents, so whoever is turned away by one has to be taken by the next.
+// What it can't tell: requests that take as long as an error does, and a server that has failed ever since its agent knows it. A service
+// whose requests all turn short at once looks the same at each of its agents, so whoever is turned away by one has to be taken by the next.
 //
 // It decides about new flows of one server and knows nothing of others. It is pure: time is handed in. It is not safe for concurrent use.
 //
@@ -29,8 +29,8 @@
 const (
 	// learnFrom is how many answers of a kind are needed before one is judged.
 	learnFrom = 16
-	// slowest is the part of all answers that take less than what is learned.
-	slowest = 0.1
+	// fastest is the part of all answers that take less than the time that is learned.
+	fastest = 0.1
 	// step is how much of what is learned one answer changes.
 	step = 0.05
 	// suspectStep is that for answers that are far too fast: what a failing server does isn't learned within seconds, and a
@@ -132,9 +132,9 @@
 	if k.tooFast(took) {
 		by = suspectStep
 	}
-	change := by * slowest
+	change := by * fastest
 	if took < k.low {
-		change = -by * (1 - slowest)
+		change = -by * (1 - fastest)
 	}
 	k.low += time.Duration(change * float64(k.low))
 }
