Revert "A flow that pauses leaves the link to the next one"

More flows count as at rest while their callers wait for acknowledgements behind a queue, so that too many are under way.

--- a/internal/load/bulk/bulk.go
+++ b/internal/load/bulk/bulk.go
@@ -10,8 +10,8 @@
 //     the order in which they came, as their callers repeat an opening packet for a while.
 //   - One that can't begin in time is refused at once: its caller's next try comes by another entry.
 //
-// A flow is under way from its turn until its caller closes it, or has sent nothing for pauseFor: it waits for its answer, or for a lost
-// packet, and the link is free meanwhile. Flows that other entries began are counted as soon as they are seen.
+// A flow is under way from its turn until its caller closes it, or has sent nothing for restFor. Flows that other entries began are counted as
+// soon as they are seen.
 //
 // It knows the link's rate as its operator states it; without one nothing waits. What else narrows the link isn't seen. It is
 // pure: time is handed in. It is not safe for concurrent use.
@@ -40,9 +40,7 @@
 	queueFor = 50 * time.Millisecond
 	// longFlow is the link's time that a flow has to take to be held up.
 	longFlow = queueFor / 2
-	// pauseFor is how long a flow under way may send nothing: longer than a window takes through a link on which one alone may be.
-	pauseFor = 2 * queueFor
-	// restFor is how long a flow may send nothing until what it has sent is all: a lost packet is repeated after 200 ms.
+	// restFor is how long a flow under way may send nothing: a lost packet is repeated after 200 ms.
 	restFor = 300 * time.Millisecond
 	// learnOver is how many flows what they send is learned over.
 	learnOver = 8
@@ -93,10 +91,10 @@
 	switch {
 	case !g.long(f):
 		return Pass
-	case len(g.waiting) == 0 && g.room(now):
+	case len(g.waiting) == 0 && g.room():
 		g.begin(now, f)
 		return Pass
-	case age+g.expected(now, f) > g.patience: // known now, so not told later
+	case age+g.expected(f) > g.patience: // known now, so not told later
 		return Refuse
 	default:
 		g.waiting = append(g.waiting, Waiting{Flow: f, Packet: slices.Clone(packet), until: now.Add(g.patience - age)})
@@ -110,15 +108,15 @@
 }
 
 // room says whether one more flow may be under way.
-func (g *Gate) room(now time.Time) bool {
+func (g *Gate) room() bool {
 	most := int(queueFor.Seconds() * g.rate / window)
-	return g.underWay(now) < max(1, most)
+	return g.underWay() < max(1, most)
 }
 
 // underWay counts the long flows that are.
-func (g *Gate) underWay(now time.Time) (count int) {
-	for f, a := range g.active {
-		if g.long(f) && now.Sub(a.used) <= pauseFor {
+func (g *Gate) underWay() (count int) {
+	for f := range g.active {
+		if g.long(f) {
 			count++
 		}
 	}
@@ -132,8 +130,8 @@
 }
 
 // expected is how long a flow waits for its turn: until those before it have sent what they will, and half of those under way.
-func (g *Gate) expected(now time.Time, f segs.Flow) time.Duration {
-	before := float64(len(g.waiting)) + float64(g.underWay(now))/2
+func (g *Gate) expected(f segs.Flow) time.Duration {
+	before := float64(len(g.waiting)) + float64(g.underWay())/2
 	return time.Duration(before * g.kinds[f.Called()] / g.rate * float64(time.Second))
 }
 
@@ -189,7 +187,7 @@
 
 // Next returns the flow whose turn it is.
 func (g *Gate) Next(now time.Time) (w Waiting, ok bool) {
-	if len(g.waiting) == 0 || !g.room(now) {
+	if len(g.waiting) == 0 || !g.room() {
 		return Waiting{}, false
 	}
 	w = g.take()
