--- a/internal/ctrl/belief/belief.go
+++ b/internal/ctrl/belief/belief.go
@@ -100,7 +100,8 @@
 // doesn't matter and what it lacks is gone.
 type Change struct {
 	From, To uint64
-	Full     bool `json:",omitempty"`
+	Era      uint16 `json:",omitempty"` // of the platform's store that told it; it rises each time that the store comes back from a copy
+	Full     bool   `json:",omitempty"`
 	Items    []Item
 }
 
--- a/internal/ctrl/follow/read.go
+++ b/internal/ctrl/follow/read.go
@@ -119,9 +119,21 @@
 		n.Changed()
 		return
 	}
+	if c.Full {
+		n.noteOld(c)
+	}
 	n.tell(now, nil, true)
 }
 
+// oldListings counts listings of everything that told nothing new: the platform's answer was older than the belief.
+var oldListings = metrics.NewCounter(`mangowinch_old_listings_total`)
+
+// noteOld logs and counts a listing that was put aside.
+func (n *Node) noteOld(c belief.Change) {
+	oldListings.Inc()
+	n.Events.State("listing-old").Uint64("listed", c.To).Uint16("era", c.Era).Uint64("revision", n.Log.Revision()).Int("items", len(c.Items)).Send()
+}
+
 // failed notes a call that failed.
 func (n *Node) failed(now time.Time, err error, failures int) {
 	n.mu.Lock()
