Failing test: changes after the platform came back from a copy are passed over

Evidence: eight processes at revision 7; the platform is silent for 2 s and comes back from its copy of revision 4.

--- a/internal/ctrl/follow/follow_test.go
+++ b/internal/ctrl/follow/follow_test.go
@@ -20,26 +20,47 @@
 
 const bound = 3 * time.Second
 
-// platform is a Source that can be down, silent, or forget its history.
-type platform struct {
-	mu       sync.Mutex
+// state is what a platform holds at one time.
+type state struct {
+	era      uint16
 	revision uint64
-	calls    int
-	down     bool
-	silent   bool
-	forgot   bool
-	servers  int // the platform lists servers beside the last so many nodes of a fleet
-	changed  chan struct{}
+	version  int64 // of the configuration; it never goes back
 }
 
-func newPlatform() *platform { return &platform{revision: 1, changed: make(chan struct{})} }
+// platform is a Source that can be down, silent, forget its history, or come back from a copy.
+type platform struct {
+	mu      sync.Mutex
+	state   state
+	calls   int
+	down    bool
+	silent  bool
+	forgot  bool
+	servers int // the platform lists servers beside the last so many nodes of a fleet
+	changed chan struct{}
+}
 
-func (p *platform) change() {
+func newPlatform() *platform {
+	return &platform{state: state{era: 1, revision: 1, version: 1}, changed: make(chan struct{})}
+}
+
+// become replaces the state, and wakes watches.
+func (p *platform) become(next func(state) state) (now state) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.revision++
+	p.state = next(p.state)
 	close(p.changed)
 	p.changed = make(chan struct{})
+	return p.state
+}
+
+// change writes a configuration, and returns its version.
+func (p *platform) change() (version int64) {
+	return p.become(func(s state) state { return state{s.era, s.revision + 1, s.version + 1} }).version
+}
+
+// comeBack brings the platform back from a copy that was made at a revision.
+func (p *platform) comeBack(revision uint64) {
+	p.become(func(s state) state { return state{s.era + 1, revision, s.version} })
 }
 
 func (p *platform) count() (calls int) {
@@ -53,7 +74,7 @@
 	do()
 }
 
-func (p *platform) call(ctx context.Context) (uint64, <-chan struct{}, error) {
+func (p *platform) call(ctx context.Context) (state, <-chan struct{}, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.calls++
@@ -61,53 +82,53 @@
 		p.mu.Unlock()
 		<-ctx.Done()
 		p.mu.Lock()
-		return 0, nil, ctx.Err()
+		return state{}, nil, ctx.Err()
 	}
 	if p.down {
-		return 0, nil, errors.New("down")
+		return state{}, nil, errors.New("down")
 	}
-	return p.revision, p.changed, nil
+	return p.state, p.changed, nil
 }
 
-func (p *platform) item(revision uint64) belief.Item {
-	return belief.Item{Key: "config", Revision: revision, Config: &belief.Config{Version: int64(revision)}}
+func (s state) item() belief.Item {
+	return belief.Item{Key: "config", Revision: s.revision, Config: &belief.Config{Version: s.version}}
 }
 
 // List is part of Source.
 func (p *platform) List(ctx context.Context) (belief.Change, error) {
-	revision, _, err := p.call(ctx)
-	items := []belief.Item{p.item(revision)}
+	s, _, err := p.call(ctx)
+	items := []belief.Item{s.item()}
 	for i := range p.servers {
 		a := addr(entries + i)
 		items = append(items, belief.Item{Key: a.String(), Revision: 1, Server: &belief.Server{
 			ID: a.String(), Addr: netip.AddrPortFrom(a, 80), Domain: domainOf(a), State: belief.Ready,
 		}})
 	}
-	return belief.Change{To: revision, Full: true, Items: items}, err
+	return belief.Change{To: s.revision, Full: true, Era: s.era, Items: items}, err
 }
 
 // Watch is part of Source.
 func (p *platform) Watch(ctx context.Context, after uint64, wait time.Duration) (belief.Change, error) {
-	revision, changed, err := p.call(ctx)
+	s, changed, err := p.call(ctx)
 	if err != nil {
 		return belief.Change{}, err
 	}
 	forgot := false
 	p.set(func() { forgot, p.forgot = p.forgot, false })
-	if forgot {
+	if forgot || after > s.revision {
 		return belief.Change{}, ErrHistory
 	}
-	if revision == after {
+	if s.revision == after {
 		select {
 		case <-changed:
 		case <-time.After(wait):
-			return belief.Change{From: after, To: after}, nil
+			return belief.Change{From: after, To: after, Era: s.era}, nil
 		case <-ctx.Done():
 			return belief.Change{}, ctx.Err()
 		}
-		p.set(func() { revision = p.revision })
+		p.set(func() { s = p.state })
 	}
-	return belief.Change{From: after, To: revision, Items: []belief.Item{p.item(revision)}}, nil
+	return belief.Change{From: after, To: s.revision, Era: s.era, Items: []belief.Item{s.item()}}, nil
 }
 
 // fleet is some nodes that reach each other in memory.
@@ -343,3 +364,37 @@
 		f.knows(t, 2, bound)
 	})
 }
+
+// hasVersion waits until all nodes have a version of the configuration.
+func (f *fleet) hasVersion(t *testing.T, version int64, within time.Duration) {
+	t.Helper()
+	began := time.Now()
+	for a, n := range f.nodes {
+		for n.Log.View().Version() < version {
+			assert.Assert(t, time.Since(began) < within, "%s has version %d", a, n.Log.View().Version())
+			time.Sleep(time.Millisecond)
+		}
+	}
+}
+
+// Guards against changes that are passed over because the platform came back from a copy and gave their revisions a second time.
+func TestChangesAfterThePlatformCameBackFromACopyAreKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlatform()
+		f := start(t, 8, func(int) Source { return p })
+		time.Sleep(5 * time.Second)
+		for range 6 {
+			p.change()
+			time.Sleep(2 * time.Second)
+		}
+		f.hasVersion(t, 7, bound)
+		p.set(func() { p.silent = true })
+		time.Sleep(2 * time.Second)
+		p.comeBack(4)
+		p.set(func() { p.silent = false })
+		time.Sleep(4 * time.Second)
+		for range 4 { // from below the revision known to above it
+			f.hasVersion(t, p.change(), bound)
+		}
+	})
+}
