--- a/internal/ctrl/belief/belief.go
+++ b/internal/ctrl/belief/belief.go
@@ -1,8 +1,8 @@
 // Package belief holds what one process believes of the platform's configuration, of
 // the backend servers and of evacuated failure domains, as an ordered log that any process can pass on.
 //
-// The platform gives each change a revision from one counter. So a belief is a set of items, each
-// with the revision of its last change, and one number: the revision up to which the set is
+// The platform's changes are in order (package order). So a belief is a set of items, each
+// with the revision of its last change, and the revision up to which the set is
 // complete. Whoever is complete up to a higher revision knows more, whichever
 // way it learned it, and what it knows more fits into a Change. Nothing ever goes
 // back: an item is replaced by a higher revision only.
@@ -18,12 +18,15 @@
 package belief
 
 import (
+	"cmp"
 	"maps"
 	"net/netip"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"mangowinch/internal/flow/order"
 )
 
 // State says whether a server takes new flows.
@@ -44,9 +47,9 @@
 	Domain  string         // failure domain
 	State   State
 	Slots   int
-	Cold    time.Duration // how much longer it was to be slow when it wrote the entry
-	Born    int64         // Unix milliseconds of its start, 0 if not told
-	Created uint64        // revision of the entry's first writing
+	Cold    time.Duration  // how much longer it was to be slow when it wrote the entry
+	Born    int64          // Unix milliseconds of its start, 0 if not told
+	Created order.Revision // of the entry's first writing
 }
 
 // Share is a service's part of a route's new flows.
@@ -84,7 +87,7 @@
 // configuration, an evacuation, or none of them if it is gone or can't be read.
 type Item struct {
 	Key       string
-	Revision  uint64
+	Revision  order.Revision
 	Gone      bool    `json:",omitempty"`
 	Server    *Server `json:",omitempty"`
 	Config    *Config `json:",omitempty"`
@@ -99,9 +102,8 @@
 // Change brings who is complete up to From to To. Full holds everything, so that From
 // doesn't matter and what it lacks is gone.
 type Change struct {
-	From, To uint64
-	Era      uint16 `json:",omitempty"` // of the platform's store that told it; it rises each time that the store comes back from a copy
-	Full     bool   `json:",omitempty"`
+	From, To order.Revision
+	Full     bool `json:",omitempty"`
 	Items    []Item
 }
 
@@ -129,10 +131,10 @@
 // Log is one process's belief. Its methods may be called from any goroutine.
 type Log struct {
 	mu       sync.Mutex
-	revision uint64
+	revision order.Revision
 	items    map[string]Item
 	deleted  []Item               // gone ones, oldest first
-	dropped  uint64               // revision of the newest deletion that was forgotten
+	dropped  order.Revision       // of the newest deletion that was forgotten
 	absent   map[string]departure // by key
 	view     atomic.Pointer[View]
 }
@@ -153,7 +155,7 @@
 func (l *Log) View() *View { return l.view.Load() }
 
 // Revision is the revision up to which the log is complete.
-func (l *Log) Revision() uint64 { return l.View().Revision }
+func (l *Log) Revision() order.Revision { return l.View().Revision }
 
 // Apply takes a change in.
 func (l *Log) Apply(now time.Time, c Change) Applied {
@@ -261,7 +263,7 @@
 }
 
 // Since returns what somebody who is complete up to a revision lacks.
-func (l *Log) Since(revision uint64) Change {
+func (l *Log) Since(revision order.Revision) Change {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	c := Change{From: revision, To: l.revision, Full: revision < l.dropped || revision == 0}
@@ -279,6 +281,6 @@
 			c.Items = append(c.Items, i)
 		}
 	}
-	slices.SortFunc(c.Items, func(a, b Item) int { return int(int64(a.Revision - b.Revision)) })
+	slices.SortFunc(c.Items, func(a, b Item) int { return cmp.Compare(a.Revision, b.Revision) })
 	return c
 }
--- a/internal/ctrl/belief/belief_test.go
+++ b/internal/ctrl/belief/belief_test.go
@@ -8,18 +8,20 @@
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"mangowinch/internal/flow/order"
 )
 
 var now = time.Unix(1_700_000_000, 0)
 
-func server(n int, revision uint64, state State) Item {
+func server(n int, revision order.Revision, state State) Item {
 	return Item{Key: fmt.Sprintf("s%d", n), Revision: revision, Server: &Server{
 		ID: fmt.Sprintf("i-%d", n), Service: "tracing-core", State: state, Slots: 4, Created: revision,
 		Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 1, byte(n)}), 8080),
 	}}
 }
 
-func config(version int64, revision uint64) Item {
+func config(version int64, revision order.Revision) Item {
 	called := netip.MustParseAddrPort("198.18.0.1:443")
 	return Item{Key: "config", Revision: revision, Config: &Config{
 		Version: version,
@@ -27,7 +29,7 @@
 	}}
 }
 
-func evacuation(revision uint64, back bool) Item {
+func evacuation(revision order.Revision, back bool) Item {
 	if back {
 		return Item{Key: "evacuate zg-a", Revision: revision, Gone: true}
 	}
@@ -126,7 +128,7 @@
 		reader := New()
 		reader.Apply(now, Change{To: 1, Full: true, Items: []Item{config(1, 1)}})
 		others := []*Log{New(), New()}
-		revision := uint64(1)
+		revision := order.Revision(1)
 		for range rapid.IntRange(1, 60).Draw(r, "steps") {
 			switch rapid.IntRange(0, 3).Draw(r, "step") {
 			case 0:
@@ -148,7 +150,7 @@
 	})
 }
 
-func draw(r *rapid.T, revision uint64) Item {
+func draw(r *rapid.T, revision order.Revision) Item {
 	n := rapid.IntRange(0, 4).Draw(r, "item")
 	switch {
 	case n == 0:
--- a/internal/ctrl/belief/view.go
+++ b/internal/ctrl/belief/view.go
@@ -8,11 +8,12 @@
 	"github.com/cespare/xxhash/v2"
 
 	"mangowinch/internal/flow/homes"
+	"mangowinch/internal/flow/order"
 )
 
 // View is an immutable snapshot of a belief, indexed for the path of a packet.
 type View struct {
-	Revision uint64
+	Revision order.Revision
 	Config   *Config // nil: none known yet
 	Homes    *homes.List
 	Lowest   int // the lowest priority of a route, which is the highest number
@@ -24,7 +25,7 @@
 
 // content is what a view is made of.
 type content struct {
-	Revision  uint64
+	Revision  order.Revision
 	Config    *Config
 	Servers   []Server
 	Evacuated []string
--- a/internal/ctrl/follow/evacuate.go
+++ b/internal/ctrl/follow/evacuate.go
@@ -18,12 +18,12 @@
 	evacuatedDomains.Set(float64(len(now)))
 	for _, d := range now {
 		if !slices.Contains(old, d) {
-			n.Events.State("evacuated").Str("domain", d).Int("agents", v.AgentsIn(d)).Uint64("revision", v.Revision).Send()
+			n.Events.State("evacuated").Str("domain", d).Int("agents", v.AgentsIn(d)).Stringer("revision", v.Revision).Send()
 		}
 	}
 	for _, d := range old {
 		if !slices.Contains(now, d) {
-			n.Events.State("taken-back").Str("domain", d).Int("agents", v.AgentsIn(d)).Uint64("revision", v.Revision).Send()
+			n.Events.State("taken-back").Str("domain", d).Int("agents", v.AgentsIn(d)).Stringer("revision", v.Revision).Send()
 		}
 	}
 }
--- a/internal/ctrl/follow/fetch.go
+++ b/internal/ctrl/follow/fetch.go
@@ -15,6 +15,7 @@
 
 	"mangowinch/internal/ctrl/belief"
 	"mangowinch/internal/flow/msgs"
+	"mangowinch/internal/flow/order"
 )
 
 const (
@@ -34,11 +35,11 @@
 )
 
 // since asks for what is newer than a revision.
-type since struct{ Revision uint64 }
+type since struct{ Revision order.Revision }
 
 // Dial is the Fetch of a Config: it calls a peer that runs Serve at the given port.
-func Dial(port uint16) func(ctx context.Context, peer netip.Addr, revision uint64) (belief.Change, error) {
-	return func(ctx context.Context, peer netip.Addr, revision uint64) (c belief.Change, err error) {
+func Dial(port uint16) func(ctx context.Context, peer netip.Addr, revision order.Revision) (belief.Change, error) {
+	return func(ctx context.Context, peer netip.Addr, revision order.Revision) (c belief.Change, err error) {
 		defer func() { err = errors.Wrapf(err, "fetch changes from %s", peer) }()
 		var d net.Dialer
 		conn, err := d.DialContext(ctx, "tcp", netip.AddrPortFrom(peer, port).String())
@@ -87,14 +88,14 @@
 // ahead is a peer that knows more than this process.
 type ahead struct {
 	peer     netip.Addr
-	revision uint64    // 0: nobody
-	asOf     time.Time // its belief is known to be complete as of then; zero: not known
-	near     bool      // it is in this process's failure domain
-	of       int       // peers among which it was drawn
+	revision order.Revision // 0: nobody
+	asOf     time.Time      // its belief is known to be complete as of then; zero: not known
+	near     bool           // it is in this process's failure domain
+	of       int            // peers among which it was drawn
 }
 
 // Noticed says that a peer is complete up to a revision, as every message tells.
-func (n *Node) Noticed(from netip.Addr, revision uint64) {
+func (n *Node) Noticed(from netip.Addr, revision order.Revision) {
 	n.noticed(ahead{peer: from, revision: revision})
 }
 
@@ -176,7 +177,7 @@
 	c, err := n.Fetch(ctx, from.peer, revision)
 	if err != nil {
 		metrics.GetOrCreateCounter(`mangowinch_fetches_total{result="failed"}`).Inc()
-		n.Events.State("fetch-failed").Stringer("peer", from.peer).Uint64("revision", revision).Err(err).Send()
+		n.Events.State("fetch-failed").Stringer("peer", from.peer).Stringer("revision", revision).Err(err).Send()
 		return
 	}
 	metrics.GetOrCreateCounter(`mangowinch_fetches_total{result="ok"}`).Inc()
@@ -188,7 +189,7 @@
 func (n *Node) fresh(from ahead) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.Log.Revision() >= from.revision && from.asOf.After(n.asOf) {
+	if covers(n.Log.Revision(), from.revision) && from.asOf.After(n.asOf) {
 		n.asOf = from.asOf
 	}
 }
--- a/internal/ctrl/follow/follow.go
+++ b/internal/ctrl/follow/follow.go
@@ -29,6 +29,7 @@
 
 	"mangowinch/internal/ctrl/belief"
 	"mangowinch/internal/flow/msgs"
+	"mangowinch/internal/flow/order"
 	"mangowinch/internal/oper/event"
 )
 
@@ -37,7 +38,7 @@
 	// List returns everything, as a full change.
 	List(ctx context.Context) (belief.Change, error)
 	// Watch waits for changes after a revision; it returns ErrHistory if the platform has forgotten some of them.
-	Watch(ctx context.Context, after uint64, wait time.Duration) (belief.Change, error)
+	Watch(ctx context.Context, after order.Revision, wait time.Duration) (belief.Change, error)
 }
 
 // Config is what a Node is made of.
@@ -50,7 +51,7 @@
 	Source Source
 	Send   func(to netip.Addr, message []byte)
 	// Fetch asks a peer for what is newer than a revision.
-	Fetch  func(ctx context.Context, peer netip.Addr, since uint64) (belief.Change, error)
+	Fetch  func(ctx context.Context, peer netip.Addr, since order.Revision) (belief.Change, error)
 	Events *event.Log
 	Bound  time.Duration // a change is in force everywhere within this time of its acceptance
 	// Changed is called after the view has changed. It must not block.
@@ -169,7 +170,9 @@
 
 // tick does what time asks for.
 func (n *Node) tick(now time.Time) {
+	before := n.Log.View()
 	if n.Log.Tick(now) {
+		n.noteEvacuations(before)
 		n.Changed()
 	}
 	n.mu.Lock()
@@ -181,7 +184,7 @@
 	begins := !n.reading && n.shouldRead(now)
 	if begins {
 		n.reading = true
-		n.Events.State("reading-begins").Dur("age", now.Sub(n.asOf)).Uint64("revision", n.Log.Revision()).Send()
+		n.Events.State("reading-begins").Dur("age", now.Sub(n.asOf)).Stringer("revision", n.Log.Revision()).Send()
 		wake(n.kick)
 	}
 	every := gossipEvery
@@ -220,6 +223,7 @@
 	case belief.Behind:
 		n.Noticed(from, c.To)
 	case belief.News:
+		n.noteEra(before.Revision)
 		n.note(now, "peer", c)
 		n.noteEvacuations(before)
 		n.tell(now, &c, false)
@@ -236,12 +240,12 @@
 	for _, i := range c.Items {
 		if i.Unreadable() {
 			unreadable.Inc()
-			n.Events.State("unreadable").Str("key", i.Key).Uint64("revision", i.Revision).Int64("version", n.Log.View().Version()).Send()
+			n.Events.State("unreadable").Str("key", i.Key).Stringer("revision", i.Revision).Int64("version", n.Log.View().Version()).Send()
 		}
 	}
 	v := n.Log.View()
 	metrics.GetOrCreateCounter(`mangowinch_beliefs_changed_total{by="` + by + `"}`).Inc()
-	n.Events.State("belief").Str("by", by).Uint64("from", c.From).Uint64("revision", c.To).Bool("full", c.Full).
+	n.Events.State("belief").Str("by", by).Stringer("from", c.From).Stringer("revision", c.To).Bool("full", c.Full).
 		Int("items", len(c.Items)).Int64("version", v.Version()).Int("agents", len(v.Homes.Agents())).
 		Dur("age", now.Sub(n.start)).Send()
 }
--- a/internal/ctrl/follow/follow_test.go
+++ b/internal/ctrl/follow/follow_test.go
@@ -15,6 +15,7 @@
 
 	"mangowinch/internal/ctrl/belief"
 	"mangowinch/internal/flow/msgs"
+	"mangowinch/internal/flow/order"
 	"mangowinch/internal/oper/event"
 )
 
@@ -22,9 +23,8 @@
 
 // state is what a platform holds at one time.
 type state struct {
-	era      uint16
-	revision uint64
-	version  int64 // of the configuration; it never goes back
+	at      order.Revision
+	version int64 // of the configuration; it never goes back
 }
 
 // platform is a Source that can be down, silent, forget its history, or come back from a copy.
@@ -40,7 +40,7 @@
 }
 
 func newPlatform() *platform {
-	return &platform{state: state{era: 1, revision: 1, version: 1}, changed: make(chan struct{})}
+	return &platform{state: state{at: 1, version: 1}, changed: make(chan struct{})}
 }
 
 // become replaces the state, and wakes watches.
@@ -55,12 +55,12 @@
 
 // change writes a configuration, and returns its version.
 func (p *platform) change() (version int64) {
-	return p.become(func(s state) state { return state{s.era, s.revision + 1, s.version + 1} }).version
+	return p.become(func(s state) state { return state{s.at + 1, s.version + 1} }).version
 }
 
-// comeBack brings the platform back from a copy that was made at a revision.
-func (p *platform) comeBack(revision uint64) {
-	p.become(func(s state) state { return state{s.era + 1, revision, s.version} })
+// comeBack brings the platform back from a copy that was made at the change with a number.
+func (p *platform) comeBack(number uint64) {
+	p.become(func(s state) state { return state{order.At(s.at.Era()+1, number), s.version} })
 }
 
 func (p *platform) count() (calls int) {
@@ -91,7 +91,7 @@
 }
 
 func (s state) item() belief.Item {
-	return belief.Item{Key: "config", Revision: s.revision, Config: &belief.Config{Version: s.version}}
+	return belief.Item{Key: "config", Revision: s.at, Config: &belief.Config{Version: s.version}}
 }
 
 // List is part of Source.
@@ -104,31 +104,34 @@
 			ID: a.String(), Addr: netip.AddrPortFrom(a, 80), Domain: domainOf(a), State: belief.Ready,
 		}})
 	}
-	return belief.Change{To: s.revision, Full: true, Era: s.era, Items: items}, err
+	return belief.Change{To: s.at, Full: true, Items: items}, err
 }
 
 // Watch is part of Source.
-func (p *platform) Watch(ctx context.Context, after uint64, wait time.Duration) (belief.Change, error) {
+func (p *platform) Watch(ctx context.Context, after order.Revision, wait time.Duration) (belief.Change, error) {
 	s, changed, err := p.call(ctx)
 	if err != nil {
 		return belief.Change{}, err
 	}
 	forgot := false
 	p.set(func() { forgot, p.forgot = p.forgot, false })
-	if forgot || after > s.revision {
+	if forgot || after.Era() != s.at.Era() || after > s.at {
 		return belief.Change{}, ErrHistory
 	}
-	if s.revision == after {
+	if s.at == after {
 		select {
 		case <-changed:
 		case <-time.After(wait):
-			return belief.Change{From: after, To: after, Era: s.era}, nil
+			return belief.Change{From: after, To: after}, nil
 		case <-ctx.Done():
 			return belief.Change{}, ctx.Err()
 		}
 		p.set(func() { s = p.state })
+		if after.Era() != s.at.Era() {
+			return belief.Change{}, errors.New("cut")
+		}
 	}
-	return belief.Change{From: after, To: s.revision, Era: s.era, Items: []belief.Item{s.item()}}, nil
+	return belief.Change{From: after, To: s.at, Items: []belief.Item{s.item()}}, nil
 }
 
 // fleet is some nodes that reach each other in memory.
@@ -165,7 +168,7 @@
 			Self: self, Role: roleOf(i), Domain: domainOf(self), Seeds: []netip.Addr{addr(0)}, Log: belief.New(), Source: source(i),
 			Events: events, Bound: bound,
 			Send: func(to netip.Addr, b []byte) { f.send(self, to, append([]byte(nil), b...)) },
-			Fetch: func(_ context.Context, peer netip.Addr, since uint64) (belief.Change, error) {
+			Fetch: func(_ context.Context, peer netip.Addr, since order.Revision) (belief.Change, error) {
 				return f.fetch(self, peer, since)
 			},
 		})
@@ -221,7 +224,7 @@
 	}()
 }
 
-func (f *fleet) fetch(from, peer netip.Addr, since uint64) (belief.Change, error) {
+func (f *fleet) fetch(from, peer netip.Addr, since order.Revision) (belief.Change, error) {
 	if n := f.node(peer); n != nil && f.reaches(from, peer) {
 		return n.Log.Since(since), nil
 	}
@@ -238,12 +241,12 @@
 }
 
 // knows waits until all nodes that are not cut off have a revision.
-func (f *fleet) knows(t *testing.T, revision uint64, within time.Duration) {
+func (f *fleet) knows(t *testing.T, revision order.Revision, within time.Duration) {
 	t.Helper()
 	began := time.Now()
 	for a, n := range f.nodes {
 		for n.Log.Revision() < revision && f.reaches(a, a) {
-			assert.Assert(t, time.Since(began) < within, "%s is at %d", a, n.Log.Revision())
+			assert.Assert(t, time.Since(began) < within, "%s is at %s", a, n.Log.Revision())
 			time.Sleep(time.Millisecond)
 		}
 	}
@@ -345,7 +348,7 @@
 		for _, n := range f.nodes {
 			age, ok := n.Age(time.Now())
 			assert.Assert(t, ok && age > 15*time.Second, age)
-			assert.Equal(t, n.Log.Revision(), uint64(1))
+			assert.Equal(t, n.Log.Revision(), order.Revision(1))
 		}
 		p.set(func() { p.silent = false })
 		p.change()
--- a/internal/ctrl/follow/peers.go
+++ b/internal/ctrl/follow/peers.go
@@ -7,6 +7,7 @@
 
 	"mangowinch/internal/ctrl/belief"
 	"mangowinch/internal/flow/msgs"
+	"mangowinch/internal/flow/order"
 )
 
 // peer is what is known of another process.
@@ -188,7 +189,13 @@
 // credit makes the belief as fresh as a peer's that doesn't know more. n.mu is held.
 func (n *Node) credit(now time.Time, m msgs.Beacon) {
 	asOf := confirmedAt(now, m)
-	if m.Revision <= n.Log.Revision() && asOf.After(n.asOf) {
+	if covers(n.Log.Revision(), m.Revision) && asOf.After(n.asOf) {
 		n.asOf = asOf
 	}
 }
+
+// covers says whether a belief that is complete up to one revision is as new as one that is complete up to another. Of
+// different eras neither is: what is known of one says nothing on the other.
+func covers(known, other order.Revision) bool {
+	return known.Era() == other.Era() && known >= other
+}
--- a/internal/ctrl/follow/read.go
+++ b/internal/ctrl/follow/read.go
@@ -9,9 +9,10 @@
 	"github.com/cockroachdb/errors"
 
 	"mangowinch/internal/ctrl/belief"
+	"mangowinch/internal/flow/order"
 )
 
-// ErrHistory says that the platform has forgotten changes after a revision, so that
+// ErrHistory says that the platform has forgotten changes after a revision, or has come back from a copy, so that
 // everything has to be listed anew.
 var ErrHistory = errors.New("the platform has forgotten these changes")
 
@@ -55,7 +56,7 @@
 		list = errors.Is(err, ErrHistory)
 		switch {
 		case list:
-			n.Events.State("history-gone").Uint64("revision", n.Log.Revision()).Send()
+			n.Events.State("history-gone").Stringer("revision", n.Log.Revision()).Send()
 		case err != nil:
 			failures++
 			n.failed(now, err, failures)
@@ -103,35 +104,66 @@
 
 // confirmed takes in what the platform answered.
 func (n *Node) confirmed(now time.Time, c belief.Change) {
-	n.mu.Lock()
-	n.asOf = now
-	regained := n.lost
-	n.lost = false
-	n.mu.Unlock()
-	if regained {
-		n.Events.State("platform-regained").Uint64("revision", c.To).Send()
-	}
+	n.answered(c)
 	before := n.Log.View()
-	if n.Log.Apply(now, c) == belief.News {
+	switch {
+	case n.Log.Apply(now, c) == belief.News:
+		n.vouched(now)
+		n.noteEra(before.Revision)
 		n.note(now, "platform", c)
 		n.noteEvacuations(before)
 		n.tell(now, &c, true)
 		n.Changed()
 		return
-	}
-	if c.Full {
+	case outdated(before.Revision, c):
 		n.noteOld(c)
+	default:
+		n.vouched(now)
 	}
 	n.tell(now, nil, true)
 }
 
+// outdated says whether an answer is older than the belief, so that it vouches for nothing: it was under way while the platform
+// came back from a copy, or it lists less than is known.
+func outdated(known order.Revision, c belief.Change) bool {
+	return c.To.Era() < known.Era() || c.Full && c.To < known
+}
+
+// vouched says that the platform has confirmed the belief just now.
+func (n *Node) vouched(now time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.asOf = now
+}
+
+// answered notes that the platform answers.
+func (n *Node) answered(c belief.Change) {
+	n.mu.Lock()
+	regained := n.lost
+	n.lost = false
+	n.mu.Unlock()
+	if regained {
+		n.Events.State("platform-regained").Stringer("revision", c.To).Send()
+	}
+}
+
+// noteEra logs that the platform has come back from a copy since a revision was known.
+func (n *Node) noteEra(before order.Revision) {
+	now := n.Log.Revision()
+	if before != 0 && before.Era() != now.Era() {
+		n.Events.State("era").Stringer("before", before).Stringer("revision", now).Int64("version", n.Log.View().Version()).Send()
+	}
+}
+
 // oldListings counts listings of everything that told nothing new: the platform's answer was older than the belief.
 var oldListings = metrics.NewCounter(`mangowinch_old_listings_total`)
 
-// noteOld logs and counts a listing that was put aside.
+// noteOld logs and counts an answer that was put aside.
 func (n *Node) noteOld(c belief.Change) {
-	oldListings.Inc()
-	n.Events.State("listing-old").Uint64("listed", c.To).Uint16("era", c.Era).Uint64("revision", n.Log.Revision()).Int("items", len(c.Items)).Send()
+	if c.Full {
+		oldListings.Inc()
+	}
+	n.Events.State("answer-old").Stringer("told", c.To).Bool("full", c.Full).Stringer("revision", n.Log.Revision()).Int("items", len(c.Items)).Send()
 }
 
 // failed notes a call that failed.
--- a/internal/flow/msgs/msgs.go
+++ b/internal/flow/msgs/msgs.go
@@ -16,6 +16,8 @@
 	"net/netip"
 
 	"github.com/cockroachdb/errors"
+
+	"mangowinch/internal/flow/order"
 )
 
 // Kind is the kind of a message.
@@ -91,13 +93,13 @@
 // Head is what every message begins with.
 type Head struct {
 	Kind     Kind
-	Revision uint64 // the newest that the sender knows completely
-	Service  uint32 // hash of the service's name the message is about, or 0
+	Revision order.Revision // the newest that the sender knows completely
+	Service  uint32         // hash of the service's name the message is about, or 0
 }
 
 func (h Head) appendTo(b []byte, k Kind) []byte {
 	b = append(b, magic, byte(k))
-	b = binary.LittleEndian.AppendUint64(b, h.Revision)
+	b = binary.LittleEndian.AppendUint64(b, uint64(h.Revision))
 	return binary.LittleEndian.AppendUint32(b, h.Service)
 }
 
@@ -106,7 +108,7 @@
 	if len(b) < headSize || b[0] != magic {
 		return Head{}, nil, ErrForeign
 	}
-	h = Head{Kind: Kind(b[1]), Revision: binary.LittleEndian.Uint64(b[2:]), Service: binary.LittleEndian.Uint32(b[10:])}
+	h = Head{Kind: Kind(b[1]), Revision: order.Revision(binary.LittleEndian.Uint64(b[2:])), Service: binary.LittleEndian.Uint32(b[10:])}
 	return h, b[headSize:], nil
 }
 
--- /dev/null
+++ b/internal/flow/order/order_test.go
@@ -0,0 +1,30 @@
+package order
+
+import (
+	"cmp"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// Guards against a change of a later era that is taken for an old one because its number is lower.
+func TestLaterEraIsLater(t *testing.T) {
+	assert.Assert(t, At(2, 16) > At(1, 19))
+	assert.Assert(t, At(2, 0) > At(1, MaxNumber))
+	assert.Equal(t, At(2, 16).String(), "2.16")
+}
+
+func TestRevisionsAreOrderedByEraThenNumber(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		draw := func(label string) (era uint16, number uint64) {
+			return rapid.Uint16().Draw(r, label+" era"), rapid.Uint64Range(0, MaxNumber).Draw(r, label+" number")
+		}
+		era, number := draw("one")
+		otherEra, otherNumber := draw("other")
+		one, other := At(era, number), At(otherEra, otherNumber)
+		assert.Equal(r, one.Era(), era)
+		assert.Equal(r, one.Number(), number)
+		assert.Equal(r, cmp.Compare(one, other), cmp.Or(cmp.Compare(era, otherEra), cmp.Compare(number, otherNumber)))
+	})
+}
--- a/internal/node/edge/bulk.go
+++ b/internal/node/edge/bulk.go
@@ -30,7 +30,7 @@
 	switch e.bulk.Open(now, s.Flow, e.Callers.Age(s.Ack), datagram) {
 	case bulk.Hold:
 		heldUp.Inc()
-		e.Events.Flow(event.Ordinary, "link-waits", s.Flow).Int("waiting", e.bulk.Waiting()).Uint64("revision", v.Revision).Send()
+		e.Events.Flow(event.Ordinary, "link-waits", s.Flow).Int("waiting", e.bulk.Waiting()).Stringer("revision", v.Revision).Send()
 		return false
 	case bulk.Refuse:
 		e.refuse(now, s, "link")
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -24,6 +24,7 @@
 
 	"mangowinch/internal/ctrl/belief"
 	"mangowinch/internal/flow/msgs"
+	"mangowinch/internal/flow/order"
 	"mangowinch/internal/flow/owner"
 	"mangowinch/internal/flow/segs"
 	"mangowinch/internal/load/bulk"
@@ -42,7 +43,7 @@
 
 // Control is the part of package follow that an entry uses.
 type Control interface {
-	Noticed(from netip.Addr, revision uint64)
+	Noticed(from netip.Addr, revision order.Revision)
 	Leaving(agent netip.Addr) bool
 	Age(now time.Time) (age time.Duration, ok bool)
 }
@@ -86,13 +87,13 @@
 	flows   *owner.Entry
 	chooser *steer.Chooser
 	bulk    *bulk.Gate
-	agents  *detect.Detector  // of all agents together: is this entry cut off?
-	doubted *doubt.Watch      // agents that have left something unanswered
-	ending  []segs.Flow       // of lost agents, whose callers are to be told
-	cold    map[string]warmth // by server ID
-	emptied map[string]uint64 // failure domains that agents called evacuated, and their revision: this entry is behind
-	buf     []byte            // of the message being sent
-	packet  []byte            // of the reset being sent
+	agents  *detect.Detector          // of all agents together: is this entry cut off?
+	doubted *doubt.Watch              // agents that have left something unanswered
+	ending  []segs.Flow               // of lost agents, whose callers are to be told
+	cold    map[string]warmth         // by server ID
+	emptied map[string]order.Revision // failure domains that agents called evacuated, and their revision: this entry is behind
+	buf     []byte                    // of the message being sent
+	packet  []byte                    // of the reset being sent
 }
 
 // warmth is how long a server is cold, by its last entry. It may turn cold without a new start, when its failure domain is
@@ -112,7 +113,7 @@
 		bulk:    newGate(&c),
 		doubted: doubt.New(c.Self, c.Vouch, c.Rand),
 		cold:    map[string]warmth{},
-		emptied: map[string]uint64{},
+		emptied: map[string]order.Revision{},
 	}
 }
 
@@ -206,7 +207,7 @@
 	refused(why)
 	age, _ := e.Ctrl.Age(now)
 	e.Events.Flow(event.Failure, "refused", s.Flow).Str("why", why).Int64("version", e.Log.View().Version()).
-		Uint64("revision", e.Log.Revision()).Dur("age", age).Send()
+		Stringer("revision", e.Log.Revision()).Dur("age", age).Send()
 }
 
 // follow sends a packet of a flow that has begun.
@@ -230,7 +231,7 @@
 	}
 	e.noteAsked(now, home, s)
 	asked.Inc()
-	e.Events.Flow(event.Ordinary, "asked", s.Flow).Stringer("home", home).Uint64("revision", v.Revision).Send()
+	e.Events.Flow(event.Ordinary, "asked", s.Flow).Stringer("home", home).Stringer("revision", v.Revision).Send()
 	e.tellLost(now, v, home)
 	e.send(v, home, msgs.Carry{AsHome: lost, Packet: datagram})
 }
--- a/internal/node/edge/lost.go
+++ b/internal/node/edge/lost.go
@@ -52,7 +52,7 @@
 	for _, agent := range e.doubted.Tick(now, v.Homes.Agents(), exempt) {
 		before := len(e.ending)
 		e.ending = append(e.ending, e.flows.Of(agent)...)
-		e.Events.State("agent-lost").Stringer("agent", agent).Int("flows", len(e.ending)-before).Uint64("revision", v.Revision).Send()
+		e.Events.State("agent-lost").Stringer("agent", agent).Int("flows", len(e.ending)-before).Stringer("revision", v.Revision).Send()
 	}
 }
 
@@ -90,5 +90,5 @@
 	resets("lost")
 	age, _ := e.Ctrl.Age(now)
 	e.Events.Flow(event.Failure, "owner-lost", f).Stringer("agent", p.Owner).
-		Uint64("revision", e.Log.Revision()).Dur("age", age).Send()
+		Stringer("revision", e.Log.Revision()).Dur("age", age).Send()
 }
--- a/internal/node/edge/peer.go
+++ b/internal/node/edge/peer.go
@@ -51,7 +51,7 @@
 	}
 	turnedBack(m.Why.String())
 	e.Events.Flow(event.Failure, "turned-back", s.Flow).Stringer("agent", from).Stringer("why", m.Why).
-		Uint16("busy", m.Load.Busy).Uint16("flows", m.Load.Flows).Uint64("revision", m.Revision).Send()
+		Uint16("busy", m.Load.Busy).Uint16("flows", m.Load.Flows).Stringer("revision", m.Revision).Send()
 	e.chooser.Refused(now, from)
 	p := e.flows.Get(s.Flow)
 	if p == nil {
@@ -101,5 +101,5 @@
 		p.Owner = from
 	}
 	p.Candidates = append(p.Candidates[:0], owner.Candidate{Agent: from})
-	e.Events.Flow(event.Ordinary, "told", m.Flow).Stringer("agent", from).Uint64("revision", m.Revision).Send()
+	e.Events.Flow(event.Ordinary, "told", m.Flow).Stringer("agent", from).Stringer("revision", m.Revision).Send()
 }
--- a/internal/node/edge/place.go
+++ b/internal/node/edge/place.go
@@ -69,7 +69,7 @@
 		class = event.Failure
 	}
 	e.Events.Flow(class, "placed", s.Flow).Stringer("agent", agent).Int("try", p.Tries).
-		Int64("version", v.Version()).Uint64("revision", v.Revision).Send()
+		Int64("version", v.Version()).Stringer("revision", v.Revision).Send()
 	e.send(v, agent, msgs.Carry{Insist: p.HandedBack, Packet: datagram})
 }
 
--- a/internal/node/local/caller.go
+++ b/internal/node/local/caller.go
@@ -99,7 +99,7 @@
 	if a.waiting.Has(s.Flow) {
 		held.Inc()
 		a.Events.Flow(event.Ordinary, "waits", s.Flow).Int("waiting", a.waiting.Len()).Uint16("work", a.work(now)).
-			Int("priority", w.Priority).Uint64("revision", a.Log.Revision()).Send()
+			Int("priority", w.Priority).Stringer("revision", a.Log.Revision()).Send()
 		a.tellOwner(m.Origin, msgs.Owner{Flow: s.Flow}) // or the entry would place the caller's copy elsewhere
 	}
 }
@@ -193,7 +193,7 @@
 	a.Wire.ToPeer(next.Agent, a.buf)
 	offers.Inc()
 	a.Events.Flow(event.Ordinary, "offered", s.Flow).Stringer("agent", next.Agent).Bool("final", next.Final).
-		Int("visited", len(next.Visited)).Uint16("work", next.Visited[len(next.Visited)-1].Work).Uint64("revision", m.Revision).Send()
+		Int("visited", len(next.Visited)).Uint16("work", next.Visited[len(next.Visited)-1].Work).Stringer("revision", m.Revision).Send()
 }
 
 // closed says why no new flow may go to the server, or 0.
@@ -252,7 +252,7 @@
 	a.Wire.ToPeer(origin, a.buf)
 	handedBack(why.String())
 	a.Events.Flow(event.Failure, "handed-back", s.Flow).Stringer("why", why).Stringer("entry", origin).
-		Uint16("busy", m.Load.Busy).Uint16("flows", m.Load.Flows).Uint64("revision", m.Revision).Send()
+		Uint16("busy", m.Load.Busy).Uint16("flows", m.Load.Flows).Stringer("revision", m.Revision).Send()
 }
 
 // passOn sends on a packet of a flow that the own server doesn't hold: to the owner if this
@@ -260,7 +260,7 @@
 func (a *Agent) passOn(now time.Time, m msgs.Carry, s *segs.Segment) {
 	if m.Hops >= mostHops {
 		dropped("hops")
-		a.Events.Flow(event.Failure, "circled", s.Flow).Uint8("hops", m.Hops).Uint64("revision", a.Log.Revision()).Send()
+		a.Events.Flow(event.Failure, "circled", s.Flow).Uint8("hops", m.Hops).Stringer("revision", a.Log.Revision()).Send()
 		return
 	}
 	if m.Named {
--- a/internal/node/local/lead.go
+++ b/internal/node/local/lead.go
@@ -53,7 +53,7 @@
 func (a *Agent) sayUnheard(ask seek.Ask) {
 	for _, q := range ask.Questions {
 		a.Events.Flow(event.Failure, "unheard", q.Flow).Int("agents", len(ask.To)).Stringer("agent", ask.To[0]).
-			Uint64("revision", a.Log.Revision()).Send()
+			Stringer("revision", a.Log.Revision()).Send()
 	}
 }
 
--- a/internal/node/local/local.go
+++ b/internal/node/local/local.go
@@ -26,6 +26,7 @@
 
 	"mangowinch/internal/ctrl/belief"
 	"mangowinch/internal/flow/msgs"
+	"mangowinch/internal/flow/order"
 	"mangowinch/internal/flow/owner"
 	"mangowinch/internal/flow/seek"
 	"mangowinch/internal/flow/segs"
@@ -235,7 +236,7 @@
 
 // sight is what the agent has seen of its server's entries.
 type sight struct {
-	first uint64 // revision of the agent's first belief
+	first order.Revision // of the agent's first belief
 	id    string
 	born  int64
 	cold  time.Duration // how much longer it was to be cold by the last entry
@@ -255,7 +256,7 @@
 	}
 	a.server.id, a.server.born, a.server.cold = self.ID, self.Born, unseen
 	a.server.whole = self.Created > a.server.first && self.Cold > 0 && !a.emptied
-	a.Events.State("server").Str("id", self.ID).Uint64("created", self.Created).Dur("cold", self.Cold).
+	a.Events.State("server").Str("id", self.ID).Stringer("created", self.Created).Dur("cold", self.Cold).
 		Bool("whole", a.server.whole).Send()
 }
 
--- a/internal/node/local/lost.go
+++ b/internal/node/local/lost.go
@@ -106,7 +106,7 @@
 func (a *Agent) watchDoubted(now time.Time) {
 	v := a.Log.View()
 	for _, other := range a.doubted.Tick(now, v.Homes.Agents(), a.Ctrl.Leaving) {
-		a.Events.State("agent-lost").Stringer("agent", other).Uint64("revision", v.Revision).Send()
+		a.Events.State("agent-lost").Stringer("agent", other).Stringer("revision", v.Revision).Send()
 	}
 	a.seekPassed(now)
 }
--- a/internal/node/local/search.go
+++ b/internal/node/local/search.go
@@ -111,7 +111,7 @@
 	}
 	if lead != q.lead {
 		q.lead = lead
-		a.Events.Flow(event.Failure, "search", q.question.Flow).Stringer("lead", lead).Uint64("revision", a.Log.Revision()).Send()
+		a.Events.Flow(event.Failure, "search", q.question.Flow).Stringer("lead", lead).Stringer("revision", a.Log.Revision()).Send()
 	}
 	if lead == a.Self {
 		a.want(now, a.Self, q.question)
--- a/internal/node/local/search_test.go
+++ b/internal/node/local/search_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"mangowinch/internal/ctrl/belief"
+	"mangowinch/internal/flow/order"
 )
 
 // All processes of a hundred instances have been killed. Each caller's packet went to fifty servers on average before its own had it, and
@@ -21,7 +22,7 @@
 	for i := range 6 {
 		addr := netip.AddrFrom4([4]byte{10, 0, 1, byte(i)})
 		agents = append(agents, addr)
-		change.Items = append(change.Items, belief.Item{Key: fmt.Sprint(i), Revision: uint64(i + 1), Server: &belief.Server{
+		change.Items = append(change.Items, belief.Item{Key: fmt.Sprint(i), Revision: order.Revision(i + 1), Server: &belief.Server{
 			ID: fmt.Sprint(i), Service: "tracing-core", Addr: netip.AddrPortFrom(addr, 80), Domain: []string{"zg-a", "zg-b", "zg-c"}[i%3],
 		}})
 	}
--- a/internal/node/local/server.go
+++ b/internal/node/local/server.go
@@ -49,7 +49,7 @@
 			delete(a.probes, s.Flow)
 			a.tellTried(now, p.home, msgs.Tried{Flow: s.Flow, Held: true})
 		}
-		a.Events.Flow(event.Ordinary, "learned", s.Flow).Uint64("revision", a.Log.Revision()).Send()
+		a.Events.Flow(event.Ordinary, "learned", s.Flow).Stringer("revision", a.Log.Revision()).Send()
 	}
 	first := !o.Accepted
 	if first {
@@ -133,5 +133,5 @@
 	a.Wire.ToCaller(s.Flow.Caller, a.packet)
 	resets(why)
 	age, _ := a.Ctrl.Age(now)
-	a.Events.Flow(event.Failure, "reset", s.Flow).Str("why", why).Uint64("revision", a.Log.Revision()).Dur("age", age).Send()
+	a.Events.Flow(event.Failure, "reset", s.Flow).Str("why", why).Stringer("revision", a.Log.Revision()).Dur("age", age).Send()
 }
--- a/internal/node/opaque/messages_test.go
+++ b/internal/node/opaque/messages_test.go
@@ -17,6 +17,7 @@
 	"mangowinch/internal/ctrl/belief"
 	"mangowinch/internal/ctrl/follow"
 	"mangowinch/internal/flow/msgs"
+	"mangowinch/internal/flow/order"
 	"mangowinch/internal/node/vouch"
 	"mangowinch/internal/oper/event"
 )
@@ -33,7 +34,7 @@
 		Log:    log,
 		Source: platform{},
 		Send:   func(netip.Addr, []byte) {},
-		Fetch: func(context.Context, netip.Addr, uint64) (belief.Change, error) {
+		Fetch: func(context.Context, netip.Addr, order.Revision) (belief.Change, error) {
 			return belief.Change{}, context.Canceled
 		},
 		Events: events,
--- a/internal/node/opaque/opaque.go
+++ b/internal/node/opaque/opaque.go
@@ -172,7 +172,7 @@
 
 // Belief is the section of /status on what the process believes.
 type Belief struct {
-	Revision  uint64   `json:"revision"`
+	Revision  string   `json:"revision"` // era and number
 	Version   int64    `json:"version"`
 	Age       string   `json:"age"`
 	Reading   bool     `json:"reading"`
@@ -188,7 +188,7 @@
 		age = d.Round(time.Millisecond).String()
 	}
 	return Belief{
-		Revision:  v.Revision,
+		Revision:  v.Revision.String(),
 		Version:   v.Version(),
 		Age:       age,
 		Reading:   p.follow.Reading(),
