A copy of the platform's store doesn't undo that a server leaves, nor the configuration

What callers would see: for up to some seconds after the store's return, until servers and operator have written again, new flows go to a server that has said that it leaves or has left, no route is known, or an evacuated domain is used.

Cause: a listing of a later era replaces the belief as a whole, and a copy is older than what was known.

Change: what has an order of its own keeps it: configurations by version, a server's entries by its start and the number of its writings (seq, which is read now). A server that left after saying so stays gone, for a minute; evacuations that the copy lacks stay for two seconds, as servers without an entry did.

Ruled out: holding everything back until it is written again: a server that crashed in the meantime would stay for good.

Measured: four tests, each failed without the change ('ready != draining', 'there is true', 'version 0 != 9', not evacuated).

A process that starts between the store's return and the writings that follow believes the copy, and its peers can't tell it otherwise.

--- a/internal/ctrl/belief/belief.go
+++ b/internal/ctrl/belief/belief.go
@@ -5,7 +5,8 @@
 // with the revision of its last change, and the revision up to which the set is
 // complete. Whoever is complete up to a higher revision knows more, whichever
 // way it learned it, and what it knows more fits into a Change. Nothing ever goes
-// back: an item is replaced by a higher revision only.
+// back: an item is replaced by a higher revision only. When the platform itself goes back to a copy, the belief follows it but for
+// what a copy can't undo (copies.go).
 //
 // The package does not read the platform (package follow does), has no clock of its own
 // and knows neither names nor formats of the platform.
@@ -49,6 +50,7 @@
 	Slots   int
 	Cold    time.Duration  // how much longer it was to be slow when it wrote the entry
 	Born    int64          // Unix milliseconds of its start, 0 if not told
+	Seq     uint64         // counts the server's own writings since its start
 	Created order.Revision // of the entry's first writing
 }
 
@@ -123,7 +125,7 @@
 const history = 256
 
 // absence is how long a server counts as present after its entry went away unless it was
-// draining. Entries lapse while the platform is away although the server lives, and come back
+// draining, and an evacuation that a copy of the platform's store lacks. Entries lapse while the platform is away although the server lives, and come back
 // some 2 s after it; a server that is gone doesn't answer, which entries notice by
 // themselves. It is less than the shortest time (3 s) in which a server that left must get no flow.
 const absence = 2 * time.Second
@@ -136,17 +138,13 @@
 	deleted  []Item               // gone ones, oldest first
 	dropped  order.Revision       // of the newest deletion that was forgotten
 	absent   map[string]departure // by key
+	left     map[string]departure // by key; servers that said that they leave, and are gone
 	view     atomic.Pointer[View]
 }
 
-type departure struct {
-	server Server
-	until  time.Time
-}
-
 // New returns a log that knows nothing.
 func New() *Log {
-	l := &Log{items: map[string]Item{}, absent: map[string]departure{}}
+	l := &Log{items: map[string]Item{}, absent: map[string]departure{}, left: map[string]departure{}}
 	l.view.Store(newView(content{}))
 	return l
 }
@@ -185,7 +183,12 @@
 		listed[i.Key] = true
 	}
 	for key, i := range l.items {
-		if !listed[key] && i.Revision <= c.To {
+		switch {
+		case listed[key] || i.Revision > c.To:
+		case i.Config != nil:
+			i.Revision = c.To // without any, nothing would be served
+			l.items[key] = i
+		default:
 			l.put(now, Item{Key: key, Revision: c.To, Gone: true})
 		}
 	}
@@ -206,14 +209,15 @@
 		if i.Config == nil && i.Server == nil {
 			i.Config = before.Config // unreadable: the last good one stays in force
 		}
+		if !l.outlast(before, &i) {
+			return
+		}
 		l.items[i.Key] = i
 		delete(l.absent, i.Key)
 		return
 	}
 	delete(l.items, i.Key)
-	if s := before.Server; s != nil && s.State == Ready {
-		l.absent[i.Key] = departure{server: *s, until: now.Add(absence)}
-	}
+	l.depart(now, before, i)
 	l.deleted = append(l.deleted, i)
 	if len(l.deleted) > history {
 		l.dropped = l.deleted[0].Revision
@@ -225,13 +229,8 @@
 func (l *Log) Tick(now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	ended := false
-	for key, d := range l.absent {
-		if now.After(d.until) {
-			delete(l.absent, key)
-			ended = true
-		}
-	}
+	forget(now, l.left)
+	ended := forget(now, l.absent)
 	if ended {
 		l.rebuild()
 	}
@@ -255,8 +254,11 @@
 		}
 	}
 	for _, d := range l.absent {
-		if !taken[d.server.Addr] {
-			c.Servers = append(c.Servers, d.server)
+		if d.Evacuated != "" {
+			c.Evacuated = append(c.Evacuated, d.Evacuated)
+		}
+		if d.Server != nil && !taken[d.Server.Addr] {
+			c.Servers = append(c.Servers, *d.Server)
 		}
 	}
 	l.view.Store(newView(c))
