An entry that is written again is no new start of its server

What callers would see: an open flow is reset while its server serves (FLOW).

Cause: an agent that has run since before its server started says that it knows all flows there, and takes an entry for a start that was first written after its own first belief, and is cold. The store may lose a server's first entry, and the next one has a revision of after the return: an agent that restarted in between takes it for a start, and says 'not held' of flows that its server opened before.

Ruled out: going by eras (an agent that starts in the later era can't know when it began); by the time of the start (clocks jump).

Evidence: servers number their writings, and a start's first one is 1.

Change: only a first writing is a start. The line server tells its number.

A store that writes a lost first entry again to the letter, for a server whose agent restarts in the same seconds, would still be taken for a start: an order of eras' beginnings would be needed.

--- a/internal/node/local/local.go
+++ b/internal/node/local/local.go
@@ -243,10 +243,13 @@
 	whole bool          // the agent has run since before the server started
 }
 
-// see notes which start of the server is there now. One whose entry was first written after the
+// firstWriting is the number of a server's first writing since its start.
+const firstWriting = 1
+
+// see notes which start of the server is there now. One whose first writing came after the
 // agent's first belief, and that is still cold, has started beside a running agent, which so
-// sees all of its flows. An entry that lapsed and came back is no new start: it isn't cold, unless an
-// evacuation has made servers cold that are there all the while.
+// sees all of its flows. An entry that lapsed, or that the platform's store lost, and that is back is no new start: its server has
+// written before, and it isn't cold, unless an evacuation has made servers cold that are there all the while.
 func (a *Agent) see(v *belief.View, self belief.Server) {
 	if a.server.first == 0 {
 		a.server.first = v.Revision
@@ -255,8 +258,8 @@
 		return
 	}
 	a.server.id, a.server.born, a.server.cold = self.ID, self.Born, unseen
-	a.server.whole = self.Created > a.server.first && self.Cold > 0 && !a.emptied
-	a.Events.State("server").Str("id", self.ID).Stringer("created", self.Created).Dur("cold", self.Cold).
+	a.server.whole = self.Created > a.server.first && self.Seq <= firstWriting && self.Cold > 0 && !a.emptied
+	a.Events.State("server").Str("id", self.ID).Stringer("created", self.Created).Uint64("seq", self.Seq).Dur("cold", self.Cold).
 		Bool("whole", a.server.whole).Send()
 }
 
