--- a/cmd/capacity/slopes.go
+++ b/cmd/capacity/slopes.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"mangowinch/internal/ctrl/scale"
+	"mangowinch/internal/flow/order"
 )
 
 // entries: what an entry spends with more entries.
@@ -128,7 +129,7 @@
 	if err != nil {
 		return err
 	}
-	revision := uint64(1)
+	revision := order.Revision(1)
 	for _, n := range []int{0, 20, 40, 80} { // a minute
 		stop := make(chan struct{})
 		ended := make(chan struct{})
--- a/internal/bench/docs/docs.go
+++ b/internal/bench/docs/docs.go
@@ -21,6 +21,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"mangowinch/internal/conf/prefs"
+	"mangowinch/internal/flow/order"
 	"mangowinch/internal/stand/fleet"
 )
 
@@ -60,7 +61,7 @@
 	nodes := append(f.Entries(), f.Agents(p.Service)...)
 	r.Processes = len(nodes)
 	for i := range p.Rounds {
-		times, err := round(ctx, f, p, nodes, uint64(i)+2)
+		times, err := round(ctx, f, p, nodes, order.Revision(i)+2)
 		if err != nil {
 			return Report{}, errors.Wrapf(err, "round %d", i+1)
 		}
@@ -71,7 +72,7 @@
 }
 
 // round makes one new revision and waits until every node has it.
-func round(ctx context.Context, f *fleet.Fleet, p Plan, nodes []*prefs.Settings, revision uint64) (times []time.Duration, err error) {
+func round(ctx context.Context, f *fleet.Fleet, p Plan, nodes []*prefs.Settings, revision order.Revision) (times []time.Duration, err error) {
 	ctx, cancel := context.WithTimeout(ctx, roundTime)
 	defer cancel()
 	begun := time.Now()
@@ -119,8 +120,8 @@
 }
 
 // await asks a process until it has the revision in force.
-func await(ctx context.Context, f *fleet.Fleet, n *prefs.Settings, service string, revision uint64) (err error) {
-	defer func() { err = errors.Wrapf(err, "await revision %d at %s", revision, n.Process.Name) }()
+func await(ctx context.Context, f *fleet.Fleet, n *prefs.Settings, service string, revision order.Revision) (err error) {
+	defer func() { err = errors.Wrapf(err, "await revision %s at %s", revision, n.Process.Name) }()
 	for {
 		got, err := f.Revision(ctx, n.Process.Name, service)
 		if err != nil {
--- a/internal/conf/store/store.go
+++ b/internal/conf/store/store.go
@@ -30,6 +30,7 @@
 	"github.com/cockroachdb/errors"
 
 	"mangowinch/internal/conf/docs"
+	"mangowinch/internal/flow/order"
 )
 
 // Limits of what a process keeps, so that no platform and no peer can fill its memory.
@@ -57,7 +58,7 @@
 // Entry is one document in force. It is never changed after it was published in a View.
 type Entry struct {
 	Name     string
-	Revision uint64
+	Revision order.Revision
 	Text     []byte
 	Service  *docs.Service
 	Source   string // who offered it, for operators
@@ -67,7 +68,7 @@
 // Fault is the newest revision of a document that could not be read.
 type Fault struct {
 	Name     string
-	Revision uint64
+	Revision order.Revision
 	Source   string
 	Reason   string
 	At       time.Time
@@ -82,8 +83,8 @@
 
 // Revision returns the newest revision that is known of a document, in force
 // or faulty, and 0 when none is.
-func (v *View) Revision(name string) uint64 {
-	var n uint64
+func (v *View) Revision(name string) order.Revision {
+	var n order.Revision
 	if e := v.Entries[name]; e != nil {
 		n = e.Revision
 	}
@@ -130,8 +131,8 @@
 // the one in force and can be read. An older or equal revision is no error:
 // that is how relays, restarts and stale platforms look. A version that cannot
 // be read gives an error, is kept as a Fault, and leaves what is in force.
-func (s *Store) Offer(name string, revision uint64, text []byte, source string) (accepted bool, err error) {
-	defer func() { err = errors.Wrapf(err, "document %q revision %d from %s", name, revision, source) }()
+func (s *Store) Offer(name string, revision order.Revision, text []byte, source string) (accepted bool, err error) {
+	defer func() { err = errors.Wrapf(err, "document %q revision %s from %s", name, revision, source) }()
 	if name == "" || revision == 0 {
 		limitTotal.Inc()
 		return false, ErrName
@@ -154,7 +155,7 @@
 // wanted spares the parsing of what will not be taken. A revision between the
 // one in force and a newer faulty one is wanted: a process that got the faulty
 // one first must end up where the others are, on the newest that can be read.
-func (s *Store) wanted(name string, revision uint64, text []byte) bool {
+func (s *Store) wanted(name string, revision order.Revision, text []byte) bool {
 	v := s.View()
 	var same []byte
 	if e := v.Entries[name]; e != nil {
@@ -183,7 +184,7 @@
 }
 
 // publish decides under the lock, since another offer may have come in while this one was parsed.
-func (s *Store) publish(name string, revision uint64, text []byte, source string, service *docs.Service, fault error) (bool, error) {
+func (s *Store) publish(name string, revision order.Revision, text []byte, source string, service *docs.Service, fault error) (bool, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if e := s.view.Entries[name]; e != nil && revision <= e.Revision {
--- a/internal/conf/store/store_test.go
+++ b/internal/conf/store/store_test.go
@@ -11,6 +11,7 @@
 
 	"mangowinch/internal/conf/docs"
 	"mangowinch/internal/conf/store"
+	"mangowinch/internal/flow/order"
 )
 
 // parse reads documents of the form "NAME anything"; "bad" in the text makes it faulty.
@@ -35,9 +36,9 @@
 	assert.ErrorContains(t, err, "tracing-core.ini: faulty")
 	assert.Assert(t, !accepted)
 	<-changed
-	assert.Equal(t, s.View().Entries["tracing-core"].Revision, uint64(3))
-	assert.Equal(t, s.View().Faults["tracing-core"].Revision, uint64(4))
-	assert.Equal(t, s.View().Revision("tracing-core"), uint64(4))
+	assert.Equal(t, s.View().Entries["tracing-core"].Revision, order.Revision(3))
+	assert.Equal(t, s.View().Faults["tracing-core"].Revision, order.Revision(4))
+	assert.Equal(t, s.View().Revision("tracing-core"), order.Revision(4))
 	accepted, err = s.Offer("tracing-core", 5, []byte("tracing-core five"), "e2")
 	assert.NilError(t, err)
 	assert.Assert(t, accepted)
@@ -76,21 +77,22 @@
 	rapid.Check(t, func(t *rapid.T) {
 		s := store.New(parse)
 		faulty := rapid.SliceOfN(rapid.Bool(), 12, 12).Draw(t, "faulty")
-		order := rapid.SliceOf(rapid.Uint64Range(1, 12)).Draw(t, "order")
-		var best, last uint64
-		for _, r := range order {
+		offers := rapid.SliceOf(rapid.Uint64Range(1, 12)).Draw(t, "offers")
+		var best, last order.Revision
+		for _, number := range offers {
+			r := order.Revision(number)
 			text := fmt.Sprint("svc text of ", r)
-			if faulty[r-1] {
+			if faulty[number-1] {
 				text += " bad"
 			} else {
 				best = max(best, r)
 			}
 			accepted, err := s.Offer("svc", r, []byte(text), "peer")
-			assert.Equal(t, accepted, r > last && !faulty[r-1])
+			assert.Equal(t, accepted, r > last && !faulty[number-1])
 			if err != nil {
-				assert.Assert(t, faulty[r-1])
+				assert.Assert(t, faulty[number-1])
 			}
-			var now uint64
+			var now order.Revision
 			if e := s.View().Entries["svc"]; e != nil {
 				now = e.Revision
 			}
--- a/internal/ctrl/belief/copies_test.go
+++ b/internal/ctrl/belief/copies_test.go
@@ -21,12 +21,12 @@
 	return i
 }
 
-// listing is all that the platform has after it came back from a copy.
-func listing(number uint64, items ...Item) Change {
+// listing is all that the platform has after it came back from a copy of revision 5.
+func listing(items ...Item) Change {
 	for j := range items {
 		items[j].Revision = order.At(1, items[j].Revision.Number())
 	}
-	return Change{To: order.At(1, number), Full: true, Items: items}
+	return Change{To: order.At(1, 5), Full: true, Items: items}
 }
 
 // stateOf returns the state of a server, and false if it isn't there.
@@ -39,7 +39,7 @@
 func TestCopyDoesNotUndoThatAServerLeaves(t *testing.T) {
 	l := known(t)
 	l.Apply(now, Change{From: 5, To: 7, Items: []Item{wrote(1, 6, Draining, 4), wrote(2, 7, Draining, 8)}})
-	l.Apply(now, listing(5, config(7, 1), wrote(1, 2, Ready, 3), wrote(2, 3, Ready, 9)))
+	l.Apply(now, listing(config(7, 1), wrote(1, 2, Ready, 3), wrote(2, 3, Ready, 9)))
 	s, _ := stateOf(l, 1)
 	assert.Equal(t, s, Draining)
 	s, _ = stateOf(l, 2)
@@ -56,7 +56,7 @@
 	l := known(t)
 	l.Apply(now, Change{From: 5, To: 7, Items: []Item{wrote(1, 6, Draining, 4)}})
 	l.Apply(now, Change{From: 7, To: 8, Items: []Item{{Key: "s1", Revision: 8, Gone: true}}})
-	l.Apply(now, listing(5, config(7, 1), wrote(1, 2, Ready, 3), wrote(2, 3, Ready, 3)))
+	l.Apply(now, listing(config(7, 1), wrote(1, 2, Ready, 3), wrote(2, 3, Ready, 3)))
 	_, there := stateOf(l, 1)
 	assert.Assert(t, !there)
 
@@ -71,7 +71,7 @@
 func TestCopyDoesNotUndoTheConfiguration(t *testing.T) {
 	l := known(t)
 	l.Apply(now, Change{From: 5, To: 6, Items: []Item{config(9, 6)}})
-	l.Apply(now, listing(5, config(7, 1), server(2, 3, Ready)))
+	l.Apply(now, listing(config(7, 1), server(2, 3, Ready)))
 	assert.Equal(t, l.View().Version(), int64(9))
 	l.Apply(now, Change{To: order.At(2, 4), Full: true, Items: []Item{server(2, 3, Ready)}})
 	assert.Equal(t, l.View().Version(), int64(9))
@@ -85,7 +85,7 @@
 func TestEvacuationThatACopyLacksStaysForAWhile(t *testing.T) {
 	l := known(t)
 	l.Apply(now, Change{From: 5, To: 6, Items: []Item{evacuation(6, false)}})
-	l.Apply(now, listing(5, config(7, 1), server(2, 3, Ready)))
+	l.Apply(now, listing(config(7, 1), server(2, 3, Ready)))
 	assert.Assert(t, l.View().Evacuated("zg-a"))
 	l.Tick(now.Add(absence + 1))
 	assert.Assert(t, !l.View().Evacuated("zg-a"))
@@ -180,12 +180,11 @@
 	assert.Assert(r, v.Version() >= o.version, "version %d after %d", v.Version(), o.version)
 	o.version = v.Version()
 	for _, s := range v.Servers("tracing-core") {
-		switch {
-		case s.State == Draining:
+		if s.State == Draining {
 			o.leaves[s.ID] = max(o.leaves[s.ID], s.Born)
-		default:
-			assert.Assert(r, s.Born > o.leaves[s.ID], "%s is ready again", s.ID)
+			continue
 		}
+		assert.Assert(r, s.Born > o.leaves[s.ID], "%s is ready again", s.ID)
 	}
 }
 
--- a/internal/ctrl/digest/digest.go
+++ b/internal/ctrl/digest/digest.go
@@ -26,6 +26,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"mangowinch/internal/conf/store"
+	"mangowinch/internal/flow/order"
 )
 
 // Parts is how many buckets a set is split into. With 1,300 documents a part has
@@ -35,8 +36,8 @@
 // Item is what is known of one document.
 type Item struct {
 	Name     string
-	Revision uint64 // in force, 0 for none
-	Newest   uint64 // newest known; over Revision when that one could not be read
+	Revision order.Revision // in force, 0 for none
+	Newest   order.Revision // newest known; over Revision when that one could not be read
 }
 
 // Digest stands for one snapshot of a store. Nobody changes it.
@@ -107,8 +108,8 @@
 	for _, i := range items {
 		b = append(b[:0], i.Name...)
 		b = append(b, 0)
-		b = binary.LittleEndian.AppendUint64(b, i.Revision)
-		b = binary.LittleEndian.AppendUint64(b, i.Newest)
+		b = binary.LittleEndian.AppendUint64(b, uint64(i.Revision))
+		b = binary.LittleEndian.AppendUint64(b, uint64(i.Newest))
 		_, _ = h.Write(b)
 	}
 	return h.Sum64()
--- a/internal/ctrl/digest/digest_test.go
+++ b/internal/ctrl/digest/digest_test.go
@@ -9,11 +9,13 @@
 
 	"mangowinch/internal/conf/store"
 	"mangowinch/internal/ctrl/digest"
+	"mangowinch/internal/flow/order"
 )
 
 func view(revisions map[string]uint64) *store.View {
 	v := &store.View{Entries: map[string]*store.Entry{}, Faults: map[string]*store.Fault{}}
-	for name, revision := range revisions {
+	for name, number := range revisions {
+		revision := order.Revision(number)
 		if revision%5 == 0 {
 			v.Faults[name] = &store.Fault{Name: name, Revision: revision}
 			revision -= 2
--- a/internal/ctrl/fetch/fetch.go
+++ b/internal/ctrl/fetch/fetch.go
@@ -34,6 +34,8 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 	"golang.org/x/time/rate"
+
+	"mangowinch/internal/flow/order"
 )
 
 // Limits of one client.
@@ -51,20 +53,20 @@
 
 // Item names a version of a document.
 type Item struct {
-	Name     string `json:"name"`
-	Revision uint64 `json:"revision"`
+	Name     string         `json:"name"`
+	Revision order.Revision `json:"revision"`
 }
 
 // List is what the platform has at one index.
 type List struct {
-	Index     uint64 `json:"index"`
-	Documents []Item `json:"documents"`
+	Index     order.Revision `json:"index"`
+	Documents []Item         `json:"documents"`
 }
 
 // Document is one version of a document.
 type Document struct {
 	Name     string
-	Revision uint64
+	Revision order.Revision
 	Text     []byte
 }
 
@@ -120,17 +122,43 @@
 
 // Documents lists the names and revisions of all documents.
 func (c *Client) Documents(ctx context.Context) (list List, err error) {
-	_, err = c.get(ctx, "documents", "/documents", callTimeout, maxList, &list)
-	return list, err
+	return c.list(ctx, "documents", "/documents", callTimeout)
 }
 
-// Watch waits until the platform's index is over since, for 25 s at most, and
+// Watch waits until the platform's index is over since or its era is another one, for 25 s at most, and
 // lists the names and revisions of all documents.
-func (c *Client) Watch(ctx context.Context, since uint64) (list List, err error) {
-	_, err = c.get(ctx, "watch", fmt.Sprintf("/watch?since=%d", since), watchTimeout, maxList, &list)
+func (c *Client) Watch(ctx context.Context, since order.Revision) (list List, err error) {
+	return c.list(ctx, "watch", fmt.Sprintf("/watch?since=%d&era=%d", since.Number(), since.Era()), watchTimeout)
+}
+
+// list makes a call that lists documents. Numbers in its answer are of the era that a header names.
+func (c *Client) list(ctx context.Context, call, path string, timeout time.Duration) (list List, err error) {
+	header, err := c.get(ctx, call, path, timeout, maxList, &list)
+	if err != nil {
+		return List{}, err
+	}
+	era, err := readEra(header)
+	list.Index = order.At(era, uint64(list.Index))
+	for i, d := range list.Documents {
+		list.Documents[i].Revision = order.At(era, uint64(d.Revision))
+	}
 	return list, err
 }
 
+// eraHeader names the era of an answer. It rises by one each time that the platform comes back from a copy; a platform
+// that never does sends none.
+const eraHeader = "Era"
+
+// readEra reads the era of an answer.
+func readEra(h http.Header) (era uint16, err error) {
+	text := h.Get(eraHeader)
+	if text == "" {
+		return 0, nil
+	}
+	n, err := strconv.ParseUint(text, 10, 16)
+	return uint16(n), errors.Wrapf(err, "read %s", eraHeader)
+}
+
 // Instances lists the processes of the system as the platform knows them.
 func (c *Client) Instances(ctx context.Context) (list Instances, err error) {
 	_, err = c.get(ctx, "instances", "/instances", callTimeout, maxList, &list)
@@ -145,7 +173,12 @@
 	if err != nil {
 		return document, err
 	}
-	document.Revision, err = strconv.ParseUint(header.Get("Revision"), 10, 64)
+	number, err := strconv.ParseUint(header.Get("Revision"), 10, 64)
+	if err != nil {
+		return document, err
+	}
+	era, err := readEra(header)
+	document.Revision = order.At(era, number)
 	return document, err
 }
 
--- a/internal/ctrl/relay/attend.go
+++ b/internal/ctrl/relay/attend.go
@@ -164,7 +164,12 @@
 	for ctx.Err() == nil {
 		missing := n.missing(list, tried)
 		if len(missing) == 0 {
-			return err
+			wait := n.heldFor(list.Documents...)
+			if wait == 0 {
+				return err
+			}
+			sleep(ctx, wait)
+			continue
 		}
 		if len(missing) > manyMissing {
 			sleep(ctx, n.jitter(time.Second)) // peers that have them give them meanwhile
@@ -193,17 +198,19 @@
 	return err
 }
 
-// missing returns what the list has newer than this process, in random order.
+// missing returns what the list has newer than this process and isn't held, in random order.
 func (n *Node) missing(list fetch.List, but map[string]bool) []fetch.Item {
 	view := n.Store.View()
+	n.mu.Lock()
+	defer n.mu.Unlock()
 	var missing []fetch.Item
 	for _, item := range list.Documents {
-		if item.Revision > view.Revision(item.Name) && !but[item.Name] {
+		n.returns.see(time.Now(), item.Revision)
+		known := view.Revision(item.Name)
+		if item.Revision > known && !but[item.Name] && n.returns.held(time.Now(), item, known) == 0 {
 			missing = append(missing, item)
 		}
 	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
 	n.Rand.Shuffle(len(missing), func(i, j int) { missing[i], missing[j] = missing[j], missing[i] })
 	return missing
 }
@@ -244,7 +251,7 @@
 		n.Log.Warn().Err(err).Msg("document is faulty")
 	}
 	if accepted {
-		n.Log.Info().Str("document", d.Name).Uint64("revision", d.Revision).Str("from", "platform").Msg("document taken")
+		n.Log.Info().Str("document", d.Name).Stringer("revision", d.Revision).Str("from", "platform").Msg("document taken")
 	}
 }
 
--- a/internal/ctrl/relay/beat.go
+++ b/internal/ctrl/relay/beat.go
@@ -12,6 +12,7 @@
 	"mangowinch/internal/ctrl/digest"
 	"mangowinch/internal/ctrl/peers"
 	"mangowinch/internal/ctrl/wire"
+	"mangowinch/internal/flow/order"
 )
 
 // beatEvery is the longest that two agents of a service go without a heartbeat. One
@@ -27,7 +28,7 @@
 	Incarnation uint64         `json:"incarnation"`
 	State       peers.State    `json:"state"`
 	Load        Load           `json:"load"`
-	Revision    uint64         `json:"revision"`       // of the document in force there
+	Revision    order.Revision `json:"revision"`       // of the document in force there
 	Heard       time.Time      `json:"heard,omitzero"` // zero: never
 	Failures    int            `json:"failures"`       // heartbeats in a row without an answer
 }
@@ -137,7 +138,7 @@
 		refused("service")
 		return
 	}
-	theirs := digest.Item{Name: n.Service, Revision: in.GetRevision(), Newest: max(in.GetNewest(), in.GetRevision())}
+	theirs := itemOf(&wire.Item{Name: n.Service, Revision: in.GetRevision(), Newest: in.GetNewest()})
 	n.lack(map[string]digest.Item{n.Service: theirs}, from.Address)
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -147,7 +148,7 @@
 		refused("mate")
 		return
 	}
-	m.Incarnation, m.State, m.Revision = from.Incarnation, from.State, in.GetRevision()
+	m.Incarnation, m.State, m.Revision = from.Incarnation, from.State, theirs.Revision
 	m.Load = Load{Busy: int(in.GetBusy()), Slots: int(in.GetSlots()), Queue: int(in.GetQueue()), Draining: in.GetDraining()}
 	m.Heard, m.Failures = time.Now(), 0
 }
@@ -156,7 +157,7 @@
 func (n *Node) pulse() *wire.Pulse {
 	view := n.Store.View()
 	own := digest.Know(view, n.Service)
-	p := &wire.Pulse{Service: n.Service, Revision: own.Revision, Newest: own.Newest}
+	p := &wire.Pulse{Service: n.Service, Revision: uint64(own.Revision), Newest: uint64(own.Newest)}
 	if e := view.Entries[n.Service]; e != nil {
 		for _, s := range e.Service.Servers {
 			if s.Name == n.Server {
--- a/internal/ctrl/relay/codec.go
+++ b/internal/ctrl/relay/codec.go
@@ -6,6 +6,7 @@
 	"mangowinch/internal/ctrl/digest"
 	"mangowinch/internal/ctrl/peers"
 	"mangowinch/internal/ctrl/wire"
+	"mangowinch/internal/flow/order"
 )
 
 // memberOf reads a member; false when it has no usable name or address.
@@ -28,9 +29,9 @@
 }
 
 func itemOf(w *wire.Item) digest.Item {
-	return digest.Item{Name: w.GetName(), Revision: w.GetRevision(), Newest: max(w.GetNewest(), w.GetRevision())}
+	return digest.Item{Name: w.GetName(), Revision: order.Revision(w.GetRevision()), Newest: order.Revision(max(w.GetNewest(), w.GetRevision()))}
 }
 
 func itemTo(i digest.Item) *wire.Item {
-	return &wire.Item{Name: i.Name, Revision: i.Revision, Newest: i.Newest}
+	return &wire.Item{Name: i.Name, Revision: uint64(i.Revision), Newest: uint64(i.Newest)}
 }
--- a/internal/ctrl/relay/fault_test.go
+++ b/internal/ctrl/relay/fault_test.go
@@ -14,6 +14,7 @@
 	"mangowinch/internal/conf/store"
 	"mangowinch/internal/ctrl/budget"
 	"mangowinch/internal/ctrl/relay"
+	"mangowinch/internal/flow/order"
 )
 
 // settled starts a fleet of entries with one document at revision 1 and lets it settle.
@@ -103,7 +104,7 @@
 			f.kill(f.processes[linkOf(n)])
 			p := f.entry(n)
 			<-p.store.Changed()
-			assert.Equal(t, p.store.View().Entries["tracing-core"].Revision, uint64(5), "e%d", n)
+			assert.Equal(t, p.store.View().Entries["tracing-core"].Revision, order.Revision(5), "e%d", n)
 			time.Sleep(5 * time.Second)
 		}
 	})
@@ -123,10 +124,10 @@
 		f.within(20*time.Second, "tracing-core", 1)
 		time.Sleep(5 * time.Second)
 		for _, q := range f.processes {
-			assert.Equal(t, q.store.View().Entries["tracing-core"].Revision, uint64(1))
-			assert.Equal(t, q.store.View().Faults["tracing-core"].Revision, uint64(2))
+			assert.Equal(t, q.store.View().Entries["tracing-core"].Revision, order.Revision(1))
+			assert.Equal(t, q.store.View().Faults["tracing-core"].Revision, order.Revision(2))
 		}
-		assert.Equal(t, p.Status().Faulty[0].InForce, uint64(1))
+		assert.Equal(t, p.Status().Faulty[0].InForce, order.Revision(1))
 		f.platform.set("tracing-core", 3)
 		f.within(inForce, "tracing-core", 3)
 	})
@@ -231,7 +232,7 @@
 func TestChangeAtTheReturnOfThePlatform(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := settled(t, 4)
-		for revision := range uint64(15) {
+		for revision := range order.Revision(15) {
 			f.platform.setDown(true)
 			time.Sleep(2 * time.Minute)
 			f.platform.setDown(false)
--- a/internal/ctrl/relay/fleet_test.go
+++ b/internal/ctrl/relay/fleet_test.go
@@ -22,6 +22,7 @@
 	"mangowinch/internal/ctrl/peers"
 	"mangowinch/internal/ctrl/relay"
 	"mangowinch/internal/ctrl/wire"
+	"mangowinch/internal/flow/order"
 )
 
 // process is one node of a fleet, with what it can be reached by.
@@ -54,7 +55,7 @@
 func newFleet(t *testing.T) *fleet {
 	f := &fleet{
 		t:         t,
-		platform:  &platform{serves: map[string]uint64{}, texts: map[string]string{}, changed: make(chan struct{})},
+		platform:  &platform{serves: map[string]order.Revision{}, texts: map[string]string{}, changed: make(chan struct{})},
 		processes: map[netip.AddrPort]*process{},
 		side:      map[netip.AddrPort]int{},
 		random:    rand.New(rand.NewPCG(1, 2)),
@@ -179,13 +180,13 @@
 
 // floor returns the revision that an entry which starts now has to begin with: what
 // all others have, when nothing keeps it from them.
-func (f *fleet) floor(n int) uint64 {
+func (f *fleet) floor(n int) order.Revision {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.loss > 0 || len(f.side) > 0 {
 		return 0
 	}
-	least := uint64(math.MaxUint64)
+	least := order.Revision(math.MaxUint64)
 	for address, p := range f.processes {
 		if address == linkOf(n) {
 			continue
@@ -200,10 +201,10 @@
 }
 
 // best returns the highest revision that any process has in force.
-func (f *fleet) best() uint64 {
+func (f *fleet) best() order.Revision {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var best uint64
+	var best order.Revision
 	for _, p := range f.processes {
 		if e := p.store.View().Entries["svc"]; e != nil {
 			best = max(best, e.Revision)
@@ -224,7 +225,7 @@
 }
 
 // have returns how many processes have at least a revision in force, and how many there are.
-func (f *fleet) have(name string, revision uint64) (have, all int) {
+func (f *fleet) have(name string, revision order.Revision) (have, all int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, p := range f.processes {
@@ -236,7 +237,7 @@
 }
 
 // within waits until all processes have a revision in force, and returns how long it took.
-func (f *fleet) within(limit time.Duration, name string, revision uint64) time.Duration {
+func (f *fleet) within(limit time.Duration, name string, revision order.Revision) time.Duration {
 	f.t.Helper()
 	start := time.Now()
 	for {
@@ -246,7 +247,7 @@
 			return took
 		}
 		if took > limit {
-			f.t.Fatalf("%s %d is in force at %d of %d after %v", name, revision, have, all, took)
+			f.t.Fatalf("%s %s is in force at %d of %d after %v", name, revision, have, all, took)
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
--- a/internal/ctrl/relay/give.go
+++ b/internal/ctrl/relay/give.go
@@ -12,6 +12,7 @@
 
 	"mangowinch/internal/conf/store"
 	"mangowinch/internal/ctrl/wire"
+	"mangowinch/internal/flow/order"
 )
 
 // Sizes of answers, in bytes.
@@ -55,8 +56,8 @@
 		if text == nil {
 			continue
 		}
-		p := &wire.Part{Name: w.GetName(), Revision: revision, Size: uint64(len(text))}
-		if w.GetPartial() == revision && w.GetOffset() < p.GetSize() {
+		p := &wire.Part{Name: w.GetName(), Revision: uint64(revision), Size: uint64(len(text))}
+		if w.GetPartial() == uint64(revision) && w.GetOffset() < p.GetSize() {
 			p.Offset = w.GetOffset()
 		}
 		p.Data = text[p.GetOffset():min(p.GetOffset()+uint64(left), p.GetSize())]
@@ -69,12 +70,13 @@
 
 // lacked returns the text that brings an asker forward: first the newest, then,
 // if it could not read that one, the one in force.
-func lacked(view *store.View, w *wire.Want) (revision uint64, text []byte) {
+func lacked(view *store.View, w *wire.Want) (revision order.Revision, text []byte) {
+	inForce, newest := order.Revision(w.GetRevision()), order.Revision(w.GetNewest())
 	f, e := view.Faults[w.GetName()], view.Entries[w.GetName()]
-	if f != nil && f.Revision > w.GetNewest() {
+	if f != nil && f.Revision > newest {
 		return f.Revision, f.Text
 	}
-	if e != nil && e.Revision > w.GetRevision() && e.Revision != w.GetNewest() {
+	if e != nil && e.Revision > inForce && e.Revision != newest {
 		return e.Revision, e.Text
 	}
 	return 0, nil
--- a/internal/ctrl/relay/platform_test.go
+++ b/internal/ctrl/relay/platform_test.go
@@ -10,13 +10,15 @@
 	"github.com/cockroachdb/errors"
 
 	"mangowinch/internal/ctrl/fetch"
+	"mangowinch/internal/flow/order"
 )
 
 // platform is the stand-in for the platform, with the revisions that it serves.
 type platform struct {
 	mu      sync.Mutex
-	index   uint64
-	serves  map[string]uint64
+	era     uint16
+	index   order.Revision
+	serves  map[string]order.Revision
 	texts   map[string]string // by name and revision; others are made up
 	list    fetch.Instances
 	down    bool
@@ -37,7 +39,7 @@
 }
 
 // set lets the platform serve a revision; a lower one makes it stale.
-func (p *platform) set(name string, revision uint64) {
+func (p *platform) set(name string, revision order.Revision) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.index++
@@ -46,6 +48,17 @@
 	p.changed = make(chan struct{})
 }
 
+// comeBack brings the platform back from a copy in which a document has a revision. Its index goes back as well.
+func (p *platform) comeBack(name string, revision order.Revision) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.era++
+	p.index -= p.serves[name] - revision
+	p.serves[name] = revision
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
 func (p *platform) setDown(down bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -60,16 +73,16 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := fetch.List{Index: p.index}
+	list := fetch.List{Index: p.told(p.index)}
 	for name, revision := range p.serves {
-		list.Documents = append(list.Documents, fetch.Item{Name: name, Revision: revision})
+		list.Documents = append(list.Documents, fetch.Item{Name: name, Revision: p.told(revision)})
 	}
 	return list, nil
 }
 
-func (p *platform) Watch(ctx context.Context, since uint64) (fetch.List, error) {
+func (p *platform) Watch(ctx context.Context, since order.Revision) (fetch.List, error) {
 	p.mu.Lock()
-	wait, changed := p.index <= since && !p.down, p.changed
+	wait, changed := since.Era() == p.era && p.told(p.index) <= since && !p.down, p.changed
 	p.mu.Unlock()
 	if wait {
 		timer := time.NewTimer(25 * time.Second)
@@ -93,17 +106,22 @@
 	if p.serves[name] == 0 {
 		return fetch.Document{}, fetch.ErrNotFound
 	}
-	return fetch.Document{Name: name, Revision: p.serves[name], Text: p.text(name, p.serves[name])}, nil
+	return fetch.Document{Name: name, Revision: p.told(p.serves[name]), Text: p.text(name, p.serves[name])}, nil
+}
+
+// told is a number as the platform tells it, in its era.
+func (p *platform) told(number order.Revision) order.Revision {
+	return order.At(p.era, number.Number())
 }
 
 // setText says what the text of a revision is.
-func (p *platform) setText(name string, revision uint64, text string) {
+func (p *platform) setText(name string, revision order.Revision, text string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.texts[fmt.Sprint(name, revision)] = text
 }
 
-func (p *platform) text(name string, revision uint64) []byte {
+func (p *platform) text(name string, revision order.Revision) []byte {
 	if text, ok := p.texts[fmt.Sprint(name, revision)]; ok {
 		return []byte(text)
 	}
@@ -149,7 +167,7 @@
 	return nil
 }
 
-func (w *window) Watch(ctx context.Context, since uint64) (fetch.List, error) {
+func (w *window) Watch(ctx context.Context, since order.Revision) (fetch.List, error) {
 	if err := w.open(); err != nil {
 		return fetch.List{}, err
 	}
--- a/internal/ctrl/relay/poll.go
+++ b/internal/ctrl/relay/poll.go
@@ -6,6 +6,7 @@
 
 	"mangowinch/internal/ctrl/digest"
 	"mangowinch/internal/ctrl/duty"
+	"mangowinch/internal/ctrl/fetch"
 	"mangowinch/internal/ctrl/peers"
 )
 
@@ -89,6 +90,10 @@
 		}
 		failures = 0
 		n.heardPlatform(time.Now())
+		if wait := n.heldFor(fetch.Item{Name: n.Service, Revision: document.Revision}); wait > 0 {
+			d = wait
+			continue
+		}
 		n.offer(document)
 	}
 }
--- a/internal/ctrl/relay/pull.go
+++ b/internal/ctrl/relay/pull.go
@@ -230,7 +230,7 @@
 	n.mu.Lock()
 	for name := range batch {
 		own := digest.Know(view, name)
-		w := &wire.Want{Name: name, Revision: own.Revision, Newest: own.Newest}
+		w := &wire.Want{Name: name, Revision: uint64(own.Revision), Newest: uint64(own.Newest)}
 		if p := n.pull.partials[name]; p != nil {
 			w.Partial, w.Offset = p.revision, uint64(len(p.text))
 		}
--- a/internal/ctrl/relay/real_test.go
+++ b/internal/ctrl/relay/real_test.go
@@ -22,6 +22,7 @@
 	"mangowinch/internal/ctrl/link"
 	"mangowinch/internal/ctrl/peers"
 	"mangowinch/internal/ctrl/relay"
+	"mangowinch/internal/flow/order"
 	"mangowinch/internal/stand/plat"
 )
 
@@ -49,7 +50,7 @@
 }
 
 // until waits for a revision of a document to be in force, and checks that it is that one.
-func until(ctx context.Context, t *testing.T, s *store.Store, name string, revision uint64) {
+func until(ctx context.Context, t *testing.T, s *store.Store, name string, revision order.Revision) {
 	t.Helper()
 	for {
 		changed := s.Changed()
@@ -61,7 +62,7 @@
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			t.Fatalf("%s %d is not in force", name, revision)
+			t.Fatalf("%s %s is not in force", name, revision)
 		}
 	}
 }
@@ -91,8 +92,8 @@
 	write("tracing-core", "4", "tracing-core four")
 	write("doc-intake", "1", "doc-intake one")
 	until(ctx, t, two, "doc-intake", 1)
-	assert.Equal(t, one.View().Entries["tracing-core"].Revision, uint64(7))
-	assert.Equal(t, two.View().Entries["tracing-core"].Revision, uint64(7))
+	assert.Equal(t, one.View().Entries["tracing-core"].Revision, order.Revision(7))
+	assert.Equal(t, two.View().Entries["tracing-core"].Revision, order.Revision(7))
 	cancel()
 	running.Wait()
 }
--- a/internal/ctrl/relay/relay.go
+++ b/internal/ctrl/relay/relay.go
@@ -42,6 +42,7 @@
 	"mangowinch/internal/ctrl/fetch"
 	"mangowinch/internal/ctrl/peers"
 	"mangowinch/internal/ctrl/wire"
+	"mangowinch/internal/flow/order"
 )
 
 // Peer is another process, as wire.DRPCRelayClient reaches it.
@@ -54,7 +55,7 @@
 // Platform is what is read of the platform, as fetch.Client reads it.
 type Platform interface {
 	Documents(ctx context.Context) (fetch.List, error)
-	Watch(ctx context.Context, since uint64) (fetch.List, error)
+	Watch(ctx context.Context, since order.Revision) (fetch.List, error)
 	Document(ctx context.Context, name string) (fetch.Document, error)
 	Instances(ctx context.Context) (fetch.Instances, error)
 }
@@ -110,8 +111,9 @@
 
 	mu       sync.Mutex
 	table    *peers.Table
-	contact  time.Time      // when anybody known last heard the platform
-	watching bool           // holds a watch at the platform
+	contact  time.Time // when anybody known last heard the platform
+	watching bool      // holds a watch at the platform
+	returns  returns
 	stale    int            // documents of which the platform serves an older revision
 	met      bool           // an exchange with a peer succeeded
 	near     []peers.Member // neighbours: whom connections are kept to
@@ -177,7 +179,7 @@
 
 // Heard notes that a process which is reached at link has a revision of a
 // document; a frame carried it. It is cheap when the revision is no news.
-func (n *Node) Heard(name string, revision uint64, link netip.AddrPort) {
+func (n *Node) Heard(name string, revision order.Revision, link netip.AddrPort) {
 	if revision <= n.Store.View().Revision(name) || !n.holds(name) {
 		return
 	}
--- a/internal/ctrl/relay/revert_test.go
+++ b/internal/ctrl/relay/revert_test.go
@@ -10,17 +10,19 @@
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"mangowinch/internal/flow/order"
 )
 
 // history is what was in force in one life of a process.
 type history struct {
 	name  string
-	floor uint64 // what it had to know from the start
-	seen  []uint64
+	floor order.Revision // what it had to know from the start
+	seen  []order.Revision
 }
 
 // follow records every revision that comes into force in a process.
-func follow(ctx context.Context, p *process, floor uint64) *history {
+func follow(ctx context.Context, p *process, floor order.Revision) *history {
 	h := &history{name: p.member.Name, floor: floor}
 	go func() {
 		for {
@@ -75,7 +77,7 @@
 	f := newFleet(t)
 	f.reseed(losses)
 	ctx, cancel := context.WithCancel(t.Context())
-	newest := uint64(1)
+	newest := order.Revision(1)
 	f.platform.setText("svc", 1, "svc servers=3")
 	f.platform.set("svc", 1)
 	f.entries(entries)
@@ -95,7 +97,7 @@
 			f.platform.setText("svc", newest, "svc servers=3 "+e.step)
 			f.platform.set("svc", newest)
 		case "stale":
-			f.platform.set("svc", max(1, newest-min(newest, uint64(e.n))))
+			f.platform.set("svc", max(1, newest-min(newest, order.Revision(e.n))))
 		case "down", "up":
 			f.platform.setDown(e.step == "down")
 		case "part":
--- a/internal/ctrl/relay/status.go
+++ b/internal/ctrl/relay/status.go
@@ -5,6 +5,7 @@
 
 	"mangowinch/internal/ctrl/budget"
 	"mangowinch/internal/ctrl/peers"
+	"mangowinch/internal/flow/order"
 )
 
 // Status is what /status shows of control.
@@ -25,11 +26,11 @@
 
 // Faulty is a document of which the newest revision can't be read.
 type Faulty struct {
-	Name     string `json:"name"`
-	Revision uint64 `json:"revision"` // the faulty one
-	InForce  uint64 `json:"inforce"`  // the last good one, 0 for none
-	Source   string `json:"source"`
-	Reason   string `json:"reason"`
+	Name     string         `json:"name"`
+	Revision order.Revision `json:"revision"` // the faulty one
+	InForce  order.Revision `json:"inforce"`  // the last good one, 0 for none
+	Source   string         `json:"source"`
+	Reason   string         `json:"reason"`
 }
 
 // Status returns what is the case now.
--- a/internal/ctrl/relay/take.go
+++ b/internal/ctrl/relay/take.go
@@ -6,6 +6,7 @@
 	"mangowinch/internal/conf/store"
 	"mangowinch/internal/ctrl/digest"
 	"mangowinch/internal/ctrl/wire"
+	"mangowinch/internal/flow/order"
 )
 
 // taken is what became of one piece of a text.
@@ -27,12 +28,13 @@
 		return forward
 	}
 	before := digest.Know(n.Store.View(), p.GetName())
-	accepted, err := n.Store.Offer(p.GetName(), p.GetRevision(), text, link.String())
+	revision := order.Revision(p.GetRevision())
+	accepted, err := n.Store.Offer(p.GetName(), revision, text, link.String())
 	if err != nil {
 		n.Log.Warn().Err(err).Msg("document is faulty")
 	}
 	if accepted {
-		n.Log.Info().Str("document", p.GetName()).Uint64("revision", p.GetRevision()).Stringer("from", link).Msg("document taken")
+		n.Log.Info().Str("document", p.GetName()).Stringer("revision", revision).Stringer("from", link).Msg("document taken")
 	}
 	if digest.Know(n.Store.View(), p.GetName()) == before {
 		return useless
--- a/internal/ctrl/scale/fleet.go
+++ b/internal/ctrl/scale/fleet.go
@@ -38,6 +38,7 @@
 	"mangowinch/internal/ctrl/link"
 	"mangowinch/internal/ctrl/peers"
 	"mangowinch/internal/ctrl/relay"
+	"mangowinch/internal/flow/order"
 )
 
 // Domains is how many failure domains the processes are spread over.
@@ -125,7 +126,7 @@
 
 // text makes a document as they are: some lines for each of 5 servers, and then
 // classes and callers up to its size.
-func (f *Fleet) text(n int, revision uint64) []byte {
+func (f *Fleet) text(n int, revision order.Revision) []byte {
 	var b strings.Builder
 	agents := 0
 	if n < f.Size.Services {
@@ -271,7 +272,7 @@
 }
 
 // Change lets the platform serve another revision of a document.
-func (f *Fleet) Change(document int, revision uint64) {
+func (f *Fleet) Change(document int, revision order.Revision) {
 	f.Platform.Set(name(document), revision, f.text(document, revision))
 }
 
@@ -301,12 +302,12 @@
 }
 
 // Offer gives a revision to the first entry, as if it alone had seen it at the platform.
-func (f *Fleet) Offer(document int, revision uint64) {
+func (f *Fleet) Offer(document int, revision order.Revision) {
 	_, _ = f.Processes()[0].Store.Offer(name(document), revision, f.text(document, revision), "platform")
 }
 
 // Have returns how many processes have at least a revision of a document.
-func (f *Fleet) Have(document int, revision uint64) (have int) {
+func (f *Fleet) Have(document int, revision order.Revision) (have int) {
 	for _, p := range f.Processes() {
 		if p.Store.View().Revision(name(document)) >= revision {
 			have++
--- a/internal/ctrl/scale/measure.go
+++ b/internal/ctrl/scale/measure.go
@@ -11,6 +11,7 @@
 	"gonum.org/v1/gonum/stat"
 
 	"mangowinch/internal/ctrl/peers"
+	"mangowinch/internal/flow/order"
 )
 
 // Cost is what one process of a role spends.
@@ -82,7 +83,7 @@
 	var all []time.Duration
 	for change := range changes {
 		document := change % max(f.Size.Services, 1)
-		revision := uint64(change + 2)
+		revision := order.Revision(change + 2)
 		text := f.text(document, revision)
 		start := time.Now()
 		var running sync.WaitGroup
@@ -114,7 +115,7 @@
 // giveUp is when a change counts as lost.
 const giveUp = time.Minute
 
-func (f *Fleet) reach(p *Process, document int, revision uint64, start time.Time) bool {
+func (f *Fleet) reach(p *Process, document int, revision order.Revision, start time.Time) bool {
 	for time.Since(start) < giveUp {
 		changed := p.Store.Changed()
 		if e := p.Store.View().Entries[name(document)]; e != nil && e.Revision >= revision {
--- a/internal/ctrl/scale/platform.go
+++ b/internal/ctrl/scale/platform.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 
 	"mangowinch/internal/ctrl/fetch"
+	"mangowinch/internal/flow/order"
 )
 
 // watchFor is how long the platform lets a watch wait.
@@ -24,7 +25,7 @@
 type Platform struct {
 	mu        sync.Mutex
 	index     uint64
-	revisions map[string]uint64
+	revisions map[string]order.Revision
 	texts     map[string][]byte
 	instances fetch.Instances
 	down      bool
@@ -36,7 +37,7 @@
 
 func newPlatform() *Platform {
 	return &Platform{
-		revisions: map[string]uint64{},
+		revisions: map[string]order.Revision{},
 		texts:     map[string][]byte{},
 		changed:   make(chan struct{}),
 		seconds:   map[int64]int{},
@@ -45,7 +46,7 @@
 }
 
 // Set lets the platform serve a revision of a document.
-func (p *Platform) Set(name string, revision uint64, text []byte) {
+func (p *Platform) Set(name string, revision order.Revision, text []byte) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.index++
@@ -111,10 +112,10 @@
 		return answer(p.instances)
 	case len(kind) == 2:
 		response := respond(p.texts[kind[1]])
-		response.Header.Set("Revision", strconv.FormatUint(p.revisions[kind[1]], 10))
+		response.Header.Set("Revision", strconv.FormatUint(p.revisions[kind[1]].Number(), 10))
 		return response, nil
 	}
-	list := fetch.List{Index: p.index}
+	list := fetch.List{Index: order.Revision(p.index)}
 	for _, name := range slices.Sorted(maps.Keys(p.revisions)) {
 		list.Documents = append(list.Documents, fetch.Item{Name: name, Revision: p.revisions[name]})
 	}
--- a/internal/flow/frame/frame.go
+++ b/internal/flow/frame/frame.go
@@ -25,6 +25,7 @@
 	"github.com/dchest/siphash"
 
 	"mangowinch/internal/flow/ident"
+	"mangowinch/internal/flow/order"
 )
 
 // Kind is what a frame is for.
@@ -82,7 +83,7 @@
 	Flags      Flag
 	Hops       uint8          // how often it was passed on
 	Service    uint64         // ident.ServiceTag
-	Revision   uint64         // document revision that the sender has for the service
+	Revision   order.Revision // document revision that the sender has for the service
 	Caller     netip.AddrPort // whose datagram it is; not set in Probe and Echo
 	Entry      netip.AddrPort // link address of the entry
 	Server     uint32         // Forward: the server meant; else the sender's server ID
@@ -97,7 +98,7 @@
 	n := min(len(h.Candidates), MaxCandidates)
 	b = append(b, version, byte(h.Kind), byte(h.Flags), h.Hops, k.Tag, byte(n))
 	b = binary.BigEndian.AppendUint64(b, h.Service)
-	b = binary.BigEndian.AppendUint64(b, h.Revision)
+	b = binary.BigEndian.AppendUint64(b, uint64(h.Revision))
 	b = appendAddr(b, h.Caller)
 	b = appendAddr(b, h.Entry)
 	b = binary.BigEndian.AppendUint32(b, h.Server)
@@ -148,7 +149,7 @@
 	h.Flags = Flag(b[2])
 	h.Hops = b[3]
 	h.Service = binary.BigEndian.Uint64(b[6:])
-	h.Revision = binary.BigEndian.Uint64(b[14:])
+	h.Revision = order.Revision(binary.BigEndian.Uint64(b[14:]))
 	h.Caller = readAddr(b[22:])
 	h.Entry = readAddr(b[40:])
 	h.Server = binary.BigEndian.Uint32(b[58:])
--- a/internal/flow/frame/frame_test.go
+++ b/internal/flow/frame/frame_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"mangowinch/internal/flow/ident"
+	"mangowinch/internal/flow/order"
 )
 
 func ring(tb testing.TB, service string) *ident.Ring {
@@ -38,7 +39,7 @@
 	r := ring(t, "tracing-core")
 	rapid.Check(t, func(t *rapid.T) {
 		want := sample(r)
-		want.Revision = rapid.Uint64().Draw(t, "revision")
+		want.Revision = order.Revision(rapid.Uint64().Draw(t, "revision"))
 		want.Candidates = rapid.SliceOfN(rapid.Uint32(), 0, MaxCandidates).Draw(t, "candidates")
 		payload := rapid.SliceOfN(rapid.Byte(), 0, 50).Draw(t, "payload")
 		b := append(Append(nil, r.Current(), &want), payload...)
--- a/internal/flow/order/order.go
+++ b/internal/flow/order/order.go
@@ -36,7 +36,10 @@
 // Number is the platform's number, which is unique within its era.
 func (r Revision) Number() uint64 { return uint64(r) & MaxNumber }
 
-// String returns era and number, such as "2.16".
+// String returns era and number, such as "2.16"; the number alone in era 0, that of a platform that has no eras.
 func (r Revision) String() string {
+	if r.Era() == 0 {
+		return strconv.FormatUint(r.Number(), 10)
+	}
 	return strconv.Itoa(int(r.Era())) + "." + strconv.FormatUint(r.Number(), 10)
 }
--- a/internal/flow/order/order_test.go
+++ b/internal/flow/order/order_test.go
@@ -13,6 +13,7 @@
 	assert.Assert(t, At(2, 16) > At(1, 19))
 	assert.Assert(t, At(2, 0) > At(1, MaxNumber))
 	assert.Equal(t, At(2, 16).String(), "2.16")
+	assert.Equal(t, At(0, 16).String(), "16")
 }
 
 func TestRevisionsAreOrderedByEraThenNumber(t *testing.T) {
--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -36,6 +36,7 @@
 
 	"mangowinch/internal/conf/prefs"
 	"mangowinch/internal/conf/store"
+	"mangowinch/internal/flow/order"
 	"mangowinch/internal/load/admit"
 	"mangowinch/internal/node/awake"
 	"mangowinch/internal/node/gate"
@@ -73,7 +74,7 @@
 type Hooks struct {
 	// Newer is called when a frame shows that the process at link has a newer
 	// document of the own service. It must not block.
-	Newer func(link netip.AddrPort, service string, revision uint64)
+	Newer func(link netip.AddrPort, service string, revision order.Revision)
 	// Refresh asks for the newest document after a pause. It returns when it has
 	// asked somebody, or with ctx.
 	Refresh func(ctx context.Context)
--- a/internal/node/agent/inforce.go
+++ b/internal/node/agent/inforce.go
@@ -8,6 +8,7 @@
 	"mangowinch/internal/conf/docs"
 	"mangowinch/internal/conf/store"
 	"mangowinch/internal/flow/ident"
+	"mangowinch/internal/flow/order"
 	"mangowinch/internal/load/admit"
 	"mangowinch/internal/node/rings"
 	"mangowinch/internal/work/once"
@@ -16,7 +17,7 @@
 // snapshot is what the document in force says; it is immutable.
 type snapshot struct {
 	document *docs.Service
-	revision uint64
+	revision order.Revision
 	ring     *ident.Ring
 	own      *docs.Server
 	keys     *once.View
@@ -61,7 +62,7 @@
 	next, err := a.snapshot(d)
 	if err != nil {
 		a.count.unusable.Inc()
-		a.log.Error().Err(err).Uint64("revision", d.Revision).Msg("document cannot be used here; the last good one stays")
+		a.log.Error().Err(err).Stringer("revision", d.Revision).Msg("document cannot be used here; the last good one stays")
 		return
 	}
 	if next.own == nil {
@@ -75,7 +76,7 @@
 	a.now.Store(next)
 	a.setPeers(d.Service, a.settings.Agent.Sides)
 	a.gate.SetLimits(admit.LimitsOf(d.Service, *next.own))
-	a.log.Info().Str("service", d.Name).Uint64("revision", d.Revision).Str("source", d.Source).Msg("document in force")
+	a.log.Info().Str("service", d.Name).Stringer("revision", d.Revision).Str("source", d.Source).Msg("document in force")
 	a.standing.set(byDocument, next.own.State == docs.Leaving)
 }
 
--- a/internal/node/agent/status.go
+++ b/internal/node/agent/status.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"mangowinch/internal/flow/order"
 	"mangowinch/internal/flow/paths"
 	"mangowinch/internal/load/admit"
 )
@@ -11,7 +12,7 @@
 type Status struct {
 	Service     string         `json:"service"`
 	Server      string         `json:"server"`
-	Revision    uint64         `json:"revision"`
+	Revision    order.Revision `json:"revision"`
 	Leaving     string         `json:"leaving,omitempty"` // why, once it leaves
 	Requests    int64          `json:"requests"`          // in progress
 	Connections int64          `json:"connections"`
--- a/internal/node/agent/woken.go
+++ b/internal/node/agent/woken.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/netip"
 	"time"
+
+	"mangowinch/internal/flow/order"
 )
 
 const (
@@ -34,7 +36,7 @@
 }
 
 // hint tells whoever keeps the documents that a newer one exists.
-func (a *Agent) hint(now time.Time, link netip.AddrPort, revision uint64) {
+func (a *Agent) hint(now time.Time, link netip.AddrPort, revision order.Revision) {
 	if a.hooks.Newer != nil && a.hinted.Claim(now, hintEvery) {
 		a.count.hints.Inc()
 		a.hooks.Newer(link, a.settings.Agent.Service, revision)
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -31,6 +31,7 @@
 
 	"mangowinch/internal/conf/prefs"
 	"mangowinch/internal/conf/store"
+	"mangowinch/internal/flow/order"
 	"mangowinch/internal/node/awake"
 	"mangowinch/internal/node/sock"
 	"mangowinch/internal/node/stamp"
@@ -68,7 +69,7 @@
 type Hooks struct {
 	// Newer is called when a frame shows that the agent at link has a newer
 	// document of a service. It must not block.
-	Newer func(link netip.AddrPort, service string, revision uint64)
+	Newer func(link netip.AddrPort, service string, revision order.Revision)
 	// Refresh asks for the newest documents after a pause.
 	Refresh func(ctx context.Context)
 }
--- a/internal/node/entry/services.go
+++ b/internal/node/entry/services.go
@@ -14,6 +14,7 @@
 	"mangowinch/internal/conf/store"
 	"mangowinch/internal/flow/frame"
 	"mangowinch/internal/flow/ident"
+	"mangowinch/internal/flow/order"
 	"mangowinch/internal/flow/route"
 	"mangowinch/internal/load/shift"
 	"mangowinch/internal/node/rings"
@@ -57,7 +58,7 @@
 // snapshot is immutable.
 type snapshot struct {
 	document *docs.Service
-	revision uint64
+	revision order.Revision
 	ring     *ident.Ring
 	table    route.Table
 	agents   map[uint32]netip.AddrPort
@@ -125,7 +126,7 @@
 	ring, err := rings.New(e.settings.Keys, d.Service)
 	if err != nil {
 		s.count.unusable.Inc()
-		e.log.Error().Err(err).Uint64("revision", d.Revision).Msg("document cannot be used here; the last good one stays")
+		e.log.Error().Err(err).Stringer("revision", d.Revision).Msg("document cannot be used here; the last good one stays")
 		return
 	}
 	s.mu.Lock()
@@ -143,7 +144,7 @@
 	s.weights.SetServers(shiftServers(d.Service))
 	next := &snapshot{document: d.Service, revision: d.Revision, ring: ring, agents: agents(d.Service)}
 	s.publish(now, next)
-	e.log.Info().Str("service", s.name).Uint64("revision", d.Revision).Str("source", d.Source).Msg("document in force")
+	e.log.Info().Str("service", s.name).Stringer("revision", d.Revision).Str("source", d.Source).Msg("document in force")
 }
 
 func ids(d *docs.Service) (list []uint32) {
--- a/internal/node/entry/status.go
+++ b/internal/node/entry/status.go
@@ -5,14 +5,16 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"mangowinch/internal/flow/order"
 )
 
 // Service is one service as an operator sees it.
 type Service struct {
-	Name     string   `json:"name"`
-	Revision uint64   `json:"revision"`
-	Address  string   `json:"address"`
-	Servers  []Server `json:"servers"`
+	Name     string         `json:"name"`
+	Revision order.Revision `json:"revision"`
+	Address  string         `json:"address"`
+	Servers  []Server       `json:"servers"`
 }
 
 // Server is what the entry believes of a server.
--- a/internal/node/entry/woken.go
+++ b/internal/node/entry/woken.go
@@ -7,6 +7,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"mangowinch/internal/flow/order"
 	"mangowinch/internal/flow/route"
 )
 
@@ -41,7 +42,7 @@
 }
 
 // hint tells whoever keeps the documents that a newer one exists.
-func (e *Entry) hint(now time.Time, s *service, link netip.AddrPort, revision uint64) {
+func (e *Entry) hint(now time.Time, s *service, link netip.AddrPort, revision order.Revision) {
 	if e.hooks.Newer != nil && s.hinted.Claim(now, hintEvery) {
 		s.count.hints.Inc()
 		e.hooks.Newer(link, s.name, revision)
--- a/internal/node/start/relayentry.go
+++ b/internal/node/start/relayentry.go
@@ -12,6 +12,7 @@
 	"mangowinch/internal/ctrl/link"
 	"mangowinch/internal/ctrl/peers"
 	"mangowinch/internal/ctrl/relay"
+	"mangowinch/internal/flow/order"
 	"mangowinch/internal/node/entry"
 	"mangowinch/internal/node/sock"
 )
@@ -26,7 +27,7 @@
 		Self: peers.Member{Role: peers.Entry, Address: p.settings.Entry.Link},
 	})
 	e.SetHooks(entry.Hooks{
-		Newer:   func(link netip.AddrPort, service string, revision uint64) { c.Heard(service, revision, link) },
+		Newer:   func(link netip.AddrPort, service string, revision order.Revision) { c.Heard(service, revision, link) },
 		Refresh: c.Refresh,
 	})
 	mux := drpcmux.New()
--- a/internal/node/start/status.go
+++ b/internal/node/start/status.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"mangowinch/internal/conf/store"
+	"mangowinch/internal/flow/order"
 )
 
 // Process is what a process is, in /status.
@@ -19,12 +20,12 @@
 
 // Document is one document in /status.
 type Document struct {
-	Name     string    `json:"name"`
-	Revision uint64    `json:"revision"` // in force; 0 if none is
-	Source   string    `json:"source,omitempty"`
-	Since    time.Time `json:"since,omitzero"`
-	Fault    string    `json:"fault,omitempty"` // why a newer revision is not in force
-	Refused  uint64    `json:"refused,omitempty"`
+	Name     string         `json:"name"`
+	Revision order.Revision `json:"revision"` // in force; 0 if none is
+	Source   string         `json:"source,omitempty"`
+	Since    time.Time      `json:"since,omitzero"`
+	Fault    string         `json:"fault,omitempty"` // why a newer revision is not in force
+	Refused  order.Revision `json:"refused,omitempty"`
 }
 
 func listDocuments(v *store.View) (list []Document) {
--- a/internal/oper/verbs/compare.go
+++ b/internal/oper/verbs/compare.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
+	"mangowinch/internal/flow/order"
 	"mangowinch/internal/node/start"
 	"mangowinch/internal/oper/admin"
 )
@@ -110,15 +111,15 @@
 // which one holds a newer revision that it cannot use. A process that does not hold a
 // document at all is no difference: agents hold their own service's only.
 func differ(answers []answer) (lines []string) {
-	holders := map[string]map[uint64][]string{} // document, revision, names of processes
+	holders := map[string]map[order.Revision][]string{} // document, revision, names of processes
 	for i := range answers {
 		s := &answers[i].Sections
 		for _, d := range s.Documents {
 			if d.Fault != "" {
-				lines = append(lines, fmt.Sprintf("%s: %s cannot use revision %d", d.Name, s.Process.Name, d.Refused))
+				lines = append(lines, fmt.Sprintf("%s: %s cannot use revision %s", d.Name, s.Process.Name, d.Refused))
 			}
 			if holders[d.Name] == nil {
-				holders[d.Name] = map[uint64][]string{}
+				holders[d.Name] = map[order.Revision][]string{}
 			}
 			holders[d.Name][d.Revision] = append(holders[d.Name][d.Revision], s.Process.Name)
 		}
@@ -128,7 +129,7 @@
 			continue
 		}
 		for revision, names := range revisions {
-			lines = append(lines, fmt.Sprintf("%s: revision %d at %s", name, revision, strings.Join(names, ", ")))
+			lines = append(lines, fmt.Sprintf("%s: revision %s at %s", name, revision, strings.Join(names, ", ")))
 		}
 	}
 	slices.Sort(lines)
--- a/internal/oper/verbs/verbs_test.go
+++ b/internal/oper/verbs/verbs_test.go
@@ -18,6 +18,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/golden"
 
+	"mangowinch/internal/flow/order"
 	"mangowinch/internal/node/start"
 	"mangowinch/internal/oper/admin"
 )
@@ -105,7 +106,7 @@
 }
 
 // running is the operators' server of a process that holds one revision of a document.
-func running(t *testing.T, name string, revision uint64, fault string) (address string) {
+func running(t *testing.T, name string, revision order.Revision, fault string) (address string) {
 	t.Helper()
 	s := admin.New(netip.AddrPort{}, zerolog.Nop())
 	s.Section("process", func() any { return start.Process{Name: name, Role: "entry", Domain: "zg-a", Version: "v1"} })
--- a/internal/stand/faults/steps.go
+++ b/internal/stand/faults/steps.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"mangowinch/internal/conf/prefs"
+	"mangowinch/internal/flow/order"
 	"mangowinch/internal/stand/check"
 	"mangowinch/internal/stand/fabric"
 )
@@ -140,8 +141,8 @@
 
 // expectRevision adds a violation if a process does not have a document's revision
 // in force within inForceWithin, or a later one.
-func (r *run) expectRevision(process, service string, least uint64) {
-	var got uint64
+func (r *run) expectRevision(process, service string, least order.Revision) {
+	var got order.Revision
 	var err error
 	for end := time.Now().Add(inForceWithin); time.Now().Before(end); r.wait(20 * time.Millisecond) {
 		if got, err = r.fleet.Revision(r.ctx, process, service); err == nil && got >= least {
@@ -149,5 +150,5 @@
 		}
 	}
 	r.extra = append(r.extra, check.Violation{Rule: check.Reverted, Token: process,
-		Detail: fmt.Sprintf("has revision %d of %s and not %d after %s (%v)", got, service, least, inForceWithin, err)})
+		Detail: fmt.Sprintf("has revision %s of %s and not %s after %s (%v)", got, service, least, inForceWithin, err)})
 }
--- a/internal/stand/fleet/ask.go
+++ b/internal/stand/fleet/ask.go
@@ -8,6 +8,8 @@
 	"strings"
 
 	"github.com/cockroachdb/errors"
+
+	"mangowinch/internal/flow/order"
 )
 
 // Ask reads what a process tells at a path of its operators' address into answer.
@@ -50,12 +52,12 @@
 }
 
 // Revision returns the revision of a document that a process has in force, 0 if none.
-func (f *Fleet) Revision(ctx context.Context, process, service string) (revision uint64, err error) {
+func (f *Fleet) Revision(ctx context.Context, process, service string) (revision order.Revision, err error) {
 	var status struct {
 		Sections struct {
 			Documents []struct {
-				Name     string `json:"name"`
-				Revision uint64 `json:"revision"`
+				Name     string         `json:"name"`
+				Revision order.Revision `json:"revision"`
 			} `json:"documents"`
 		} `json:"sections"`
 	}
--- a/internal/stand/matrix/cells.go
+++ b/internal/stand/matrix/cells.go
@@ -21,6 +21,7 @@
 	uneven      = "uneven"
 	down        = "down"
 	stale       = "stale"
+	copied      = "copied"
 	frozen      = "frozen"
 	partition   = "partition"
 	oneWay      = "one-way"
@@ -46,6 +47,7 @@
 	{uneven, "updates reach processes unevenly", []string{"entry-frozen+document"}},
 	{down, "the platform is down", []string{"platform-down", "platform-down-entry-restarted"}},
 	{stale, "the platform serves an old revision", []string{"platform-stale-entry-restarted"}},
+	{copied, "the platform comes back from a copy", []string{"platform-copy"}},
 	{frozen, "a process is frozen and woken late", []string{"entry-frozen", "entries-all-frozen", "agent-frozen", "agent-frozen-past-deadline", "server-frozen"}},
 	{partition, "callers and entries are parted", []string{"partition"}},
 	{oneWay, "loss in one direction", []string{"cut-toward-entry", "cut-back-from-entry", "loss-both-ways"}},
@@ -85,6 +87,7 @@
 	{Row: leaving, Fault: uneven, Scenarios: []string{"entry-frozen+document"}},
 	{Row: leaving, Fault: down, Scenarios: []string{"platform-down+drain"}},
 	{Row: leaving, Fault: stale, Scenarios: []string{"platform-stale+drain"}},
+	{Row: leaving, Fault: copied, Scenarios: []string{"platform-copy+drain"}},
 	{Row: leaving, Fault: frozen, Scenarios: []string{"entry-frozen+document"}},
 	{Row: leaving, Fault: partition, Scenarios: []string{"partition+drain"}},
 	{Row: leaving, Fault: oneWay, Scenarios: []string{"cut-back+drain"}},
@@ -98,6 +101,7 @@
 	{Row: planned, Fault: uneven, Scenarios: []string{"agent-replaced+documents"}},
 	{Row: planned, Fault: down, Scenarios: []string{"agent-replaced+platform-down"}},
 	{Row: planned, Fault: stale, Scenarios: []string{"agent-replaced+platform-stale"}},
+	{Row: planned, Fault: copied, Scenarios: []string{"agent-replaced+platform-copy"}},
 	{Row: planned, Fault: frozen, Scenarios: []string{"entry-stopped+agent-frozen"}},
 	{Row: planned, Fault: partition, Scenarios: []string{"entry-stopped+partition"}},
 	{Row: planned, Fault: oneWay, Scenarios: []string{"entry-stopped+cut-back"}},
@@ -110,6 +114,7 @@
 	{Row: inForce, Fault: uneven, Tests: []string{"conf/store.TestNeverReverts", "ctrl/relay.TestNeverRevertsInFleet", "ctrl/relay.TestChangeReachesAll"}},
 	{Row: inForce, Fault: down, Tests: []string{"ctrl/relay.TestPlatformDownAfterOneSawTheChange", "ctrl/relay.TestLongOutage"}, Scenarios: []string{"platform-down-entry-restarted"}},
 	{Row: inForce, Fault: stale, Tests: []string{"conf/store.TestNeverReverts", "ctrl/relay.TestRestartWithStalePlatform"}, Scenarios: []string{"platform-stale-entry-restarted", "platform-stale+drain"}},
+	{Row: inForce, Fault: copied, Tests: []string{"ctrl/relay.TestDocumentAfterThePlatformCameBackFromACopy", "ctrl/follow.TestChangesAfterThePlatformCameBackFromACopyAreKnown", "ctrl/belief.TestBeliefsOutliveCopies"}, Scenarios: []string{"platform-copy"}},
 	{Row: inForce, Fault: frozen, Scenarios: []string{"entry-frozen+document"}},
 	{Row: inForce, Fault: partition, Tests: []string{"ctrl/relay.TestPartitionHeals"}, Scenarios: []string{"partition+document"}},
 	{Row: inForce, Fault: oneWay, Tests: []string{"ctrl/relay.TestLoss"}, Scenarios: []string{"cut-back+document"}},
@@ -124,6 +129,7 @@
 	{Row: "a server drains during a partition of callers and entries", Scenarios: []string{"partition+drain"}},
 	{Row: "a server drains while the platform is down", Scenarios: []string{"platform-down+drain"}},
 	{Row: "the platform falls back to an old revision after a drain by document", Scenarios: []string{"platform-stale+drain"}},
+	{Row: "the platform comes back from a copy after a drain by document", Scenarios: []string{"platform-copy+drain"}},
 	{Row: "an agent is killed while its server drains", Scenarios: []string{"agent-killed+drain"}},
 	{Row: "a server drains while the way back from a balancer is cut", Scenarios: []string{"cut-back+drain"}},
 	{Row: "a balancer joins while a server drains", Scenarios: []string{"entry-joins+drain"}},
@@ -131,7 +137,7 @@
 	{Row: "a balancer joins while another makes its planned stop", Scenarios: []string{"entry-stopped+entry-joins"}},
 	{Row: "an agent is killed or frozen while a balancer makes its planned stop", Scenarios: []string{"entry-stopped+agent-killed", "entry-stopped+agent-frozen"}},
 	{Row: "a balancer makes its planned stop while callers are parted, or the way back from another is cut", Scenarios: []string{"entry-stopped+partition", "entry-stopped+cut-back"}},
-	{Row: "an agent is replaced while the platform is down or stale, or documents change", Scenarios: []string{"agent-replaced+platform-down", "agent-replaced+platform-stale", "agent-replaced+documents"}},
+	{Row: "an agent is replaced while the platform is down or stale or back from a copy, or documents change", Scenarios: []string{"agent-replaced+platform-down", "agent-replaced+platform-stale", "agent-replaced+platform-copy", "agent-replaced+documents"}},
 	{Row: "documents change while callers are parted, or the way back from a balancer is cut", Scenarios: []string{"partition+document", "cut-back+document"}},
 	{Row: "two of three balancers are killed at once", Scenarios: []string{"two-entries-killed"}},
 	{Row: "every process of a failure domain is killed at once", Scenarios: []string{"domain-lost"}},
--- a/internal/stand/plat/fault.go
+++ b/internal/stand/plat/fault.go
@@ -24,12 +24,13 @@
 	Delay time.Duration // Slow
 }
 
-// Admin returns the side that tests use: POST /fault and GET /calls.
+// Admin returns the side that tests use: POST /fault, POST /restore and GET /calls.
 //
-// /fault takes mode=ok|down|stale|slow, back=VERSIONS for stale and delay=DURATION for slow.
+// /fault takes mode=ok|down|stale|slow, back=VERSIONS for stale and delay=DURATION for slow. /restore takes back=VERSIONS.
 func (p *Platform) Admin() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /fault", p.serveFault)
+	mux.HandleFunc("POST /restore", p.serveRestore)
 	mux.HandleFunc("GET /calls", p.serveCalls)
 	mux.HandleFunc("GET /healthz", func(http.ResponseWriter, *http.Request) {})
 	return mux
@@ -72,6 +73,16 @@
 	p.SetFault(f)
 }
 
+// serveRestore brings the platform back from a copy.
+func (p *Platform) serveRestore(w http.ResponseWriter, r *http.Request) {
+	back, err := strconv.Atoi(r.URL.Query().Get("back"))
+	if err != nil || back < 0 {
+		http.Error(w, "back: versions", http.StatusBadRequest)
+		return
+	}
+	p.restore(back)
+}
+
 func (p *Platform) serveCalls(w http.ResponseWriter, _ *http.Request) {
 	answer := map[string]uint64{}
 	p.mutex.Lock()
--- a/internal/stand/plat/plat.go
+++ b/internal/stand/plat/plat.go
@@ -90,6 +90,8 @@
 	settings Settings
 
 	mutex    sync.Mutex
+	era      uint64    // rises each time that the platform comes back from a copy
+	away     time.Time // nothing is written until then
 	index    uint64
 	versions map[string][]version // oldest first
 	lists    []listed             // oldest first
@@ -127,6 +129,12 @@
 }
 
 func (p *Platform) scan() {
+	p.mutex.Lock()
+	away := time.Now().Before(p.away)
+	p.mutex.Unlock()
+	if away {
+		return
+	}
 	texts, revisions, err := readDocuments(p.settings.Directory)
 	if err != nil {
 		p.settings.Log.Error().Err(err).Msg("directory not readable")
@@ -177,6 +185,24 @@
 	return true
 }
 
+// writtenAgain is how long after the platform's return from a copy the teams write again what it lost: the directory has it still.
+const writtenAgain = time.Second
+
+// restore brings the platform back from a copy that lacks the last versions of each document. Its numbers are given out again.
+func (p *Platform) restore(back int) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for name, kept := range p.versions {
+		lost := min(back, len(kept)-1)
+		p.versions[name] = kept[:len(kept)-lost]
+		p.index -= min(p.index, uint64(lost))
+	}
+	p.era++
+	p.away = time.Now().Add(writtenAgain)
+	p.wake()
+	p.settings.Log.Info().Uint64("era", p.era).Msg("back from a copy")
+}
+
 func (p *Platform) acceptList(list []Instance) bool {
 	if len(p.lists) > 0 && sameInstances(p.lists[len(p.lists)-1].list.Instances, list) {
 		return false
--- a/internal/stand/plat/plat_test.go
+++ b/internal/stand/plat/plat_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -129,3 +130,24 @@
 	assert.NilError(t, json.Unmarshal([]byte(body), &calls))
 	assert.DeepEqual(t, calls, map[string]uint64{"/instances": 2})
 }
+
+// Guards against a stand-in whose return from a copy no reader could notice.
+func TestReturnFromACopyIsToldByItsEra(t *testing.T) {
+	directory := t.TempDir()
+	p := New(Settings{Directory: directory})
+	server := httptest.NewServer(p.Reader())
+	defer server.Close()
+	for _, text := range []string{"one", "two", "three"} {
+		write(t, directory, "tracing-core.ini", text)
+		p.scan()
+	}
+	p.restore(2)
+	header, body := get(t, server, "/watch?since=9&era=0")
+	assert.Equal(t, header.Get("Era"), "1")
+	assert.Equal(t, body, `{"index":2,"documents":[{"name":"tracing-core","revision":1}]}`+"\n")
+	p.away = time.Time{}
+	p.scan()
+	header, body = get(t, server, "/documents/tracing-core")
+	assert.Equal(t, header.Get("Revision"), "2")
+	assert.Equal(t, body, "three")
+}
--- a/internal/stand/plat/reader.go
+++ b/internal/stand/plat/reader.go
@@ -79,13 +79,20 @@
 func (p *Platform) serveDocuments(w http.ResponseWriter, _ *http.Request) {
 	p.mutex.Lock()
 	answer := p.current().documents()
+	p.setEra(w)
 	p.mutex.Unlock()
 	writeJSON(w, answer)
 }
 
+// setEra says in which era an answer is, though it may have changed since the call came. The mutex is held.
+func (p *Platform) setEra(w http.ResponseWriter) {
+	w.Header().Set("Era", strconv.FormatUint(p.era, 10))
+}
+
 func (p *Platform) serveDocument(w http.ResponseWriter, r *http.Request) {
 	p.mutex.Lock()
 	version, ok := p.current().versions[r.PathValue("name")]
+	p.setEra(w)
 	p.mutex.Unlock()
 	if !ok {
 		http.NotFound(w, r)
@@ -102,16 +109,19 @@
 		http.Error(w, "since: not a number", http.StatusBadRequest)
 		return
 	}
+	era := r.URL.Query().Get("era") // missing: of a reader that knows none
 	end := time.NewTimer(watchFor)
 	defer end.Stop()
 	for {
 		p.mutex.Lock()
 		down, now, changed := p.fault.Mode == Down, p.current(), p.changed
+		other := era != "" && era != strconv.FormatUint(p.era, 10)
+		p.setEra(w)
 		p.mutex.Unlock()
 		if down {
 			panic(http.ErrAbortHandler) // a watch that was waiting breaks off as well
 		}
-		if now.index > since {
+		if now.index > since || other {
 			writeJSON(w, now.documents())
 			return
 		}
