--- a/internal/ctrl/fetch/fetch.go
+++ b/internal/ctrl/fetch/fetch.go
@@ -137,7 +137,7 @@
 	if err != nil {
 		return List{}, err
 	}
-	era, err := readEra(header)
+	era, err := order.ParseEra(header.Get(eraHeader))
 	list.Index = order.At(era, uint64(list.Index))
 	for i, d := range list.Documents {
 		list.Documents[i].Revision = order.At(era, uint64(d.Revision))
@@ -149,16 +149,6 @@
 // that never does sends none.
 const eraHeader = "Era"
 
-// readEra reads the era of an answer.
-func readEra(h http.Header) (era uint16, err error) {
-	text := h.Get(eraHeader)
-	if text == "" {
-		return 0, nil
-	}
-	n, err := strconv.ParseUint(text, 10, 16)
-	return uint16(n), errors.Wrapf(err, "read %s", eraHeader)
-}
-
 // Instances lists the processes of the system as the platform knows them.
 func (c *Client) Instances(ctx context.Context) (list Instances, err error) {
 	_, err = c.get(ctx, "instances", "/instances", callTimeout, maxList, &list)
@@ -177,7 +167,7 @@
 	if err != nil {
 		return document, err
 	}
-	era, err := readEra(header)
+	era, err := order.ParseEra(header.Get(eraHeader))
 	document.Revision = order.At(era, number)
 	return document, err
 }
--- a/internal/ctrl/follow/follow_test.go
+++ b/internal/ctrl/follow/follow_test.go
@@ -134,6 +134,10 @@
 	return belief.Change{From: after, To: s.at, Items: []belief.Item{s.item()}}, nil
 }
 
+func init() {
+	encodeNews(belief.Change{}) // the encoder's channels must not belong to the bubble of one test
+}
+
 // fleet is some nodes that reach each other in memory.
 type fleet struct {
 	mu    sync.Mutex
@@ -401,3 +405,22 @@
 		}
 	})
 }
+
+// Guards against a belief that counts as fresh because of answers that were put aside.
+func TestAnswerOlderThanTheBeliefVouchesForNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlatform()
+		f := start(t, 4, func(int) Source { return p })
+		for range 5 {
+			p.change()
+			time.Sleep(time.Second)
+		}
+		p.become(func(s state) state { return state{s.at - 3, s.version - 3} }) // and its era doesn't say so
+		time.Sleep(10 * time.Second)
+		for a, n := range f.nodes {
+			age, _ := n.Age(time.Now())
+			assert.Assert(t, age > 9*time.Second, "%s is %s old", a, age)
+			assert.Equal(t, n.Log.View().Version(), int64(6))
+		}
+	})
+}
--- a/internal/flow/order/order.go
+++ b/internal/flow/order/order.go
@@ -13,7 +13,11 @@
 //	if r > known { ... }
 package order
 
-import "strconv"
+import (
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+)
 
 // Revision is the place of a change among all that the platform has told: its era, then its number. It is compared
 // by < and >, and 0 is before everything.
@@ -30,6 +34,16 @@
 	return Revision(uint64(era)<<numberBits | number&MaxNumber)
 }
 
+// ParseEra reads an era as a platform tells it. One that tells none is in era 0.
+func ParseEra(text string) (era uint16, err error) {
+	defer func() { err = errors.Wrap(err, "era") }()
+	if text == "" {
+		return 0, nil
+	}
+	n, err := strconv.ParseUint(text, 10, 16)
+	return uint16(n), err
+}
+
 // Era is the era in which the number was given.
 func (r Revision) Era() uint16 { return uint16(r >> numberBits) }
 
--- a/internal/flow/order/order_test.go
+++ b/internal/flow/order/order_test.go
@@ -29,3 +29,15 @@
 		assert.Equal(r, cmp.Compare(one, other), cmp.Or(cmp.Compare(era, otherEra), cmp.Compare(number, otherNumber)))
 	})
 }
+
+func TestEraThatIsNoNumberIsAnError(t *testing.T) {
+	for text, want := range map[string]uint16{"": 0, "0": 0, "7": 7, "65535": 65535} {
+		era, err := ParseEra(text)
+		assert.NilError(t, err)
+		assert.Equal(t, era, want)
+	}
+	for _, text := range []string{"-1", "65536", "first", "1.5"} {
+		_, err := ParseEra(text)
+		assert.ErrorContains(t, err, "era")
+	}
+}
