An answer of an earlier era vouches for nothing, also when a peer told of the next one meanwhile

Found by reading the diff: whether an answer is older than the belief was asked of the belief before the answer was taken in; news of a peer between the two would have let an answer of the era before renew the age. It is asked after it now. TestAnswerOfAnEarlierEraVouchesForNothing holds the rule itself (without it: 0 s old in place of 1.005 s); the interleaving has no test.

--- a/internal/ctrl/follow/follow_test.go
+++ b/internal/ctrl/follow/follow_test.go
@@ -424,3 +424,19 @@
 		}
 	})
 }
+
+// Guards against an answer of the era before that was under way while a peer told of the next one.
+func TestAnswerOfAnEarlierEraVouchesForNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := start(t, 1, func(int) Source { return newPlatform() })
+		n := f.nodes[addr(0)]
+		time.Sleep(time.Second)
+		n.Learn(time.Now(), addr(1), belief.Change{To: order.At(1, 1), Full: true, Items: []belief.Item{state{order.At(1, 1), 2}.item()}})
+		before, _ := n.Age(time.Now())
+		time.Sleep(5 * time.Millisecond)
+		n.confirmed(time.Now(), belief.Change{From: 1, To: 1})
+		after, _ := n.Age(time.Now())
+		assert.Equal(t, after, before+5*time.Millisecond)
+		assert.Equal(t, n.Log.View().Version(), int64(2))
+	})
+}
--- a/internal/ctrl/follow/read.go
+++ b/internal/ctrl/follow/read.go
@@ -115,7 +115,7 @@
 		n.tell(now, &c, true)
 		n.Changed()
 		return
-	case outdated(before.Revision, c):
+	case outdated(n.Log.Revision(), c):
 		n.noteOld(c)
 	default:
 		n.vouched(now)
