Evacuations follow a copy of the platform's store

The store was noticed 1.95 s after its return, and both domains of the service had been taken back while it was away.

Two ways: keep it (flows don't go to a domain that is to be emptied, until the operator writes the order again), or follow the copy (a few flows may, and leave with the others). What is kept wrongly refuses callers; what is followed wrongly places some flows that the domain's emptying lets end. The second serves callers better, and is simpler.

Change: as said.

--- a/internal/ctrl/belief/belief.go
+++ b/internal/ctrl/belief/belief.go
@@ -125,7 +125,7 @@
 const history = 256
 
 // absence is how long a server counts as present after its entry went away unless it was
-// draining, and an evacuation that a copy of the platform's store lacks. Entries lapse while the platform is away although the server lives, and come back
+// draining. Entries lapse while the platform is away although the server lives, and come back
 // some 2 s after it; a server that is gone doesn't answer, which entries notice by
 // themselves. It is less than the shortest time (3 s) in which a server that left must get no flow.
 const absence = 2 * time.Second
@@ -254,10 +254,7 @@
 		}
 	}
 	for _, d := range l.absent {
-		if d.Evacuated != "" {
-			c.Evacuated = append(c.Evacuated, d.Evacuated)
-		}
-		if d.Server != nil && !taken[d.Server.Addr] {
+		if !taken[d.Server.Addr] {
 			c.Servers = append(c.Servers, *d.Server)
 		}
 	}
--- a/internal/ctrl/belief/copies.go
+++ b/internal/ctrl/belief/copies.go
@@ -12,7 +12,8 @@
 //   - A configuration is replaced by a higher version only.
 //   - A server's entry is replaced by a later one of its own writings, and a server that said that it leaves, and left, stays gone.
 //
-// What has no such order, servers that are missing and evacuations, stays for a moment.
+// What has no such order follows the copy: servers that are missing stay for a moment, as after any lapse, and an evacuation that is missing
+// may have been taken back while the store was away, so that callers would be refused for it.
 
 // leftKept is how long a server that has left is remembered: longer than any copy is old.
 const leftKept = time.Minute
@@ -56,7 +57,7 @@
 	d := departure{Item: was, deleted: was.Revision.Era() == gone.Revision.Era()}
 	d.Revision = gone.Revision
 	switch {
-	case was.Server != nil && was.Server.State == Ready, was.Evacuated != "" && !d.deleted:
+	case was.Server != nil && was.Server.State == Ready:
 		d.until = now.Add(absence)
 		l.absent[gone.Key] = d
 	case was.Server != nil && was.Server.State == Draining:
--- a/internal/ctrl/follow/follow.go
+++ b/internal/ctrl/follow/follow.go
@@ -170,9 +170,7 @@
 
 // tick does what time asks for.
 func (n *Node) tick(now time.Time) {
-	before := n.Log.View()
 	if n.Log.Tick(now) {
-		n.noteEvacuations(before)
 		n.Changed()
 	}
 	n.mu.Lock()
