--- a/internal/ctrl/follow/turn_test.go
+++ b/internal/ctrl/follow/turn_test.go
@@ -142,3 +142,24 @@
 		f.knows(t, 3, bound)
 	})
 }
+
+// Guards against a whole fleet that lists everything at the platform because it came back from a copy.
+func TestFewProcessesListAfterThePlatformCameBackFromACopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlatform()
+		p.servers = 180
+		f := start(t, 200, func(int) Source { return p })
+		time.Sleep(20 * time.Second)
+		for range 4 {
+			f.hasVersion(t, p.change(), bound)
+		}
+		p.set(func() { p.silent = true })
+		time.Sleep(2 * time.Second)
+		p.comeBack(2)
+		p.set(func() { p.silent = false })
+		before := p.count()
+		f.hasVersion(t, p.change(), bound)
+		calls := p.count() - before
+		assert.Assert(t, calls <= 8*wantedTriers, "%d calls", calls)
+	})
+}
