--- a/internal/ctrl/follow/follow_test.go
+++ b/internal/ctrl/follow/follow_test.go
@@ -372,13 +372,13 @@
 	})
 }
 
-// hasVersion waits until all nodes have a version of the configuration.
-func (f *fleet) hasVersion(t *testing.T, version int64, within time.Duration) {
+// hasVersion waits until all nodes have a version of the configuration, within the bound.
+func (f *fleet) hasVersion(t *testing.T, version int64) {
 	t.Helper()
 	began := time.Now()
 	for a, n := range f.nodes {
 		for n.Log.View().Version() < version {
-			assert.Assert(t, time.Since(began) < within, "%s has version %d", a, n.Log.View().Version())
+			assert.Assert(t, time.Since(began) < bound, "%s has version %d", a, n.Log.View().Version())
 			time.Sleep(time.Millisecond)
 		}
 	}
@@ -394,14 +394,14 @@
 			p.change()
 			time.Sleep(2 * time.Second)
 		}
-		f.hasVersion(t, 7, bound)
+		f.hasVersion(t, 7)
 		p.set(func() { p.silent = true })
 		time.Sleep(2 * time.Second)
 		p.comeBack(4)
 		p.set(func() { p.silent = false })
 		time.Sleep(4 * time.Second)
 		for range 4 { // from below the revision known to above it
-			f.hasVersion(t, p.change(), bound)
+			f.hasVersion(t, p.change())
 		}
 	})
 }
--- a/internal/ctrl/follow/turn_test.go
+++ b/internal/ctrl/follow/turn_test.go
@@ -151,14 +151,14 @@
 		f := start(t, 200, func(int) Source { return p })
 		time.Sleep(20 * time.Second)
 		for range 4 {
-			f.hasVersion(t, p.change(), bound)
+			f.hasVersion(t, p.change())
 		}
 		p.set(func() { p.silent = true })
 		time.Sleep(2 * time.Second)
 		p.comeBack(2)
 		p.set(func() { p.silent = false })
 		before := p.count()
-		f.hasVersion(t, p.change(), bound)
+		f.hasVersion(t, p.change())
 		calls := p.count() - before
 		assert.Assert(t, calls <= 8*wantedTriers, "%d calls", calls)
 	})
