--- /dev/null
+++ b/internal/ctrl/follow/copy_test.go
@@ -0,0 +1,69 @@
+package follow
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mangowinch/internal/ctrl/belief"
+	"mangowinch/internal/flow/order"
+)
+
+// Guards against changes that are passed over because the platform came back from a copy and gave their revisions a second time.
+func TestChangesAfterThePlatformCameBackFromACopyAreKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlatform()
+		f := start(t, 8, func(int) Source { return p })
+		time.Sleep(5 * time.Second)
+		for range 6 {
+			p.change()
+			time.Sleep(2 * time.Second)
+		}
+		f.hasVersion(t, 7)
+		p.set(func() { p.silent = true })
+		time.Sleep(2 * time.Second)
+		p.comeBack(4)
+		p.set(func() { p.silent = false })
+		time.Sleep(4 * time.Second)
+		for range 4 { // from below the revision known to above it
+			f.hasVersion(t, p.change())
+		}
+	})
+}
+
+// Guards against a belief that counts as fresh because of answers that were put aside.
+func TestAnswerOlderThanTheBeliefVouchesForNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlatform()
+		f := start(t, 4, func(int) Source { return p })
+		for range 5 {
+			p.change()
+			time.Sleep(time.Second)
+		}
+		p.become(func(s state) state { return state{s.at - 3, s.version - 3} }) // and its era doesn't say so
+		time.Sleep(10 * time.Second)
+		for a, n := range f.nodes {
+			age, _ := n.Age(time.Now())
+			assert.Assert(t, age > 9*time.Second, "%s is %s old", a, age)
+			assert.Equal(t, n.Log.View().Version(), int64(6))
+		}
+	})
+}
+
+// Guards against an answer of the era before that was under way while a peer told of the next one.
+func TestAnswerOfAnEarlierEraVouchesForNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := start(t, 1, func(int) Source { return newPlatform() })
+		n := f.nodes[addr(0)]
+		time.Sleep(time.Second)
+		n.Learn(time.Now(), addr(1), belief.Change{To: order.At(1, 1), Full: true, Items: []belief.Item{state{order.At(1, 1), 2}.item()}})
+		before, _ := n.Age(time.Now())
+		time.Sleep(5 * time.Millisecond)
+		n.confirmed(time.Now(), belief.Change{From: 1, To: 1})
+		after, _ := n.Age(time.Now())
+		assert.Equal(t, after, before+5*time.Millisecond)
+		assert.Equal(t, n.Log.View().Version(), int64(2))
+	})
+}
