--- a/internal/flow/msgs/owner.go
+++ b/internal/flow/msgs/owner.go
@@ -12,6 +12,7 @@
 	Flow segs.Flow
 	Seq  uint32
 	Load Load
+	Estimate
 }
 
 const openedSize = segs.FlowSize + 8
@@ -21,7 +22,7 @@
 	b = m.appendTo(b, KindOpened)
 	b = m.Flow.AppendTo(b)
 	b = binary.LittleEndian.AppendUint32(b, m.Seq)
-	return appendLoad(b, m.Load)
+	return appendEstimate(appendLoad(b, m.Load), m.Estimate)
 }
 
 // ReadOpened decodes a message from the bytes after its header.
@@ -29,7 +30,13 @@
 	if len(b) < openedSize {
 		return Opened{}, ErrShort
 	}
-	return Opened{Header: h, Flow: segs.FlowFrom(b), Seq: binary.LittleEndian.Uint32(b[segs.FlowSize:]), Load: loadFrom(b[segs.FlowSize+4:])}, nil
+	return Opened{
+		Header:   h,
+		Flow:     segs.FlowFrom(b),
+		Seq:      binary.LittleEndian.Uint32(b[segs.FlowSize:]),
+		Load:     loadFrom(b[segs.FlowSize+4:]),
+		Estimate: estimateFrom(b[openedSize:]),
+	}, nil
 }
 
 // Owner notifies an entry that the sender owns a flow or, with NoOwner, that no agent does. With Open, the
@@ -39,21 +46,26 @@
 	Flow    segs.Flow
 	NoOwner bool
 	Open    bool
+	Estimate
 }
 
+const ownerSize = segs.FlowSize + 1
+
 // AppendTo appends the encoded message.
 func (m *Owner) AppendTo(b []byte) []byte {
 	b = m.appendTo(b, KindOwner)
 	b = m.Flow.AppendTo(b)
-	return append(b, flag(m.NoOwner)|flag(m.Open)<<1)
+	b = append(b, flag(m.NoOwner)|flag(m.Open)<<1)
+	return appendEstimate(b, m.Estimate)
 }
 
 // ReadOwner decodes a message from the bytes after its header.
 func ReadOwner(h Header, b []byte) (m Owner, err error) {
-	if len(b) < segs.FlowSize+1 {
+	if len(b) < ownerSize {
 		return Owner{}, ErrShort
 	}
-	return Owner{Header: h, Flow: segs.FlowFrom(b), NoOwner: b[segs.FlowSize]&1 != 0, Open: b[segs.FlowSize]&2 != 0}, nil
+	flags := b[segs.FlowSize]
+	return Owner{Header: h, Flow: segs.FlowFrom(b), NoOwner: flags&1 != 0, Open: flags&2 != 0, Estimate: estimateFrom(b[ownerSize:])}, nil
 }
 
 // Location is a flow's location record: the flow and the first sequence number of the server that holds it.
