Pace long flows at the entry's link

Callers' copies then went to a second agent, and the first was avoided for 3 s.

Change: package load/pace queues packets of long flows in the entry's memory and sends them a little below the link's rate, callers in turn, after everything else. It learns a lower rate from the delay of answers, and explains late answers by the own link, so that the agent is neither avoided nor given up. Uploads that can't end within their route's timeout are refused at once. Two windows under way at a time instead of three, as a window that waits in the entry keeps the link busy.

Conclusion: the queue belongs into the entry's memory.

--- a/internal/flow/owner/entry.go
+++ b/internal/flow/owner/entry.go
@@ -25,8 +25,9 @@
 // Candidate is an agent to which a flow's opening packet was sent, or whose server accepted the flow.
 type Candidate struct {
 	Agent    netip.Addr
-	Seq      uint32 // first sequence number of its server, if Accepted
-	Accepted bool   // its server has accepted the flow
+	Seq      uint32    // first sequence number of its server, if Accepted
+	Accepted bool      // its server has accepted the flow
+	SentAt   time.Time // when the entry first sent the opening packet to it; zero if another process did
 }
 
 // EntryFlow is an entry's state of one flow, with the agents tried, the latest one last. Two servers may both
@@ -81,6 +82,18 @@
 	return &p.Candidates[len(p.Candidates)-1]
 }
 
+// SentAt returns when the opening packet that an agent answers was sent. Agents also answer opening packets
+// that others have passed on to them, so for an agent that is no candidate the last one's counts.
+func (p *EntryFlow) SentAt(agent netip.Addr) (at time.Time) {
+	for _, c := range p.Candidates {
+		at = c.SentAt
+		if c.Agent == agent {
+			break
+		}
+	}
+	return at
+}
+
 // AgentFor returns the agent to which a packet with the acknowledgement ack belongs: among the agents whose
 // servers accepted, the one whose first sequence number precedes ack most closely, else the one tried last.
 func (p *EntryFlow) AgentFor(ack uint32) (agent netip.Addr, ok bool) {
--- a/internal/load/bulk/bulk.go
+++ b/internal/load/bulk/bulk.go
@@ -11,19 +11,20 @@
 //     longFlowTime of the link's time are delayed.
 //   - The number of such flows under way is limited to those whose windows fill the link. Other long
 //     flows wait in order of arrival, while their callers retransmit the opening packet.
-//   - A flow that cannot start in time is refused at once, and its caller's next attempt arrives through
-//     another entry.
+//   - A flow that cannot start in time, or cannot end before its caller gives up, is refused at once, and
+//     its caller's next attempt arrives through another entry.
 //
 // A flow is under way from its start until its caller closes it or has sent nothing for idleTimeout.
 // Flows that were started through other entries are counted as soon as their packets are seen.
 //
 // The gate uses the link's rate as configured by the operator; without a rate, no flow waits. It does not
-// detect anything else that narrows the link. The caller passes in the time. A Gate is not safe for
+// detect that the link carries less (package pace does, see SetCarried). The caller passes in the time. A Gate is not safe for
 // concurrent use.
 //
 // # Usage
 //
 //	g := bulk.New(rate, maxWait)
+//	if !g.CanEnd(flow, left) { refuse() }
 //	switch g.Admit(now, flow, age, packet) { case bulk.Pass: place(packet) }
 //	g.RecordSent(now, flow, bytes)
 //	g.Close(flow)
@@ -44,6 +45,9 @@
 	// maxQueueTime is the longest queue that the windows of flows under way may create on the link,
 	// unless a single window creates a longer one.
 	maxQueueTime = 50 * time.Millisecond
+	// pacedQueueTime is the same for a link before which the entry queues the packets of long flows. The
+	// windows wait in the entry and keep the link busy, so fewer flows suffice, and each ends sooner.
+	pacedQueueTime = 35 * time.Millisecond
 	// longFlowTime is the link time above which a flow is long and may be delayed.
 	longFlowTime = maxQueueTime / 2
 	// idleTimeout is how long a flow under way may send nothing. A lost packet is retransmitted after 200 ms.
@@ -68,7 +72,9 @@
 // Gate controls the long flows on the link of one entry. The zero value admits every flow.
 type Gate struct {
 	rate     float64 // bytes per second; 0 if not configured
+	carried  float64 // bytes per second that the link is known to carry
 	maxWait  time.Duration
+	queue    time.Duration              // longest queue that the windows of flows under way may create
 	avgBytes map[netip.AddrPort]float64 // average bytes sent by a flow to an address
 	active   map[segs.Flow]*flow
 	waiting  []QueuedFlow
@@ -90,7 +96,35 @@
 // New returns a gate for a link with the given rate in bytes per second, at which a flow waits no longer
 // than maxWait.
 func New(rate float64, maxWait time.Duration) *Gate {
-	return &Gate{rate: rate, maxWait: maxWait, avgBytes: map[netip.AddrPort]float64{}, active: map[segs.Flow]*flow{}}
+	return &Gate{rate: rate, carried: rate, maxWait: maxWait, queue: maxQueueTime, avgBytes: map[netip.AddrPort]float64{}, active: map[segs.Flow]*flow{}}
+}
+
+// NewPaced returns a gate like New for a link before which the packets of long flows are queued by package
+// pace.
+func NewPaced(rate float64, maxWait time.Duration) *Gate {
+	g := New(rate, maxWait)
+	g.queue = pacedQueueTime
+	return g
+}
+
+// SetCarried sets the rate that the link carries, if that is below the configured one.
+func (g *Gate) SetCarried(rate float64) { g.carried = min(rate, g.rate) }
+
+// CanEnd reports whether a flow that starts as soon as possible can end within the time that its caller
+// still waits.
+func (g *Gate) CanEnd(f segs.Flow, left time.Duration) bool {
+	return !g.isLong(f) || g.expectedWait(f)+g.duration(f) <= left
+}
+
+// duration estimates how long a flow takes beside the others under way at the same time.
+func (g *Gate) duration(f segs.Flow) time.Duration {
+	beside := min(g.activeLong(), g.limit()-1)
+	return g.timeFor(float64(1+max(0, beside)) * g.avgBytes[f.ServiceAddr()])
+}
+
+// timeFor returns the time in which the link carries a number of bytes.
+func (g *Gate) timeFor(bytes float64) time.Duration {
+	return time.Duration(bytes / g.carried * float64(time.Second))
 }
 
 // Admit decides about a flow whose caller sent its first opening packet the given age ago. The packet of
@@ -115,12 +149,18 @@
 	return g.rate > 0 && g.avgBytes[f.ServiceAddr()]/g.rate > longFlowTime.Seconds()
 }
 
-// hasRoom reports whether one more long flow may be under way.
-func (g *Gate) hasRoom() bool {
-	limit := int(maxQueueTime.Seconds() * g.rate / callerWindow)
-	return g.activeLong() < max(1, limit)
+// Long reports whether a flow is expected to occupy the link for long, or has done so already.
+func (g *Gate) Long(f segs.Flow) bool {
+	a := g.active[f]
+	return g.isLong(f) || a != nil && float64(a.bytes) > longFlowTime.Seconds()*g.rate
 }
 
+// hasRoom reports whether one more long flow may be under way.
+func (g *Gate) hasRoom() bool { return g.activeLong() < g.limit() }
+
+// limit returns the number of long flows that may be under way.
+func (g *Gate) limit() int { return max(1, int(g.queue.Seconds()*g.carried/callerWindow)) }
+
 // activeLong returns the number of long flows under way.
 func (g *Gate) activeLong() (n int) {
 	for f := range g.active {
@@ -141,7 +181,7 @@
 // half of those under way, send what they are expected to send.
 func (g *Gate) expectedWait(f segs.Flow) time.Duration {
 	before := float64(len(g.waiting)) + float64(g.activeLong())/2
-	return time.Duration(before * g.avgBytes[f.ServiceAddr()] / g.rate * float64(time.Second))
+	return g.timeFor(before * g.avgBytes[f.ServiceAddr()])
 }
 
 // Contains reports whether a flow is waiting to start.
--- /dev/null
+++ b/internal/load/bulk/bulk_test.go
@@ -0,0 +1,55 @@
+package bulk
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mangowinch/internal/flow/segs"
+)
+
+var now = time.Unix(1_700_000_000, 0)
+
+func uploadFlow(n int) segs.Flow {
+	return segs.Flow{Caller: [4]byte{100, 64, 0, byte(n)}, Service: uploadAddr.Addr().As4(), Port: uploadAddr.Port()}
+}
+
+// learnUploads records an upload of some size, so that further flows to its address are expected to be as long.
+func learnUploads(g *Gate, bytes int) {
+	f := uploadFlow(255)
+	g.RecordSent(now, f, bytes)
+	g.Close(f)
+}
+
+// Guards against uploads that begin although their callers will have given up before the end.
+func TestUploadThatCannotEndIsRefused(t *testing.T) {
+	g := NewPaced(linkRate, maxWait)
+	f := uploadFlow(1)
+	assert.Assert(t, g.CanEnd(f, 0), "nothing is known about its length")
+	learnUploads(g, 125_000) // 100 ms
+	assert.Assert(t, g.CanEnd(f, 110*time.Millisecond))
+	assert.Assert(t, !g.CanEnd(f, 90*time.Millisecond))
+	g.Admit(now, uploadFlow(2), 0, nil)
+	assert.Assert(t, g.CanEnd(f, 260*time.Millisecond))
+	assert.Assert(t, !g.CanEnd(f, 190*time.Millisecond), "another upload takes half of the link")
+	g.SetCarried(linkRate / 4)
+	assert.Assert(t, !g.CanEnd(f, 390*time.Millisecond), "the link carries a quarter")
+	g.SetCarried(10 * linkRate)
+	assert.Assert(t, !g.CanEnd(f, 190*time.Millisecond), "no link carries more than is configured")
+}
+
+// Guards against a flow that is not counted as long because its address has no long flows so far.
+func TestFlowThatTurnsOutLong(t *testing.T) {
+	g := NewPaced(linkRate, maxWait)
+	f := uploadFlow(1)
+	for sent := 0; sent < int(longFlowTime.Seconds()*linkRate); sent += 1200 {
+		assert.Assert(t, !g.Long(f), "%d bytes", sent)
+		g.RecordSent(now, f, 1200)
+	}
+	g.RecordSent(now, f, 1200)
+	assert.Assert(t, g.Long(f))
+	assert.Assert(t, !g.Long(uploadFlow(2)))
+	learnUploads(g, 125_000)
+	assert.Assert(t, g.Long(uploadFlow(2)))
+}
--- /dev/null
+++ b/internal/load/pace/link_test.go
@@ -0,0 +1,113 @@
+package pace
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+const freeRTT = 2 * time.Millisecond
+
+func agentOf(n int) netip.Addr { return netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}) }
+
+// world is a link of some rate with a queue that grows while the entry sends more than the link carries.
+type world struct {
+	link  *Link
+	now   time.Time
+	queue float64 // bytes in front of the link
+}
+
+// run sends at the learned rate for a time over a link that carries the given rate.
+func (w *world) run(d time.Duration, carried float64, busy bool) {
+	for end := w.now.Add(d); w.now.Before(end); w.now = w.now.Add(10 * time.Millisecond) {
+		if busy {
+			w.link.MarkBusy()
+			w.queue += w.link.Rate() * ratePercent / 100 * 0.01
+		}
+		w.queue = min(max(0, w.queue-carried*0.01), 2*16*1300) // two windows of callers
+		rtt := freeRTT + time.Duration(w.queue/carried*float64(time.Second))
+		w.link.Answered(w.now, w.now.Add(-rtt))
+		w.link.Adjust(w.now)
+	}
+}
+
+// Guards against a link that is narrower than stated, in front of which uploads queue for as long as it is, and
+// against a rate that stays low afterwards.
+func TestRateFollowsASqueezedLink(t *testing.T) {
+	for _, part := range []float64{0.8, 0.5, 0.3} {
+		w := &world{link: NewLink(linkRate), now: start}
+		w.run(5*time.Second, linkRate, true)
+		assert.Equal(t, w.link.Rate(), linkRate)
+		w.run(3*time.Second, part*linkRate, true)
+		assert.Assert(t, w.link.Rate() <= 1.3*part*linkRate, "part %.1f: rate %.2f", part, w.link.Rate()/linkRate)
+		assert.Assert(t, w.link.Delay() <= 3*targetDelay, "part %.1f: %v", part, w.link.Delay())
+		w.run(20*time.Second, part*linkRate, true)
+		assert.Assert(t, w.link.Rate() >= 0.7*part*linkRate, "part %.1f: rate %.2f", part, w.link.Rate()/linkRate)
+		w.run(10*time.Second, linkRate, true)
+		assert.Equal(t, w.link.Rate(), linkRate, "part %.1f", part)
+	}
+}
+
+// Guards against a rate that falls because agents answer late while the entry sends no long flows.
+func TestDelayWithoutLongFlowsKeepsTheRate(t *testing.T) {
+	w := &world{link: NewLink(linkRate), now: start}
+	w.run(time.Second, linkRate, false)
+	for range 100 {
+		w.link.Answered(w.now, w.now.Add(-time.Second))
+		w.now = w.now.Add(20 * time.Millisecond)
+		w.link.Adjust(w.now)
+	}
+	assert.Equal(t, w.link.Rate(), linkRate)
+}
+
+// Whatever the answers, the rate stays within its bounds and returns to the stated one.
+func TestRateIsBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := NewLink(linkRate)
+		now := start
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "busy") {
+				l.MarkBusy()
+			}
+			l.Answered(now, now.Add(-time.Duration(rapid.IntRange(-5, 3000).Draw(t, "rtt"))*time.Millisecond))
+			l.Adjust(now)
+			assert.Assert(t, l.Rate() >= minRatePart*linkRate && l.Rate() <= linkRate)
+		}
+		for range 50 {
+			now = now.Add(adjustInterval)
+			l.Adjust(now)
+		}
+		assert.Equal(t, l.Rate(), linkRate)
+	})
+}
+
+// Guards against an agent that is avoided because its answer is late behind the entry's own link, and against a
+// silent agent that is taken for one whose answer is late.
+func TestLateIsWhatIsLateForAll(t *testing.T) {
+	const repeated = 200 * time.Millisecond
+	sendTo := func(l *Link, n int) {
+		for i := range n {
+			l.Sent(start.Add(time.Duration(i)*10*time.Millisecond), agentOf(i))
+		}
+	}
+	l := NewLink(linkRate)
+	sendTo(l, 1)
+	assert.Assert(t, !l.Late(start.Add(repeated), agentOf(0), start), "nothing else was sent")
+
+	l = NewLink(linkRate)
+	sendTo(l, 1+minWitnesses)
+	assert.Assert(t, l.Late(start.Add(repeated), agentOf(0), start))
+
+	l.Answered(start.Add(repeated), start.Add(20*time.Millisecond))
+	assert.Assert(t, !l.Late(start.Add(repeated), agentOf(0), start), "a later packet was answered")
+
+	l = NewLink(linkRate)
+	for range minWitnesses + 1 {
+		l.Sent(start, agentOf(0))
+	}
+	assert.Assert(t, !l.Late(start.Add(repeated), agentOf(0), start), "only one agent is silent")
+}
--- a/internal/node/edge/bulk.go
+++ b/internal/node/edge/bulk.go
@@ -19,15 +19,23 @@
 	if c.Off.Bulk {
 		rate = 0
 	}
+	if !c.Off.Pace {
+		return bulk.NewPaced(rate, c.Callers.OpenWindow()/2)
+	}
 	return bulk.New(rate, c.Callers.OpenWindow()/2)
 }
 
 // admit reports whether a new flow may be placed now. Otherwise the flow is queued, or it is refused.
-func (e *Entry) admit(now time.Time, v *belief.View, s *segs.Segment, datagram []byte) bool {
+func (e *Entry) admit(now time.Time, v *belief.View, route *belief.Route, s *segs.Segment, datagram []byte) bool {
 	if e.bulk.Contains(s.Flow) {
 		return false // a retransmission of an opening packet that is queued already
 	}
-	switch e.bulk.Admit(now, s.Flow, e.Callers.Age(s.Ack), datagram) {
+	age := e.Callers.Age(s.Ack)
+	if !e.Off.Pace && route.Timeout > 0 && !e.bulk.CanEnd(s.Flow, route.Timeout-age) {
+		e.refuse(now, s, "link")
+		return false
+	}
+	switch e.bulk.Admit(now, s.Flow, age, datagram) {
 	case bulk.Hold:
 		linkWaits.Inc()
 		e.Events.Flow(event.Ordinary, "link-waits", s.Flow).Int("waiting", e.bulk.Len()).Stringer("revision", v.Revision).Send()
--- a/internal/node/edge/counts.go
+++ b/internal/node/edge/counts.go
@@ -11,6 +11,10 @@
 	reachProbes = metrics.NewCounter(`mangowinch_reach_questions_total`)
 	linkWaits   = metrics.NewCounter(`mangowinch_link_waits_total`)
 	unanswered  = metrics.NewCounter(`mangowinch_flows_unanswered_total`)
+	linkLate    = metrics.NewCounter(`mangowinch_link_late_total`)
+	paced       = metrics.NewCounter(`mangowinch_paced_packets_total`)
+	pacedBytes  = metrics.NewCounter(`mangowinch_paced_bytes_total`)
+	paceWaits   = metrics.NewSummary(`mangowinch_pace_wait_seconds`)
 )
 
 // countDropped counts a packet that was discarded.
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -30,6 +30,7 @@
 	"mangowinch/internal/flow/segs"
 	"mangowinch/internal/load/bulk"
 	"mangowinch/internal/load/detect"
+	"mangowinch/internal/load/pace"
 	"mangowinch/internal/load/parts"
 	"mangowinch/internal/load/steer"
 	"mangowinch/internal/node/doubt"
@@ -88,6 +89,9 @@
 	flows       *owner.Entry
 	chooser     *steer.Chooser
 	bulk        *bulk.Gate
+	queue       *pace.Queue // packets of long flows
+	link        *pace.Link  // what the link carries
+	narrow      rateReport
 	reach       *detect.Detector          // of all agents together: detects that this entry is cut off
 	suspects    *doubt.Monitor            // agents that have left a packet unanswered
 	toReset     []segs.Flow               // flows of failed agents, whose callers are still to be notified
@@ -95,6 +99,8 @@
 	evacuations map[string]order.Revision // failure domains that agents reported as evacuated, and the revision of the report, which is newer than this entry's view
 	buf         []byte                    // for the message being sent
 	packet      []byte                    // for the reset being sent
+
+	queued chan struct{} // signals that packets are queued
 }
 
 // coldPeriod is how long a server counts as cold, by the server's latest item in the view. The server may
@@ -112,6 +118,9 @@
 		chooser:     steer.New(c.Domain, c.Rand, c.Off),
 		reach:       detect.New(reachBounds),
 		bulk:        newGate(&c),
+		queue:       pace.New(c.Rate),
+		link:        pace.NewLink(c.Rate),
+		queued:      make(chan struct{}, 1),
 		suspects:    doubt.New(c.Self, c.Prober, c.Rand),
 		cold:        map[string]coldPeriod{},
 		evacuations: map[string]order.Revision{},
@@ -139,6 +148,8 @@
 	}
 	e.bulk.Expire(now)
 	e.placeWaiting(now)
+	e.sendQueued(now)
+	e.adjustRate(now)
 	e.checkReach(now)
 	e.checkSuspects(now)
 	e.resetFailedFlows(now)
@@ -184,10 +195,17 @@
 		return
 	}
 	if s.Opening() {
+		e.queue.Charge(now, len(datagram))
 		e.open(now, v, route, &s, datagram)
 		return
 	}
+	paced := e.isPaced(s.Flow)
 	e.trackBulk(now, &s, len(datagram))
+	if paced {
+		e.enqueue(now, s.Flow, datagram)
+		return
+	}
+	e.queue.Charge(now, len(datagram))
 	e.forward(now, v, &s, datagram)
 }
 
--- /dev/null
+++ b/internal/node/edge/pace.go
@@ -0,0 +1,133 @@
+package edge
+
+import (
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"mangowinch/internal/flow/owner"
+	"mangowinch/internal/flow/segs"
+	"mangowinch/internal/oper/event"
+)
+
+// Sending the packets of long flows at the rate of the entry's link (package pace).
+
+// isPaced reports whether the packets of a flow are queued for the link. While packets of a flow are queued,
+// all further ones are, so that none overtakes another.
+func (e *Entry) isPaced(f segs.Flow) bool {
+	if e.Off.Pace || e.Rate == 0 {
+		return false
+	}
+	return e.bulk.Long(f) || e.queue.Holds(f)
+}
+
+// enqueue queues a packet and sends what the link has room for.
+func (e *Entry) enqueue(now time.Time, f segs.Flow, datagram []byte) {
+	paced.Inc()
+	pacedBytes.Add(len(datagram))
+	e.queue.Push(now, f, datagram)
+	e.sendQueued(now)
+	if e.queue.Len() == 0 {
+		return
+	}
+	e.link.MarkBusy()
+	select {
+	case e.queued <- struct{}{}:
+	default:
+	}
+}
+
+// Queued returns a channel that receives a value after packets have been queued.
+func (e *Entry) Queued() <-chan struct{} { return e.queued }
+
+// SendQueued sends the queued packets that the link has room for. It returns after which time it must be
+// called again, and reports false if no packet is left.
+func (e *Entry) SendQueued(now time.Time) (wait time.Duration, ok bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.sendQueued(now)
+	return e.queue.Ready(now)
+}
+
+// sendQueued sends the queued packets that the link has room for.
+func (e *Entry) sendQueued(now time.Time) {
+	v := e.Log.View()
+	for p, ok := e.queue.Next(now); ok; p, ok = e.queue.Next(now) {
+		paceWaits.Update(now.Sub(p.QueuedAt).Seconds())
+		s, err := e.Codec.Decode(p.Data, segs.CallerEnd)
+		if err != nil {
+			countDropped("malformed")
+			continue
+		}
+		e.forward(now, v, &s, p.Data)
+	}
+	e.countPaceDrops()
+}
+
+// countPaceDrops counts the packets that the queue has dropped.
+func (e *Entry) countPaceDrops() {
+	d := e.queue.TakeDrops()
+	for range d.Full {
+		countDropped("link-full")
+	}
+	for range d.Late {
+		countDropped("link-late")
+	}
+}
+
+// isLateBehindLink reports whether an agent's answer to an opening packet is missing because of the entry's
+// own link. The agent gets the copy of the packet then: the packet itself may still be queued in front of the
+// link, and a second agent would open the flow a second time.
+func (e *Entry) isLateBehindLink(now time.Time, last *owner.Candidate, s *segs.Segment) bool {
+	if e.Off.Pace || e.Rate == 0 || !e.link.Late(now, last.Agent, last.SentAt) {
+		return false
+	}
+	linkLate.Inc()
+	e.Events.Flow(event.Failure, "link-late", s.Flow).Stringer("agent", last.Agent).Uint32("copy", s.Ack).Dur("delay", e.link.Delay()).Send()
+	return true
+}
+
+// rateReport is what was last logged about the learned rate.
+type rateReport struct {
+	narrow bool
+	at     time.Time
+}
+
+const (
+	// narrowPart and statedPart are the parts of the stated rate below and above which the link is reported
+	// as narrower than stated, and as carrying what is stated.
+	narrowPart, statedPart = 0.7, 0.95
+	// rateReportInterval is the shortest time between two such reports.
+	rateReportInterval = time.Second
+)
+
+// learnedRate is the rate in bytes per second that the entry's link carries.
+var learnedRate = metrics.NewGauge(`mangowinch_link_rate_bytes`, nil)
+
+// adjustRate applies the rate that the link is found to carry.
+func (e *Entry) adjustRate(now time.Time) {
+	if e.Off.Pace || e.Rate == 0 {
+		return
+	}
+	if e.link.Adjust(now) {
+		e.queue.SetRate(e.link.Rate())
+		e.bulk.SetCarried(e.link.Rate())
+	}
+	learnedRate.Set(e.link.Rate())
+	e.reportRate(now)
+}
+
+// reportRate logs when the link turns out to be narrower than stated, and when it is no longer.
+func (e *Entry) reportRate(now time.Time) {
+	part := e.link.Rate() / e.Rate
+	narrow := part < narrowPart || e.narrow.narrow && part < statedPart
+	if narrow == e.narrow.narrow || now.Sub(e.narrow.at) < rateReportInterval {
+		return
+	}
+	e.narrow = rateReport{narrow: narrow, at: now}
+	if narrow {
+		e.Events.State("link-narrow").Float64("rate", e.link.Rate()).Dur("delay", e.link.Delay()).Send()
+		return
+	}
+	e.Events.State("link-stated").Float64("rate", e.link.Rate()).Send()
+}
--- a/internal/node/edge/place.go
+++ b/internal/node/edge/place.go
@@ -20,7 +20,7 @@
 	}
 	p := e.flows.Get(s.Flow)
 	if p == nil {
-		if !e.admit(now, v, s, datagram) {
+		if !e.admit(now, v, route, s, datagram) {
 			return
 		}
 		if p = e.flows.Add(now, s.Flow); p == nil {
@@ -37,11 +37,15 @@
 }
 
 // retryElsewhere reports whether a retransmitted opening packet goes to an agent other than the last one,
-// because the last one has not answered. The agent that did not answer gets no new flows for a while.
+// because the last one has not answered. The agent that did not answer gets no new flows for a while, unless
+// the entry's own link explains why its answer is missing.
 func (e *Entry) retryElsewhere(now time.Time, p *owner.EntryFlow, last *owner.Candidate, s *segs.Segment) bool {
 	if last.Accepted || p.Claimed {
 		return false // the answer to the caller was lost or is still in transit
 	}
+	if e.isLateBehindLink(now, last, s) {
+		return false
+	}
 	e.chooser.NoReply(now, last.Agent)
 	e.suspect(now, last.Agent)
 	unanswered.Inc()
@@ -57,9 +61,10 @@
 		e.unplaceable(now, v, route, p, s, datagram, len(candidates))
 		return
 	}
-	p.Candidates = append(p.Candidates, owner.Candidate{Agent: agent})
+	p.Candidates = append(p.Candidates, owner.Candidate{Agent: agent, SentAt: now})
 	p.Attempts++
 	e.chooser.Placed(agent)
+	e.link.Sent(now, agent)
 	if !e.Off.Reach {
 		e.reach.Sent(now)
 	}
--- a/internal/node/opaque/entry.go
+++ b/internal/node/opaque/entry.go
@@ -60,6 +60,7 @@
 	reachable.Set(true, "")
 	configured.Set(false, "no configuration yet")
 	var lastPacket stamp.Time // when the last packet of a caller arrived
+	ended := make(chan struct{})
 	return p.serve(ctx,
 		func(now time.Time) {
 			e.Tick(now)
@@ -73,6 +74,13 @@
 			staying.Set(false, "planned stop")
 			p.follow.Leave()
 			waitNoPackets(&lastPacket, s.Bounds.Stop-stopReserve)
+			close(ended)
+		},
+		func() error {
+			if s.Rate > 0 {
+				sendQueued(e, ended)
+			}
+			return nil
 		},
 		func() error {
 			return read(p.sockets.callers, func(now time.Time, _ netip.Addr, datagram []byte) {
@@ -84,6 +92,24 @@
 	)
 }
 
+// sendQueued sends the packets that the entry has queued for its link as they become due, until ended is
+// closed.
+func sendQueued(e *edge.Entry, ended <-chan struct{}) {
+	due := time.NewTimer(0)
+	defer due.Stop()
+	for {
+		select {
+		case <-ended:
+			return
+		case <-e.Queued():
+		case <-due.C:
+		}
+		if wait, ok := e.SendQueued(time.Now()); ok {
+			due.Reset(wait)
+		}
+	}
+}
+
 // waitNoPackets returns when callers' packets have stopped arriving, or after limit. If an entry closed its
 // sockets at once, packets that the fabric still sends to it would be lost.
 func waitNoPackets(lastPacket *stamp.Time, limit time.Duration) {
