Learn the link's rate only while long flows use it

Cause: in the model of a link squeezed to 0.3, pauses between uploads gave low delays, and the learned rate rose again and again: p90 of a short packet 74 ms, without the queue 126. Change: only answers that come while packets are queued, or 50 ms after, count. Wake-ups for the queue are at least 1 ms apart.

--- a/internal/load/pace/link.go
+++ b/internal/load/pace/link.go
@@ -19,6 +19,11 @@
 	// adds.
 	gain    = 0.2
 	maxRise = 0.05
+	// idleRise is the part that it adds while the queue is unused, so that the rate learned from a link that
+	// was narrow for some time is forgotten within a minute.
+	idleRise = 0.01
+	// busyTime is how long after packets were in the queue an answer still tells about them.
+	busyTime = 50 * time.Millisecond
 	// minRatePart is the least part of the stated rate to which the learned one falls.
 	minRatePart = 0.125
 	// basePeriod and basePeriods give the time over which the least delay is remembered. It is forgotten
@@ -37,9 +42,9 @@
 )
 
 // Link observes the link of one entry by the answers of agents to opening packets. It learns the rate that
-// the link carries from their delay, as LEDBAT (RFC 6817) does: while the entry's queue is in use and the
-// answers take longer than the least time known, the link is narrower than stated. The rate returns to the
-// stated one when the delay is gone. The zero value is not usable.
+// the link carries from their delay, as LEDBAT (RFC 6817) does: if answers take longer than the least time
+// known while the entry's queue is in use, the link is narrower than stated. The rate returns to the stated one
+// when the delay is gone. The zero value is not usable.
 type Link struct {
 	stated     float64 // bytes per second
 	rate       float64
@@ -47,7 +52,7 @@
 	baseAt     time.Time       // when the current period began
 	least      time.Duration   // least delay of the current interval
 	samples    int             // in the current interval
-	busy       bool            // whether the queue was in use in the current interval
+	busyAt     time.Time       // when packets were last in the entry's queue
 	excess     time.Duration   // delay in the last interval with enough answers
 	adjustedAt time.Time
 	sent       []sentPacket // the latest opening packets, oldest first
@@ -90,11 +95,14 @@
 		l.sent[i].answered = l.sent[i].answered || l.sent[i].at.Equal(sentAt)
 	}
 	d := now.Sub(sentAt)
+	l.learnBase(now, d)
+	if now.Sub(l.busyAt) > busyTime {
+		return // says nothing about the link while long flows use it
+	}
 	if l.samples == 0 || d < l.least {
 		l.least = d
 	}
 	l.samples++
-	l.learnBase(now, d)
 }
 
 // learnBase learns the least delay.
@@ -112,7 +120,7 @@
 }
 
 // MarkBusy records that packets wait in the entry's queue.
-func (l *Link) MarkBusy() { l.busy = true }
+func (l *Link) MarkBusy(now time.Time) { l.busyAt = now }
 
 // Adjust adjusts the learned rate if an interval is over, and reports whether it has changed.
 func (l *Link) Adjust(now time.Time) (changed bool) {
@@ -123,22 +131,18 @@
 	switch {
 	case l.samples >= minSamples:
 		l.excess = l.least - slices.Min(l.bases)
-		l.follow()
-	case !l.busy: // nothing narrows an unused link that could be seen
+		change := gain * (1 - float64(l.excess)/float64(targetDelay))
+		l.scale(min(max(change, -gain), maxRise))
+	case now.Sub(l.busyAt) > adjustInterval:
 		l.excess = 0
-		l.follow()
+		l.scale(idleRise)
 	}
-	l.adjustedAt, l.samples, l.least, l.busy = now, 0, 0, false
+	l.adjustedAt, l.samples, l.least = now, 0, 0
 	return l.rate != before
 }
 
-// follow changes the rate in proportion to the distance of the delay from the target.
-func (l *Link) follow() {
-	change := gain * (1 - float64(l.excess)/float64(targetDelay))
-	if !l.busy {
-		change = max(change, 0) // the delay has other causes than long flows
-	}
-	change = min(max(change, -gain), maxRise)
+// scale changes the rate by a part of it.
+func (l *Link) scale(change float64) {
 	l.rate = min(max(l.rate*(1+change), minRatePart*l.stated), l.stated)
 }
 
--- a/internal/node/edge/pace.go
+++ b/internal/node/edge/pace.go
@@ -27,10 +27,10 @@
 	pacedBytes.Add(len(datagram))
 	e.queue.Push(now, f, datagram)
 	e.sendQueued(now)
+	e.link.MarkBusy(now)
 	if e.queue.Len() == 0 {
 		return
 	}
-	e.link.MarkBusy()
 	select {
 	case e.queued <- struct{}{}:
 	default:
@@ -40,13 +40,18 @@
 // Queued returns a channel that receives a value after packets have been queued.
 func (e *Entry) Queued() <-chan struct{} { return e.queued }
 
+// minSendWait is the shortest time between two calls of SendQueued, so that a faster link doesn't take a wake-up
+// for each packet.
+const minSendWait = time.Millisecond
+
 // SendQueued sends the queued packets that the link has room for. It returns after which time it must be
 // called again, and reports false if no packet is left.
 func (e *Entry) SendQueued(now time.Time) (wait time.Duration, ok bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.sendQueued(now)
-	return e.queue.Ready(now)
+	wait, ok = e.queue.Ready(now)
+	return max(wait, minSendWait), ok
 }
 
 // sendQueued sends the queued packets that the link has room for.
--- /dev/null
+++ b/internal/node/edge/pace_test.go
@@ -0,0 +1,87 @@
+package edge
+
+import (
+	"io"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mangowinch/internal/ctrl/belief"
+	"mangowinch/internal/flow/msgs"
+	"mangowinch/internal/flow/segs"
+	"mangowinch/internal/oper/event"
+)
+
+// portCodec decodes a packet by its first byte, the caller's port.
+type portCodec struct{ stubCodec }
+
+func (c portCodec) Decode(b []byte, _ segs.End) (segs.Segment, error) {
+	f := c.flow
+	f.CallerPort = uint16(b[0])
+	return segs.Segment{Flow: f, Flags: segs.Ack, Ack: 1001, Len: len(b)}, nil
+}
+
+// recordingWire records the packets that are forwarded.
+type recordingWire struct{ packets [][]byte }
+
+func (w *recordingWire) ToPeer(_ netip.Addr, m []byte) {
+	h, rest, err := msgs.ReadHeader(m)
+	if err != nil {
+		return
+	}
+	if f, err := msgs.ReadForward(h, rest); err == nil {
+		w.packets = append(w.packets, append([]byte(nil), f.Packet...))
+	}
+}
+func (*recordingWire) ToCaller([4]byte, []byte) {}
+
+// Guards against a short request that waits behind an upload, and against packets of an upload that overtake
+// each other, get lost or stay in the queue.
+func TestShortFlowPassesAnUpload(t *testing.T) {
+	const upload, short, number = 1, 2, 70
+	flow := segs.Flow{Caller: [4]byte{100, 64, 0, 7}, Service: [4]byte{198, 18, 0, 1}, Port: 443}
+	now := time.Unix(1_700_000_000, 0)
+	log := belief.New()
+	log.Apply(now, belief.Change{To: 5, Full: true, Items: []belief.Item{{Key: "c", Revision: 1, Config: &belief.Config{
+		Version: 1, Routes: []belief.Route{{Called: flow.ServiceAddr(), Shares: []belief.Share{{Service: "s", Weight: 1}}}},
+	}}}})
+	events := event.New(io.Discard, "entry", "e1")
+	defer events.Close()
+	wire := &recordingWire{}
+	e := New(Config{
+		Log: log, Control: stubCodec{}, Codec: portCodec{stubCodec{flow}}, Wire: wire, Events: events,
+		Rand: rand.New(rand.NewPCG(1, 2)), Rate: 10e6 / 8,
+	})
+	for _, port := range []uint16{upload, short} {
+		f := flow
+		f.CallerPort = port
+		e.recordOwner(now, netip.MustParseAddr("10.0.1.1"), msgs.Owner{Flow: f})
+	}
+	packet := make([]byte, 1200)
+	for i := range byte(number) {
+		packet[0], packet[1] = upload, i
+		e.FromCaller(now, packet)
+	}
+	sent := len(wire.packets)
+	assert.Assert(t, sent < number, "the flow has turned out long")
+	e.FromCaller(now, []byte{short})
+	assert.Equal(t, len(wire.packets), sent+1)
+	assert.Equal(t, wire.packets[sent][0], byte(short))
+	<-e.Queued()
+	for wait, ok := e.SendQueued(now); ok; wait, ok = e.SendQueued(now) {
+		now = now.Add(wait)
+	}
+	var order []byte
+	for _, p := range wire.packets {
+		if p[0] == upload {
+			order = append(order, p[1])
+		}
+	}
+	assert.Equal(t, len(order), number)
+	for i, n := range order {
+		assert.Equal(t, n, byte(i))
+	}
+}
