Pace a wide link that is squeezed, and notice a squeeze sooner

Narrow entries found nothing either: three answers in 200 ms are many there, and small buffers keep the delay short. Change: flows of more than a window count as use of the link; below 0.7 of the stated rate they are long. Answers are collected for up to a second. Target delay 10 ms in place of 20, falls by up to a quarter, floor 1/16.

--- a/internal/load/bulk/bulk.go
+++ b/internal/load/bulk/bulk.go
@@ -8,7 +8,8 @@
 // The rules:
 //
 //   - The gate learns how many bytes flows to an address send. Only flows that take more than
-//     longFlowTime of the link's time are delayed.
+//     longFlowTime of the link's time are delayed, or more than a window if the link is narrower than
+//     configured.
 //   - The number of such flows under way is limited to those whose windows fill the link. Other long
 //     flows wait in order of arrival, while their callers retransmit the opening packet.
 //   - A flow that cannot start in time, or cannot end before its caller gives up, is refused at once, and
@@ -18,8 +19,8 @@
 // Flows that were started through other entries are counted as soon as their packets are seen.
 //
 // The gate uses the link's rate as configured by the operator; without a rate, no flow waits. It does not
-// detect that the link carries less (package pace does, see SetCarried). The caller passes in the time. A Gate is not safe for
-// concurrent use.
+// detect that the link carries less (package pace does, see SetCarried). The caller passes in the time. A
+// Gate is not safe for concurrent use.
 //
 // # Usage
 //
@@ -48,8 +49,10 @@
 	// pacedQueueTime is the same for a link before which the entry queues the packets of long flows. The
 	// windows wait in the entry and keep the link busy, so fewer flows suffice, and each ends sooner.
 	pacedQueueTime = 35 * time.Millisecond
-	// longFlowTime is the link time above which a flow is long and may be delayed.
+	// longFlowTime is the time on the configured link above which a flow is long and may be delayed.
 	longFlowTime = maxQueueTime / 2
+	// narrowPart is the part of the configured rate below which the link counts as narrower than configured.
+	narrowPart = 0.7
 	// idleTimeout is how long a flow under way may send nothing. A lost packet is retransmitted after 200 ms.
 	idleTimeout = 300 * time.Millisecond
 	// learnWindow is the number of flows over which the bytes per flow are averaged.
@@ -146,13 +149,29 @@
 
 // isLong reports whether a flow is long enough to be delayed.
 func (g *Gate) isLong(f segs.Flow) bool {
-	return g.rate > 0 && g.avgBytes[f.ServiceAddr()]/g.rate > longFlowTime.Seconds()
+	return g.rate > 0 && g.avgBytes[f.ServiceAddr()] > g.longBytes()
+}
+
+// longBytes returns the number of bytes above which a flow is long. On a link that is narrower than configured,
+// each flow that fills a window is.
+func (g *Gate) longBytes() float64 {
+	if g.carried < narrowPart*g.rate {
+		return callerWindow
+	}
+	return longFlowTime.Seconds() * g.rate
+}
+
+// FillsWindow reports whether a flow is expected to send more than a window, or has done so already. Such
+// flows fill a link that is narrower than configured.
+func (g *Gate) FillsWindow(f segs.Flow) bool {
+	a := g.active[f]
+	return g.avgBytes[f.ServiceAddr()] > callerWindow || a != nil && a.bytes > callerWindow
 }
 
 // Long reports whether a flow is expected to occupy the link for long, or has done so already.
 func (g *Gate) Long(f segs.Flow) bool {
 	a := g.active[f]
-	return g.isLong(f) || a != nil && float64(a.bytes) > longFlowTime.Seconds()*g.rate
+	return g.isLong(f) || a != nil && float64(a.bytes) > g.longBytes()
 }
 
 // hasRoom reports whether one more long flow may be under way.
--- a/internal/load/bulk/bulk_test.go
+++ b/internal/load/bulk/bulk_test.go
@@ -53,3 +53,16 @@
 	learnUploads(g, 125_000)
 	assert.Assert(t, g.Long(uploadFlow(2)))
 }
+
+// Guards against uploads that fill a link which is narrower than configured, because none takes long on the
+// configured one.
+func TestUploadsAreLongOnANarrowedLink(t *testing.T) {
+	g := NewPaced(20*linkRate, maxWait)
+	learnUploads(g, 80_000)
+	assert.Assert(t, !g.Long(uploadFlow(1)))
+	assert.Assert(t, g.FillsWindow(uploadFlow(1)))
+	g.SetCarried(2 * linkRate)
+	assert.Assert(t, g.Long(uploadFlow(1)))
+	g.SetCarried(20 * linkRate)
+	assert.Assert(t, !g.Long(uploadFlow(1)))
+}
--- a/internal/load/pace/link.go
+++ b/internal/load/pace/link.go
@@ -9,23 +9,25 @@
 const (
 	// adjustInterval is the time between two adjustments of the learned rate.
 	adjustInterval = 200 * time.Millisecond
+	// maxInterval is how long answers are collected for an adjustment if there are few.
+	maxInterval = time.Second
 	// minSamples is the number of answers in such an interval from which a delay is derived. The least of
 	// them counts, since a single answer may be late for other reasons.
 	minSamples = 3
-	// targetDelay is the delay beyond the least one known at which the rate is kept. It is half of what an
-	// opening packet may wait, since the delay of both directions counts.
-	targetDelay = 20 * time.Millisecond
+	// targetDelay is the delay beyond the least one known at which the rate is kept: what an opening packet may
+	// wait behind long flows.
+	targetDelay = 10 * time.Millisecond
 	// gain is the largest part of the rate that one adjustment takes away, and maxRise the largest that it
 	// adds.
-	gain    = 0.2
+	gain    = 0.25
 	maxRise = 0.05
-	// idleRise is the part that it adds while the queue is unused, so that the rate learned from a link that
+	// idleRise is the part that it adds while no flow can fill the link, so that the rate learned from a link that
 	// was narrow for some time is forgotten within a minute.
 	idleRise = 0.01
-	// busyTime is how long after packets were in the queue an answer still tells about them.
+	// busyTime is how long after a packet of such flows an answer still tells about them.
 	busyTime = 50 * time.Millisecond
 	// minRatePart is the least part of the stated rate to which the learned one falls.
-	minRatePart = 0.125
+	minRatePart = 1.0 / 16
 	// basePeriod and basePeriods give the time over which the least delay is remembered. It is forgotten
 	// because the paths between instances change.
 	basePeriod  = 10 * time.Second
@@ -43,7 +45,7 @@
 
 // Link observes the link of one entry by the answers of agents to opening packets. It learns the rate that
 // the link carries from their delay, as LEDBAT (RFC 6817) does: if answers take longer than the least time
-// known while the entry's queue is in use, the link is narrower than stated. The rate returns to the stated one
+// known while flows that can fill it use it, the link is narrower than stated. The rate returns to the stated one
 // when the delay is gone. The zero value is not usable.
 type Link struct {
 	stated     float64 // bytes per second
@@ -52,7 +54,7 @@
 	baseAt     time.Time       // when the current period began
 	least      time.Duration   // least delay of the current interval
 	samples    int             // in the current interval
-	busyAt     time.Time       // when packets were last in the entry's queue
+	busyAt     time.Time       // when flows that can fill the link last used it
 	excess     time.Duration   // delay in the last interval with enough answers
 	adjustedAt time.Time
 	sent       []sentPacket // the latest opening packets, oldest first
@@ -119,7 +121,7 @@
 	l.bases[last] = min(l.bases[last], d)
 }
 
-// MarkBusy records that packets wait in the entry's queue.
+// MarkBusy records that flows use the link that can fill it.
 func (l *Link) MarkBusy(now time.Time) { l.busyAt = now }
 
 // Adjust adjusts the learned rate if an interval is over, and reports whether it has changed.
@@ -127,13 +129,16 @@
 	if now.Sub(l.adjustedAt) < adjustInterval {
 		return false
 	}
-	before := l.rate
+	before, busy := l.rate, now.Sub(l.busyAt) <= adjustInterval
+	if busy && l.samples < minSamples && now.Sub(l.adjustedAt) < maxInterval {
+		return false
+	}
 	switch {
 	case l.samples >= minSamples:
 		l.excess = l.least - slices.Min(l.bases)
 		change := gain * (1 - float64(l.excess)/float64(targetDelay))
 		l.scale(min(max(change, -gain), maxRise))
-	case now.Sub(l.busyAt) > adjustInterval:
+	case !busy:
 		l.excess = 0
 		l.scale(idleRise)
 	}
--- a/internal/load/pace/sim_test.go
+++ b/internal/load/pace/sim_test.go
@@ -73,16 +73,16 @@
 	finished bool
 }
 
-func newSimulation(seed uint64, rate float64, paced bool) *simulation {
+func newSimulation(seed uint64, stated, carried float64, paced bool) *simulation {
 	start := time.Unix(1_700_000_000, 0)
 	p := &simulation{
-		gate: bulk.New(linkRate, maxWait), rand: rand.New(rand.NewPCG(seed, 3)), now: start,
-		in: direction{rate, start}, out: direction{rate, start}, waiting: map[segs.Flow]*upload{}, arrived: map[segs.Flow]*upload{},
+		gate: bulk.New(stated, maxWait), rand: rand.New(rand.NewPCG(seed, 3)), now: start,
+		in: direction{carried, start}, out: direction{carried, start}, waiting: map[segs.Flow]*upload{}, arrived: map[segs.Flow]*upload{},
 	}
 	if paced {
-		p.gate = bulk.NewPaced(linkRate, maxWait)
-		p.queue = pace.New(linkRate)
-		p.link = pace.NewLink(linkRate)
+		p.gate = bulk.NewPaced(stated, maxWait)
+		p.queue = pace.New(stated)
+		p.link = pace.NewLink(stated)
 	}
 	return p
 }
@@ -151,6 +151,14 @@
 		p.leave(u, i)
 		return
 	}
+	if !p.gate.Long(u.flow) && !p.queue.Holds(u.flow) {
+		if p.gate.FillsWindow(u.flow) {
+			p.link.MarkBusy(p.now)
+		}
+		p.queue.Charge(p.now, packetBytes)
+		p.leave(u, i)
+		return
+	}
 	p.arrived[u.flow] = u
 	data := make([]byte, packetBytes)
 	data[0], data[1] = byte(i>>8), byte(i)
@@ -278,9 +286,9 @@
 	for _, load := range []float64{0.5, 0.9, 1.3} {
 		inTime, inTimeWithout := 0.0, 0.0
 		for seed := range uint64(3) {
-			without := newSimulation(seed, linkRate, false)
+			without := newSimulation(seed, linkRate, linkRate, false)
 			without.run(load)
-			with := newSimulation(seed, linkRate, true)
+			with := newSimulation(seed, linkRate, linkRate, true)
 			with.run(load)
 			logBoth(t, load, without, with)
 			inTime += with.inTime() / 3
@@ -296,15 +304,17 @@
 // Guards against a link that carries less than stated, in front of which short packets wait behind uploads
 // although these are queued in the entry.
 func TestShortPacketsPassUploadsOnASqueezedLink(t *testing.T) {
-	const carried = 0.3
-	for seed := range uint64(3) {
-		without := newSimulation(seed, carried*linkRate, false)
-		without.run(0.9 * carried)
-		with := newSimulation(seed, carried*linkRate, true)
-		with.run(0.9 * carried)
-		logBoth(t, 0.9*carried, without, with)
-		assert.Assert(t, with.shortWait(90) <= without.shortWait(90)/2, "%v, without %v", with.shortWait(90), without.shortWait(90))
-		assert.Assert(t, with.inTime() >= without.inTime())
+	const carried = 0.3 * linkRate
+	for _, stated := range []float64{linkRate, 20 * carried} { // without and with flows that aren't long on the stated link
+		for seed := range uint64(3) {
+			without := newSimulation(seed, stated, carried, false)
+			without.run(0.9 * carried / linkRate)
+			with := newSimulation(seed, stated, carried, true)
+			with.run(0.9 * carried / linkRate)
+			logBoth(t, 0.9*carried/linkRate, without, with)
+			assert.Assert(t, with.shortWait(90) <= without.shortWait(90)/2, "%v, without %v", with.shortWait(90), without.shortWait(90))
+			assert.Assert(t, with.inTime() >= without.inTime())
+		}
 	}
 }
 
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -205,6 +205,9 @@
 		e.enqueue(now, s.Flow, datagram)
 		return
 	}
+	if e.bulk.FillsWindow(s.Flow) {
+		e.link.MarkBusy(now)
+	}
 	e.queue.Charge(now, len(datagram))
 	e.forward(now, v, &s, datagram)
 }
--- a/internal/node/edge/pace.go
+++ b/internal/node/edge/pace.go
@@ -27,7 +27,6 @@
 	pacedBytes.Add(len(datagram))
 	e.queue.Push(now, f, datagram)
 	e.sendQueued(now)
-	e.link.MarkBusy(now)
 	if e.queue.Len() == 0 {
 		return
 	}
@@ -56,6 +55,9 @@
 
 // sendQueued sends the queued packets that the link has room for.
 func (e *Entry) sendQueued(now time.Time) {
+	if e.queue.Len() > 0 {
+		e.link.MarkBusy(now)
+	}
 	v := e.Log.View()
 	for p, ok := e.queue.Next(now); ok; p, ok = e.queue.Next(now) {
 		paceWaits.Update(now.Sub(p.QueuedAt).Seconds())
