Service rates: the agent measures its server, entries and agents place by it

Cause: entries and agents count requests for each slot. Servers of one service differ in speed and slow down, so that equal counts are unequal waits.

Weighing slots in use by service time leaves slow servers idle while fast ones queue.

--- a/internal/flow/owner/agent.go
+++ b/internal/flow/owner/agent.go
@@ -27,6 +27,10 @@
 	dataEndKnown bool       // dataEnd is set
 	callerOpen   bool       // no FIN or RST has closed the caller's end
 	serverOpen   bool
+	Service      time.Duration // time that the server spent on the last request; 0: unknown
+	called       netip.AddrPort
+	ahead        int       // requests that the server ends before it begins with the one in progress
+	beganAt      time.Time // when the server began with the request in progress, or had all its data so far; zero: it waits
 }
 
 // Busy reports whether a request is in progress.
@@ -114,9 +118,13 @@
 			t.requests.addDelay(now.Sub(o.acceptedAt))
 		}
 	}
-	if o.addData(s) && o.PendingSince.IsZero() {
-		o.PendingSince = now
-		t.requests.asked(now, o)
+	if o.addData(s) {
+		if o.PendingSince.IsZero() {
+			o.PendingSince, o.called = now, s.Flow.ServiceAddr()
+			t.requests.queue(now, o)
+			t.requests.asked(now, o)
+		}
+		o.dataArrived(now)
 	}
 	if s.Flags&(segs.Fin|segs.Rst) != 0 {
 		o.callerOpen = false
@@ -155,6 +163,7 @@
 	if o.Busy() && answers(s) {
 		took = now.Sub(o.PendingSince)
 		t.requests.answered(took)
+		o.Service = t.requests.served(now, o)
 		o.PendingSince = time.Time{}
 	}
 	if s.Flags&(segs.Fin|segs.Rst) != 0 {
--- a/internal/flow/owner/owner_test.go
+++ b/internal/flow/owner/owner_test.go
@@ -159,3 +159,43 @@
 	table.Expire(now.Add(16*time.Second), l)
 	assert.Assert(t, table.Get(flow) == nil)
 }
+
+// The time that a request spends in the server's queue is not counted as service time.
+func TestServiceTimeExcludesTheServersQueue(t *testing.T) {
+	table := NewAgent(10, parts.Off{})
+	table.SetSlots(2)
+	answer := func(at time.Time, o *Flow) time.Duration {
+		table.FromServer(at, o, &segs.Segment{Flow: flow, FromServer: true, Flags: segs.Ack, Ack: 101, Len: 200})
+		return o.Service
+	}
+	var flows []*Flow
+	for i := range 4 {
+		f := flow
+		f.CallerPort += uint16(i)
+		o := table.Add(now, f)
+		s := data(1)
+		s.Flow = f
+		table.FromCaller(now, o, s)
+		flows = append(flows, o)
+	}
+	at := func(ms int) time.Time { return now.Add(time.Duration(ms) * time.Millisecond) }
+	assert.Equal(t, table.Oldest(at(10), flow.ServiceAddr()), 10*time.Millisecond)
+	assert.Equal(t, answer(at(5), flows[3]), time.Duration(0), "answered out of turn")
+	assert.Equal(t, answer(at(40), flows[0]), 40*time.Millisecond)
+	assert.Equal(t, answer(at(50), flows[1]), 50*time.Millisecond)
+	assert.Equal(t, answer(at(75), flows[2]), 35*time.Millisecond, "began when the first was answered")
+	assert.Equal(t, table.Oldest(at(80), flow.ServiceAddr()), time.Duration(0))
+}
+
+// A request whose data arrives in parts begins with the last one: the caller's link is not the server's time.
+func TestServiceTimeBeginsWithTheLastData(t *testing.T) {
+	table := NewAgent(10, parts.Off{})
+	o := table.Add(now, flow)
+	table.FromCaller(now, o, data(1))
+	later := now.Add(300 * time.Millisecond)
+	table.FromCaller(later, o, data(101))
+	table.FromCaller(later.Add(time.Millisecond), o, data(101))
+	took := table.FromServer(later.Add(20*time.Millisecond), o, &segs.Segment{Flow: flow, FromServer: true, Flags: segs.Ack, Ack: 201, Len: 200})
+	assert.Equal(t, took, 320*time.Millisecond)
+	assert.Equal(t, o.Service, 20*time.Millisecond)
+}
--- a/internal/flow/owner/requests.go
+++ b/internal/flow/owner/requests.go
@@ -44,6 +44,7 @@
 // an idle server for seconds.
 type requests struct {
 	off       parts.Off
+	slots     int           // of the server
 	unused    []pending     // flows that may not have had their first request yet
 	active    []pending     // flows with a request in progress
 	avgAnswer time.Duration // average time of an answer
--- a/internal/load/quick/quick.go
+++ b/internal/load/quick/quick.go
@@ -107,6 +107,12 @@
 	}
 }
 
+// TooFast reports whether an answer on a flow to the address called is so fast that it is hardly ever a good one.
+func (b *Breaker) TooFast(called netip.AddrPort, took time.Duration) bool {
+	k := b.kinds[called]
+	return k != nil && k.tooFast(took)
+}
+
 // Open reports whether the breaker is open.
 func (b *Breaker) Open() bool { return b.open }
 
--- /dev/null
+++ b/internal/load/speed/speed.go
@@ -0,0 +1,164 @@
+// Package speed estimates, at an agent, how long its server takes for a request.
+//
+// Servers of one service differ in speed, and any of them may slow down. A server that takes three times as long
+// as the others is as busy with a third of their requests, so placement that counts requests gives its callers
+// the longest wait.
+//
+// The meter keeps a moving geometric mean for each called address, because requests to different addresses differ
+// in length, and an overall figure weighted by each address's share of the requests. The geometric mean is hardly
+// moved by the few requests that take many times the usual time. After a pause a sample weighs more, so that a
+// server that is seldom used is soon seen to be well again. A request in progress that already lasts longer than
+// expected counts as one more sample, so that a sudden slow-down shows before the first answer.
+//
+// The meter does not know the server's queue: the caller passes in the time that the server spent on a request,
+// without the time for which the request waited for a slot. It does not judge whether an answer is an error
+// (package quick) and does not compare servers (packages steer and share).
+//
+// Package speed performs no I/O: the caller passes in the time. A Meter is not safe for concurrent use.
+//
+// # Usage
+//
+//	var m speed.Meter
+//	m.Record(now, called, took)
+//	expected := m.Service(now, called, oldest)
+//	overall := m.Overall(now, oldest)
+//	if m.Due(now) { takeFlowRegardlessOfSpeed() }
+//	m.Reset() // at a new start of the server
+package speed
+
+import (
+	"math"
+	"net/netip"
+	"time"
+)
+
+const (
+	// minWeight is the weight of a sample among many: the mean then extends over the last 24.
+	minWeight = 1.0 / 24
+	// maxWeight is the weight of a sample after a pause. A single one must not decide.
+	maxWeight = 1.0 / 4
+	// pause is the time without samples after which a sample has maxWeight.
+	pause = time.Second
+	// shareWeight is the weight of one request in the shares of the called addresses.
+	shareWeight = 1.0 / 256
+	// minShare is the share below which an address is forgotten when another one needs its place.
+	minShare = shareWeight / 16
+	// maxAddresses bounds the memory used for called addresses.
+	maxAddresses = 256
+	// DueInterval is the time without samples after which the server is due for a request whatever its speed:
+	// otherwise a server that is avoided could not show that it is well again.
+	DueInterval = time.Second
+)
+
+// Meter is the service time of one server. The zero value has no samples.
+type Meter struct {
+	kinds map[netip.AddrPort]*kind
+	last  time.Time // last sample
+}
+
+// kind holds the samples of one called address.
+type kind struct {
+	log   float64 // mean of the logarithm of the time in seconds
+	last  time.Time
+	share float64 // of the requests, decayed
+	count int
+}
+
+// Record records the time that the server spent on a request to a called address.
+func (m *Meter) Record(now time.Time, called netip.AddrPort, took time.Duration) {
+	if took <= 0 {
+		return
+	}
+	k := m.kind(called)
+	if k == nil {
+		return
+	}
+	k.count++
+	k.log += k.weight(now, k.count) * (math.Log(took.Seconds()) - k.log)
+	k.last, m.last = now, now
+	for _, o := range m.kinds {
+		o.share *= 1 - shareWeight
+	}
+	k.share += shareWeight
+}
+
+// kind returns the samples of a called address, or nil if there is no room for another address.
+func (m *Meter) kind(called netip.AddrPort) *kind {
+	if k := m.kinds[called]; k != nil {
+		return k
+	}
+	if len(m.kinds) >= maxAddresses {
+		m.forget()
+	}
+	if len(m.kinds) >= maxAddresses {
+		return nil
+	}
+	if m.kinds == nil {
+		m.kinds = map[netip.AddrPort]*kind{}
+	}
+	k := &kind{}
+	m.kinds[called] = k
+	return k
+}
+
+// forget removes the addresses that are hardly called any more.
+func (m *Meter) forget() {
+	for a, k := range m.kinds {
+		if k.share < minShare {
+			delete(m.kinds, a)
+		}
+	}
+}
+
+// weight returns the weight of a sample at a time, if it is the count-th of its kind.
+func (k *kind) weight(now time.Time, count int) float64 {
+	sinceLast := float64(now.Sub(k.last)) / float64(pause)
+	w := min(max(minWeight, sinceLast*maxWeight), maxWeight)
+	return max(w, 1/float64(count))
+}
+
+// expected returns the expected time of a request in seconds. oldest is how long the server has spent on the oldest
+// request in progress.
+func (k *kind) expected(now time.Time, oldest time.Duration) float64 {
+	if lasted := math.Log(max(oldest, 1).Seconds()); lasted > k.log {
+		return math.Exp(k.log + k.weight(now, k.count+1)*(lasted-k.log))
+	}
+	return math.Exp(k.log)
+}
+
+// Service returns the expected time of a request to a called address, or the overall figure for an address without
+// samples, or 0 if there are none. oldest is how long the server has spent on the oldest such request in progress.
+func (m *Meter) Service(now time.Time, called netip.AddrPort, oldest time.Duration) time.Duration {
+	k := m.kinds[called]
+	if k == nil {
+		return m.Overall(now, nil)
+	}
+	return seconds(k.expected(now, oldest))
+}
+
+// Overall returns the expected time of a request to any address, weighted by the shares of the addresses, or 0 if
+// there are no samples. oldest returns how long the server has spent on the oldest request in progress to an
+// address; if it is nil, none is in progress.
+func (m *Meter) Overall(now time.Time, oldest func(called netip.AddrPort) time.Duration) time.Duration {
+	sum, shares := 0.0, 0.0
+	for a, k := range m.kinds {
+		lasted := time.Duration(0)
+		if oldest != nil {
+			lasted = oldest(a)
+		}
+		sum += k.share * k.expected(now, lasted)
+		shares += k.share
+	}
+	if shares == 0 {
+		return 0
+	}
+	return seconds(sum / shares)
+}
+
+// Due reports whether the server has had no sample for DueInterval.
+func (m *Meter) Due(now time.Time) bool { return now.Sub(m.last) >= DueInterval }
+
+// Reset forgets all samples.
+func (m *Meter) Reset() { *m = Meter{} }
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/internal/load/speed/speed_test.go
@@ -0,0 +1,168 @@
+package speed
+
+import (
+	"math"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+var (
+	start   = time.Unix(1_700_000_000, 0)
+	called  = netip.MustParseAddrPort("198.18.0.1:443")
+	another = netip.MustParseAddrPort("198.18.0.2:443")
+)
+
+const (
+	usual    = 40 * time.Millisecond
+	interval = 25 * time.Millisecond
+)
+
+// sample returns a request's time: about usual, and seven times that for the given part of the requests.
+func sample(random *rand.Rand, tail float64) time.Duration {
+	t := float64(usual) * math.Exp(0.25*random.NormFloat64())
+	if random.Float64() < tail {
+		t *= 7
+	}
+	return time.Duration(t)
+}
+
+// spread returns the standard deviation of an estimate over its mean.
+func spread(estimates []float64) float64 {
+	sum, squares := 0.0, 0.0
+	for _, e := range estimates {
+		sum += e
+		squares += e * e
+	}
+	n := float64(len(estimates))
+	return math.Sqrt(squares/n-sum*sum/n/n) / (sum / n)
+}
+
+// An estimate compares servers, so what counts is how far it strays from its own mean. Without a tail the geometric
+// and the arithmetic mean stray equally; if 3% of the requests take seven times as long, the geometric one strays half
+// as much, and less than servers differ.
+func TestTailHardlyMovesTheEstimate(t *testing.T) {
+	for _, tail := range []float64{0, 0.03} {
+		random := rand.New(rand.NewPCG(1, 2))
+		var m Meter
+		now, arithmetic := start, usual.Seconds()
+		var geometrics, arithmetics []float64
+		for i := range 20_000 {
+			now = now.Add(interval)
+			took := sample(random, tail)
+			m.Record(now, called, took)
+			arithmetic += minWeight * (took.Seconds() - arithmetic)
+			if i > 200 {
+				geometrics = append(geometrics, m.Service(now, called, 0).Seconds())
+				arithmetics = append(arithmetics, arithmetic)
+			}
+		}
+		g, a := spread(geometrics), spread(arithmetics)
+		t.Logf("tail %.2f: geometric %.3f, arithmetic %.3f", tail, g, a)
+		assert.Assert(t, g < 0.08)
+		if tail == 0 {
+			assert.Assert(t, g < 1.1*a)
+		} else {
+			assert.Assert(t, g < 0.6*a)
+		}
+	}
+}
+
+// Guards against a slow-down that stays unnoticed: after as many requests as the mean extends over, a server that
+// takes three times as long is seen to take at least twice as long.
+func TestSlowDownIsSeenWithinTheWindow(t *testing.T) {
+	var m Meter
+	now := start
+	for range 100 {
+		now = now.Add(interval)
+		m.Record(now, called, usual)
+	}
+	for range 24 {
+		now = now.Add(interval)
+		m.Record(now, called, 3*usual)
+	}
+	assert.Assert(t, m.Service(now, called, 0) > 2*usual*95/100)
+}
+
+// A request in progress counts once it has lasted longer than expected, and more if no answer has come for a while.
+func TestRequestInProgressCounts(t *testing.T) {
+	var m Meter
+	now := start
+	for range 100 {
+		now = now.Add(interval)
+		m.Record(now, called, usual)
+	}
+	before := m.Service(now, called, 0)
+	assert.Equal(t, m.Service(now, called, usual/2), before)
+	assert.Assert(t, m.Service(now, called, 7*usual) < before*11/10, "one of the tail among many answers")
+	later := now.Add(pause)
+	assert.Assert(t, m.Service(later, called, pause) > 2*before, "no answer for a while")
+	oldest := func(a netip.AddrPort) time.Duration { return pause }
+	assert.Assert(t, m.Overall(later, oldest) > 2*before)
+}
+
+// A server that is seldom used is seen to be well again after a few answers.
+func TestRecoveryIsSeenByAFewAnswers(t *testing.T) {
+	var m Meter
+	now := start
+	for range 100 {
+		now = now.Add(interval)
+		m.Record(now, called, 10*usual)
+	}
+	for range 8 {
+		now = now.Add(pause)
+		m.Record(now, called, usual)
+	}
+	assert.Assert(t, m.Service(now, called, 0) < usual*13/10)
+}
+
+// The overall figure weighs addresses by their requests, and stands in for addresses without samples.
+func TestOverallIsWeightedByShare(t *testing.T) {
+	var m Meter
+	now := start
+	assert.Equal(t, m.Overall(now, nil), time.Duration(0))
+	for i := range 4000 {
+		now = now.Add(interval)
+		if i%4 == 0 {
+			m.Record(now, another, 100*time.Millisecond)
+		} else {
+			m.Record(now, called, 20*time.Millisecond)
+		}
+	}
+	overall := m.Overall(now, nil)
+	assert.Assert(t, overall > 39*time.Millisecond && overall < 41*time.Millisecond, "%v", overall)
+	assert.Equal(t, m.Service(now, netip.MustParseAddrPort("198.18.0.3:443"), 0), overall)
+	m.Reset()
+	assert.Equal(t, m.Service(now, called, 0), time.Duration(0))
+}
+
+// A server is due for a request when none has been measured for DueInterval.
+func TestDue(t *testing.T) {
+	var m Meter
+	assert.Assert(t, m.Due(start))
+	m.Record(start, called, usual)
+	assert.Assert(t, !m.Due(start.Add(DueInterval-1)))
+	assert.Assert(t, m.Due(start.Add(DueInterval)))
+}
+
+// Guards against memory that grows with the called addresses, and against estimates outside of what was measured.
+func TestEstimatesStayWithinSamples(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var m Meter
+		now, least, most := start, time.Duration(math.MaxInt64), time.Duration(0)
+		for range rapid.IntRange(1, 600).Draw(t, "samples") {
+			now = now.Add(time.Duration(rapid.Int64Range(0, int64(3*time.Second)).Draw(t, "gap")))
+			took := time.Duration(rapid.Int64Range(1, int64(time.Minute)).Draw(t, "took"))
+			port := rapid.Uint16Range(1, 400).Draw(t, "port")
+			m.Record(now, netip.AddrPortFrom(called.Addr(), port), took)
+			least, most = min(least, took), max(most, took)
+		}
+		assert.Assert(t, len(m.kinds) <= maxAddresses)
+		overall := m.Overall(now, nil)
+		assert.Assert(t, overall >= least-least/1000-1 && overall <= most+most/1000, "%v of %v to %v", overall, least, most)
+	})
+}
--- /dev/null
+++ b/internal/load/steer/rate.go
@@ -0,0 +1,139 @@
+package steer
+
+import (
+	"net/netip"
+	"time"
+
+	"mangowinch/internal/flow/msgs"
+)
+
+const (
+	// serviceWeight is the weight of a server's service time, over the mean, against the part of its slots that is in
+	// use. With a higher one, flows placed by the same old report crowd at the fast servers.
+	serviceWeight = 0.5
+	// estimateLifetime is the age at which an estimate has no weight any more and the server counts as one of mean
+	// speed. Servers seldom change their speed, and in a large fleet an entry hears of a server every few seconds.
+	estimateLifetime = 30 * time.Second
+	// VisitInterval is the time between visits: a server that is passed over because it is slow gets a flow when it
+	// has not been heard of for this time, so that its recovery is seen.
+	VisitInterval = 5 * time.Second
+	// choicesPerVisit bounds the visits to one flow in this many, which delays them where an entry has many slow
+	// servers and few flows.
+	choicesPerVisit = 32
+)
+
+// Reason is why a server was chosen.
+type Reason string
+
+// The reasons.
+const (
+	ByWork Reason = "work"  // least expected work
+	ByRate Reason = "rate"  // another server has less work and is expected to answer later
+	Visit  Reason = "visit" // passed over for a while because it is slow
+)
+
+// rate is what an agent has reported about the speed of its server.
+type rate struct {
+	service    time.Duration // time of a request; 0: unknown
+	reportedAt time.Time
+	visitedAt  time.Time
+	cold       bool // the server was cold at the last choice
+}
+
+// Reason returns why the last choice was made.
+func (c *Chooser) Reason() Reason { return c.reason }
+
+// Expect records the estimate that an agent reports for its server.
+func (c *Chooser) Expect(now time.Time, agent netip.Addr, e msgs.Estimate) {
+	r := &c.state(agent).rate
+	r.service, r.reportedAt = e.ServiceTime(), now
+}
+
+// Service returns the time of a request that an agent last reported for its server, or 0.
+func (c *Chooser) Service(agent netip.Addr) time.Duration {
+	if s := c.states[agent]; s != nil && !c.off.Rates {
+		return s.rate.service
+	}
+	return 0
+}
+
+// service returns the reported service time of a candidate, or 0. What was reported of a server before its start
+// does not count.
+func (c *Chooser) service(k Candidate) time.Duration {
+	s := c.states[k.Agent]
+	if s == nil || c.off.Rates {
+		return 0
+	}
+	if k.Cold && !s.rate.cold {
+		s.rate.service = 0
+	}
+	s.rate.cold = k.Cold
+	return s.rate.service
+}
+
+// meanService returns the mean service time of the candidates that have reported one, or 0 if none has.
+func (c *Chooser) meanService(candidates []Candidate) time.Duration {
+	sum, known := time.Duration(0), time.Duration(0)
+	for _, k := range candidates {
+		if service := c.service(k); service > 0 {
+			sum += service
+			known++
+		}
+	}
+	if known == 0 {
+		return 0
+	}
+	return sum / known
+}
+
+// ratio returns the service time of a candidate over the mean. The older the report, the closer the ratio is to 1.
+func (c *Chooser) ratio(now time.Time, k Candidate, mean time.Duration) float64 {
+	service := c.service(k)
+	if service == 0 || mean == 0 {
+		return 1
+	}
+	weight := 1 - min(1, float64(now.Sub(c.states[k.Agent].rate.reportedAt))/float64(estimateLifetime))
+	return 1 + weight*(float64(service)/float64(mean)-1)
+}
+
+// expectedTime returns the cost of a new flow at a server with the given work per slot: its own service time, the
+// slots in use, and the time in the queue. Slots in use are not weighed by the service time: otherwise slow servers
+// would have idle slots while fast ones queue, and the servers together would serve less than they can.
+func expectedTime(work, ratio float64) float64 {
+	return serviceWeight*ratio + min(work, 1) + max(0, work-1)*ratio
+}
+
+// visit returns a server of the own failure domain that is due for a visit, the longest unheard of first. A server
+// elsewhere is visited by the entries there.
+func (c *Chooser) visit(now time.Time, candidates []Candidate, tried []netip.Addr, best option) (agent netip.Addr, due bool) {
+	c.unvisited++
+	if c.unvisited < choicesPerVisit || len(tried) > 0 || best.service == 0 {
+		return agent, false
+	}
+	longest := VisitInterval
+	for _, k := range candidates {
+		if unheard := c.unheard(now, k, best); unheard >= longest && k.Agent != best.agent {
+			agent, longest, due = k.Agent, unheard, true
+		}
+	}
+	if due {
+		c.unvisited, c.reason = 0, Visit
+		c.state(agent).rate.visitedAt = now
+	}
+	return agent, due
+}
+
+// unheard returns for how long a candidate has been passed over without a report or a visit. It returns 0 for one
+// that is not slower than the best, unless that is known from an estimate without weight, and for one that is
+// avoided for other reasons.
+func (c *Chooser) unheard(now time.Time, k Candidate, best option) time.Duration {
+	s := c.states[k.Agent]
+	if s == nil || s.rate.service == 0 || c.penalty(now, k) > 0 {
+		return 0
+	}
+	silent := now.Sub(s.rate.reportedAt)
+	if s.rate.service <= best.service && silent < estimateLifetime {
+		return 0
+	}
+	return min(silent, now.Sub(s.rate.visitedAt))
+}
--- a/internal/load/steer/steer.go
+++ b/internal/load/steer/steer.go
@@ -4,9 +4,10 @@
 // made at the opening packet, and a long-lived flow loads its server for as long as it is open. Entries
 // that count only their own flows do not see what other entries placed. Entries that all act on the same
 // outdated report send every flow to the server that was idle when the report was made. A hung server
-// looks idle, and a server that has just started is slow.
+// looks idle, and a server that has just started is slow. Servers of one service differ in speed.
 //
-// Among the servers that may take flows, the chooser picks the one with the least expected work per slot.
+// Among the servers that may take flows, the chooser picks the one that is expected to answer first: by its
+// expected work per slot and the service time that its agent reports, over the mean of the candidates.
 // Expected work is the load last reported by the server's agent, the flows the server holds, and the flows
 // this entry has placed there since that report. A server in another failure domain is charged a fixed
 // extra amount, so that equally loaded servers are used locally. Servers that refused an opening packet,
@@ -20,7 +21,8 @@
 //	c := steer.New("zg-a", random, parts.Off{})
 //	agent, ok := c.Choose(now, candidates, tried)
 //	c.Placed(agent)
-//	c.Report(now, agent, load)
+//	c.Report(now, agent, load, estimate)
+//	c.Expect(now, agent, estimate)
 //	c.NoReply(now, agent)
 package steer
 
@@ -57,7 +59,7 @@
 	// between domains is expensive, and the agent of a busy server offers the flow to other agents by itself.
 	crossDomainWork = 8
 	// coldFactor multiplies the work of a server that has just started, whose requests take 1.6 times as
-	// long.
+	// long, until its agent has measured it.
 	coldFactor = 1.6
 	// jitter is the range of the random term that breaks ties, so that entries with the same report
 	// choose differently.
@@ -78,18 +80,21 @@
 	avgBusy      float64 // moving average of the requests in progress
 	reportedAt   time.Time
 	placed       float64 // flows placed since the last report
+	rate         rate
 	noReplyUntil time.Time
 	refusedUntil time.Time
 }
 
 // Chooser selects servers for new flows from the loads that agents report.
 type Chooser struct {
-	domain   string
-	off      parts.Off
-	random   *rand.Rand
-	states   map[netip.Addr]*state
-	avgBusy  float64 // average number of requests in progress over all reports
-	avgFlows float64 // average number of open flows over all reports
+	domain    string
+	off       parts.Off
+	random    *rand.Rand
+	states    map[netip.Addr]*state
+	avgBusy   float64 // average number of requests in progress over all reports
+	avgFlows  float64 // average number of open flows over all reports
+	reason    Reason  // of the last choice
+	unvisited int     // choices since the last visit
 }
 
 // New returns a Chooser for an entry in the given failure domain.
@@ -100,16 +105,29 @@
 // Choose returns the agent that should receive a new flow, excluding the agents in tried. It reports
 // false if no candidate is left.
 func (c *Chooser) Choose(now time.Time, candidates []Candidate, tried []netip.Addr) (agent netip.Addr, ok bool) {
-	least := 0.0
+	mean := c.meanService(candidates)
+	var best, leastWork option
 	for _, k := range candidates {
 		if slices.Contains(tried, k.Agent) {
 			continue
 		}
-		if w := c.score(now, k); !ok || w < least {
-			agent, least, ok = k.Agent, w, true
+		o := c.option(now, k, mean)
+		if !ok || o.time < best.time {
+			best = o
 		}
+		if !ok || o.work < leastWork.work {
+			leastWork = o
+		}
+		ok = true
+	}
+	c.reason = ByWork
+	if best.agent != leastWork.agent {
+		c.reason = ByRate
 	}
-	return agent, ok
+	if v, due := c.visit(now, candidates, tried, best); due {
+		return v, true
+	}
+	return best.agent, ok
 }
 
 // Penalties that place a server last. They are far above any possible amount of work in slots.
@@ -119,9 +137,32 @@
 	penaltyDraining = 1e5
 )
 
-// score returns the expected work per slot of a candidate, plus its penalty.
-func (c *Chooser) score(now time.Time, k Candidate) float64 {
+// option is what the chooser expects of a candidate.
+type option struct {
+	agent   netip.Addr
+	service time.Duration // as last reported; 0: unknown
+	work    float64       // per slot, with penalties
+	time    float64       // cost by expected time, with penalties
+}
+
+// option returns what is expected of a candidate among candidates with the given mean service time.
+func (c *Chooser) option(now time.Time, k Candidate, mean time.Duration) option {
 	slots := float64(max(k.Slots, 1))
+	work, service := c.work(now, k), c.service(k)
+	if k.Cold && !c.off.Cold && service == 0 {
+		work = (work + 1) * coldFactor
+	}
+	penalty := c.penalty(now, k)
+	return option{
+		agent:   k.Agent,
+		service: service,
+		work:    (work + penalty) / slots,
+		time:    expectedTime(work/slots, c.ratio(now, k, mean)) + penalty/slots,
+	}
+}
+
+// work returns the expected work of a candidate in slots.
+func (c *Chooser) work(now time.Time, k Candidate) float64 {
 	w := c.random.Float64() * jitter
 	if s := c.states[k.Agent]; s != nil {
 		fresh := 1 - min(1, float64(now.Sub(s.reportedAt))/float64(reportDecay))
@@ -130,16 +171,21 @@
 		if !c.off.Reports {
 			w += busy + c.flowWork()*float64(s.load.Flows)
 		}
-		if !c.off.Avoid && now.Before(s.refusedUntil) {
+	}
+	return w
+}
+
+// penalty returns the work, in slots, that a candidate is charged for its failure domain and its state.
+func (c *Chooser) penalty(now time.Time, k Candidate) (w float64) {
+	slots := float64(max(k.Slots, 1))
+	if s := c.states[k.Agent]; s != nil && !c.off.Avoid {
+		if now.Before(s.refusedUntil) {
 			w += penaltyRefused * slots
 		}
-		if !c.off.Avoid && now.Before(s.noReplyUntil) {
+		if now.Before(s.noReplyUntil) {
 			w += penaltyNoReply * slots
 		}
 	}
-	if k.Cold && !c.off.Cold {
-		w = (w + 1) * coldFactor
-	}
 	if k.Domain != c.domain && !c.off.Distance {
 		w += crossDomainWork
 	}
@@ -149,7 +195,7 @@
 	if k.Draining {
 		w += penaltyDraining * slots
 	}
-	return w / slots
+	return w
 }
 
 func (c *Chooser) state(agent netip.Addr) *state {
@@ -167,8 +213,9 @@
 // busyWindow is the number of reports over which the requests in progress are averaged.
 const busyWindow = 8
 
-// Report records the load that an agent reports for its server.
-func (c *Chooser) Report(now time.Time, agent netip.Addr, l msgs.Load) {
+// Report records the load and the estimate that an agent reports for its server.
+func (c *Chooser) Report(now time.Time, agent netip.Addr, l msgs.Load, e msgs.Estimate) {
+	c.Expect(now, agent, e)
 	s := c.state(agent)
 	s.load, s.reportedAt, s.placed = l, now, 0
 	s.avgBusy += (float64(l.Busy) - s.avgBusy) / busyWindow
--- a/internal/load/steer/steer_test.go
+++ b/internal/load/steer/steer_test.go
@@ -50,7 +50,7 @@
 func TestServerWithoutReplyComesLast(t *testing.T) {
 	c := New("zg-a", rand.New(rand.NewPCG(1, 2)), parts.Off{})
 	list := candidates(2)
-	c.Report(now, agent(1), msgs.Load{Busy: 4, Flows: 20})
+	c.Report(now, agent(1), msgs.Load{Busy: 4, Flows: 20}, msgs.Estimate{})
 	c.NoReply(now, agent(0))
 	assert.Equal(t, choose(t, c, now, list), agent(1))
 	assert.Equal(t, choose(t, c, now.Add(noReplyFor), list), agent(0))
@@ -79,9 +79,9 @@
 	list := candidates(2)
 	list[1].Domain = "zg-b"
 	assert.Equal(t, choose(t, c, now, list), agent(1))
-	c.Report(now, agent(1), msgs.Load{Busy: crossDomainWork - 1})
+	c.Report(now, agent(1), msgs.Load{Busy: crossDomainWork - 1}, msgs.Estimate{})
 	assert.Equal(t, choose(t, c, now, list), agent(1))
-	c.Report(now, agent(1), msgs.Load{Busy: crossDomainWork + 1})
+	c.Report(now, agent(1), msgs.Load{Busy: crossDomainWork + 1}, msgs.Estimate{})
 	assert.Equal(t, choose(t, c, now, list), agent(0))
 }
 
@@ -94,8 +94,8 @@
 	list := candidates(2)
 	list[1].Domain = "zg-b"
 	for range 2 * flowWorkWindow {
-		c.Report(now, agent(0), msgs.Load{Busy: 0, Flows: 0})
-		c.Report(now, agent(1), msgs.Load{Busy: 2, Flows: 130})
+		c.Report(now, agent(0), msgs.Load{Busy: 0, Flows: 0}, msgs.Estimate{})
+		c.Report(now, agent(1), msgs.Load{Busy: 2, Flows: 130}, msgs.Estimate{})
 	}
 	assert.Equal(t, choose(t, c, now, list), agent(1))
 }
@@ -106,10 +106,10 @@
 	c := New("zg-a", rand.New(rand.NewPCG(1, 2)), parts.Off{})
 	list := candidates(3)
 	for range 2 * flowWorkWindow {
-		c.Report(now, agent(2), msgs.Load{Busy: 4, Flows: 50})
+		c.Report(now, agent(2), msgs.Load{Busy: 4, Flows: 50}, msgs.Estimate{})
 	}
-	c.Report(now, agent(0), msgs.Load{Flows: 60})
-	c.Report(now, agent(1), msgs.Load{Flows: 20})
+	c.Report(now, agent(0), msgs.Load{Flows: 60}, msgs.Estimate{})
+	c.Report(now, agent(1), msgs.Load{Flows: 20}, msgs.Estimate{})
 	assert.Equal(t, choose(t, c, now, list), agent(1))
 }
 
@@ -125,7 +125,7 @@
 	without := func(off parts.Off) *Chooser { return New("zg-a", rand.New(rand.NewPCG(1, 2)), off) }
 	list := candidates(2)
 	c := without(parts.Off{Reports: true})
-	c.Report(now, agent(1), msgs.Load{Busy: 40})
+	c.Report(now, agent(1), msgs.Load{Busy: 40}, msgs.Estimate{})
 	c.Placed(agent(0))
 	assert.Equal(t, choose(t, c, now, list), agent(1))
 	c = without(parts.Off{Avoid: true})
--- a/internal/node/edge/peer.go
+++ b/internal/node/edge/peer.go
@@ -36,7 +36,7 @@
 // opened records that a server accepted a flow.
 func (e *Entry) opened(now time.Time, from netip.Addr, m msgs.Opened) {
 	e.chooser.Accepted(from)
-	e.chooser.Report(now, from, m.Load)
+	e.chooser.Report(now, from, m.Load, m.Estimate)
 	if p := e.flows.Get(m.Flow); p != nil {
 		p.MarkAccepted(from, m.Seq)
 	}
@@ -98,6 +98,7 @@
 	if p == nil {
 		return
 	}
+	e.chooser.Expect(now, from, m.Estimate)
 	p.Claimed = true
 	if m.Open {
 		p.Owner = from
--- a/internal/node/edge/place.go
+++ b/internal/node/edge/place.go
@@ -69,6 +69,7 @@
 		class = event.Failure
 	}
 	e.Events.Flow(class, "placed", s.Flow).Stringer("agent", agent).Int("try", p.Attempts).
+		Str("by", string(e.chooser.Reason())).Dur("service", e.chooser.Service(agent)).
 		Int64("version", v.Version()).Stringer("revision", v.Revision).Send()
 	e.send(v, agent, msgs.Forward{LastResort: p.Returned, Packet: datagram})
 }
--- a/internal/node/local/counts.go
+++ b/internal/node/local/counts.go
@@ -18,6 +18,7 @@
 	openTime       = metrics.NewHistogram(`mangowinch_open_seconds`)
 	answerTime     = metrics.NewHistogram(`mangowinch_answer_seconds`)
 
+	serviceTime    = metrics.NewGauge(`mangowinch_service_seconds`, nil)
 	evacuatedFlows = metrics.NewGauge(`mangowinch_evacuated_flows`, nil)
 )
 
--- /dev/null
+++ b/internal/node/local/estimate.go
@@ -0,0 +1,73 @@
+package local
+
+import (
+	"net/netip"
+	"time"
+
+	"mangowinch/internal/flow/msgs"
+	"mangowinch/internal/flow/segs"
+	"mangowinch/internal/load/share"
+)
+
+// Service time of the server (package speed).
+//
+// Failure: a server is slower than the others of its service, or slows down, and gets as many flows as they do, so
+// that its callers wait several times as long. Guard: the agent measures its server and reports the expected time
+// of a request with the messages that it sends to entries anyway; entries and agents compare expected times. This
+// is sufficient because the agent sees each request and its answer, and because a report that is lost or old only
+// brings the placement back towards counting requests.
+
+// recordService records how long the server spent on a request that took the given time to be answered. An answer
+// that is far too fast is no measure of the server's speed.
+func (a *Agent) recordService(now time.Time, f segs.Flow, spent, took time.Duration) {
+	if !a.Off.Quick && a.quick.TooFast(f.ServiceAddr(), took) {
+		return
+	}
+	a.meter.Record(now, f.ServiceAddr(), spent)
+	serviceTime.Set(a.overallService(now).Seconds())
+}
+
+// service returns the expected time of a request on a flow, or 0 if it is unknown or rates are switched off.
+func (a *Agent) service(now time.Time, f segs.Flow) time.Duration {
+	if a.Off.Rates {
+		return 0
+	}
+	called := f.ServiceAddr()
+	return a.meter.Service(now, called, a.flows.Oldest(now, called))
+}
+
+// overallService returns the expected time of a request to any address, or 0 if it is unknown.
+func (a *Agent) overallService(now time.Time) time.Duration {
+	return a.meter.Overall(now, func(called netip.AddrPort) time.Duration { return a.flows.Oldest(now, called) })
+}
+
+// estimate returns what a new flow has to expect at the local server.
+func (a *Agent) estimate(now time.Time) msgs.Estimate {
+	if a.Off.Rates {
+		return msgs.Estimate{}
+	}
+	return msgs.NewEstimate(a.overallService(now), a.expectedWaits(now))
+}
+
+// Expected is what a new flow has to expect at the local server, for operators.
+type Expected struct {
+	Service time.Duration   // time of a request, without waiting; 0: unknown
+	Waits   []time.Duration // by priority: time until the server receives a new flow
+}
+
+// Expected returns what a new flow has to expect at the local server.
+func (a *Agent) Expected(now time.Time) Expected {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	waits := a.expectedWaits(now)
+	return Expected{Service: a.overallService(now), Waits: waits[:]}
+}
+
+// shareOwn describes the local server for the decision whether it takes a new flow.
+func (a *Agent) shareOwn(now time.Time, s *segs.Segment) share.Server {
+	own := share.Server{Agent: a.Self, Utilization: a.utilization(now), Due: a.meter.Due(now)}
+	if r := a.Log.View().Route(s.Flow.ServiceAddr()); r != nil {
+		own.Service, own.Target, own.Age = a.service(now, s.Flow), r.Target, a.Callers.Age(s.Ack)
+	}
+	return own
+}
--- a/internal/node/local/local.go
+++ b/internal/node/local/local.go
@@ -34,6 +34,7 @@
 	"mangowinch/internal/load/hold"
 	"mangowinch/internal/load/parts"
 	"mangowinch/internal/load/quick"
+	"mangowinch/internal/load/speed"
 	"mangowinch/internal/load/trip"
 	"mangowinch/internal/load/warm"
 	"mangowinch/internal/node/doubt"
@@ -113,6 +114,7 @@
 	leaving          bool
 	breaker          trip.Breaker
 	quick            *quick.Breaker
+	meter            speed.Meter // of the local server
 	warmUp           warm.Limiter
 	pendingResets    []segs.Flow // idle flows to reset while the breaker is open
 	server           serverState
@@ -215,6 +217,7 @@
 	a.evacuate(now, v)
 	if self, ok := a.self(v); ok {
 		a.updateServer(v, self)
+		a.flows.SetSlots(self.Slots)
 		a.updateWarmUp(now, self)
 	} else if a.server.firstRevision == 0 {
 		a.server.firstRevision = v.Revision
@@ -259,6 +262,9 @@
 	if self.ID == a.server.id && self.Born == a.server.born {
 		return
 	}
+	if a.server.id != "" {
+		a.meter.Reset() // another run of the server may have another speed
+	}
 	a.server.id, a.server.born, a.server.cold = self.ID, self.Born, coldUnknown
 	a.server.newer = self.Created > a.server.firstRevision && self.Seq <= firstSeq && self.Cold > 0 && !a.wasEvacuated
 	a.Events.State("server").Str("id", self.ID).Stringer("created", self.Created).Uint64("seq", self.Seq).Dur("cold", self.Cold).
--- a/internal/node/local/server.go
+++ b/internal/node/local/server.go
@@ -60,6 +60,7 @@
 	}
 	if took := a.flows.FromServer(now, o, s); took > 0 {
 		a.requestAnswered()
+		a.recordService(now, s.Flow, o.Service, took)
 		a.checkResponseTime(now, s.Flow, took)
 		answerTime.Update(took.Seconds())
 		defer a.admit(now)
@@ -85,7 +86,7 @@
 	if !o.Origin.IsValid() {
 		return
 	}
-	m := msgs.Opened{Header: a.head(), Flow: s.Flow, Seq: o.Seq, Load: a.flows.Load(now)}
+	m := msgs.Opened{Header: a.head(), Flow: s.Flow, Seq: o.Seq, Load: a.flows.Load(now), Estimate: a.estimate(now)}
 	a.buf = m.AppendTo(a.buf[:0])
 	a.Wire.ToPeer(o.Origin, a.buf)
 	a.Events.Flow(event.Ordinary, "opened", s.Flow).Stringer("entry", o.Origin).Uint16("busy", m.Load.Busy).
--- a/internal/node/local/warmup.go
+++ b/internal/node/local/warmup.go
@@ -33,6 +33,9 @@
 	if wasUnavailable {
 		a.warmUp.ExtendCold(now, a.Log.View().WarmUp(a.Service).Time)
 	}
+	if !a.lastDown.IsZero() {
+		a.meter.Reset()
+	}
 	a.lastDown, a.unansweredSince = time.Time{}, time.Time{}
 }
 
