A message without an estimate doesn't erase the one before

Cause: an agent that is handed a packet of an open flow sends Owner without an estimate, and the entry took the server's speed for unknown. Change: only a report with a load says that nothing has been measured.

--- a/internal/load/steer/rate.go
+++ b/internal/load/steer/rate.go
@@ -43,9 +43,15 @@
 // Reason returns why the last choice was made.
 func (c *Chooser) Reason() Reason { return c.reason }
 
-// Expect records the estimate that an agent reports for its server.
+// Expect records the estimate of a message that an agent sends without a load. A message without an estimate says
+// nothing.
 func (c *Chooser) Expect(now time.Time, agent netip.Addr, e msgs.Estimate) {
-	r := &c.state(agent).rate
+	if e != (msgs.Estimate{}) {
+		c.state(agent).rate.record(now, e)
+	}
+}
+
+func (r *rate) record(now time.Time, e msgs.Estimate) {
 	r.service, r.reportedAt = e.ServiceTime(), now
 }
 
--- a/internal/load/steer/rate_test.go
+++ b/internal/load/steer/rate_test.go
@@ -58,7 +58,19 @@
 	assert.Equal(t, choose(t, c, now, list), agent(0), "what is measured after the start counts")
 }
 
-// With more load than the own domain's servers have slots, the surcharge holds whatever the speeds are.
+// Guards against an estimate that is forgotten because another message of the agent carries none.
+func TestMessageWithoutEstimateSaysNothing(t *testing.T) {
+	c := New("zg-a", rand.New(rand.NewPCG(1, 2)), parts.Off{})
+	c.Report(now, agent(0), msgs.Load{}, estimate(40*time.Millisecond))
+	c.Expect(now, agent(0), msgs.Estimate{})
+	assert.Equal(t, c.Service(agent(0)), 40*time.Millisecond)
+	c.Expect(now, agent(0), estimate(50*time.Millisecond))
+	assert.Equal(t, c.Service(agent(0)), 50*time.Millisecond)
+	c.Report(now, agent(0), msgs.Load{}, msgs.Estimate{})
+	assert.Equal(t, c.Service(agent(0)), time.Duration(0))
+}
+
+// A local server is used while its slots suffice, also if a server elsewhere is faster.
 func TestSurchargeDoesNotDependOnSpeed(t *testing.T) {
 	c := New("zg-b", rand.New(rand.NewPCG(1, 2)), parts.Off{})
 	list := candidates(2)
--- a/internal/load/steer/steer.go
+++ b/internal/load/steer/steer.go
@@ -213,10 +213,11 @@
 // busyWindow is the number of reports over which the requests in progress are averaged.
 const busyWindow = 8
 
-// Report records the load and the estimate that an agent reports for its server.
+// Report records the load and the estimate that an agent reports for its server. Without an estimate the server's
+// speed is unknown: its agent has measured nothing since a restart, or measures nothing.
 func (c *Chooser) Report(now time.Time, agent netip.Addr, l msgs.Load, e msgs.Estimate) {
-	c.Expect(now, agent, e)
 	s := c.state(agent)
+	s.rate.record(now, e)
 	s.load, s.reportedAt, s.placed = l, now, 0
 	s.avgBusy += (float64(l.Busy) - s.avgBusy) / busyWindow
 	c.avgBusy += (float64(l.Busy) - c.avgBusy) / flowWorkWindow
