Offers compare servers by count again, but for those that are too slow

Cause: weighing utilization by service time over a fifth of the target, so that the visited server that is expected to answer first takes a flow, collects waiting flows at fast servers, where they stay.

Change: a server that misses the target of a flow that others could meet offers it on from a free slot, and counts as busier by its service time; all others are compared by count, as before.

--- a/internal/load/share/share.go
+++ b/internal/load/share/share.go
@@ -9,12 +9,11 @@
 // A server with a free slot takes the flow, unless the server is so slow that the caller's target would be missed
 // there and not at a server of usual speed. Otherwise the opening packet is offered to another agent, first
 // in the same failure domain and then elsewhere, selected at random because no agent has more recent reports
-// than another. After a few visits the visited server that is expected to answer first takes the flow. This is
-// the power of several random choices (Mitzenmacher, 2001), ended early at the first server with a free slot.
-//
-// Agents do not know each other's service times. They all weigh the utilization of their servers by the measured
-// service time over a reference that follows from the route's target, so that the figures can be compared, also
-// with those of an agent that does not weigh them.
+// than another. After a few visits the least busy of the visited servers takes the flow. This is the power
+// of several random choices (Mitzenmacher, 2001), ended early at the first server with a free slot. A server that is
+// too slow counts as busier by its service time, over a reference that follows from the route's target, because
+// agents do not know each other's service times. Otherwise servers are compared by their requests: weighed by
+// service time, fast servers would collect long queues, which cannot move on when another server becomes free.
 //
 // Package share performs no I/O: the caller passes in the source of randomness.
 //
@@ -62,10 +61,10 @@
 	return s.Target > 0 && s.Age+s.Service > s.Target && s.Age+s.Target/referencePart <= s.Target
 }
 
-// cost returns the utilization weighed by the service time, as in msgs.Visit. A request at a server with free slots
-// takes as long as one at a server that is just full.
+// cost returns the utilization as in msgs.Visit. That of a slow server is weighed by its service time, and a request
+// there takes as long with free slots as if the server were just full.
 func (s *Server) cost() uint16 {
-	if s.Service == 0 || s.Target == 0 {
+	if !s.slow() {
 		return s.Utilization
 	}
 	busy := float64(max(s.Utilization, fullUtilization))
