--- a/internal/load/parts/parts.go
+++ b/internal/load/parts/parts.go
@@ -32,6 +32,7 @@
 	Quick    bool // few new flows for a server that answers too fast (package quick)
 	Bulk     bool // queueing of flows that occupy the entry's link for a long time (package bulk)
 	Pace     bool // packets of such flows go out at the rate of the link, after everything else (package pace)
+	Rates    bool // placement and offers by the measured service time of each server (packages speed, steer and share)
 }
 
 // mechanism is a mechanism with its name in settings and its field of Off.
@@ -56,6 +57,7 @@
 	{"quick", func(o *Off) *bool { return &o.Quick }},
 	{"bulk", func(o *Off) *bool { return &o.Bulk }},
 	{"pace", func(o *Off) *bool { return &o.Pace }},
+	{"rates", func(o *Off) *bool { return &o.Rates }},
 }
 
 // Names returns the names of all mechanisms.
