Waiting flows of callers that use less come first

A field Usage of hold.QueuedFlow, and one comparison within a class and priority. Nobody sets the field yet, so the order is as before.

Conclusion: the place where shares between callers take effect.

--- a/internal/load/hold/hold.go
+++ b/internal/load/hold/hold.go
@@ -9,7 +9,8 @@
 // The server receives a flow when a slot is free or about to be free. Waiting flows that can still be
 // answered in time come first, by priority and, within a priority, newest first: under overload this
 // order meets the most deadlines, and callers whose answers are late in any case lose nothing more. Late
-// flows follow, by priority and then oldest first, because the oldest caller is the next to give up. A
+// flows follow, by priority and then oldest first, because the oldest caller is the next to give up. Within
+// a priority, flows of callers that use less come before those of callers that use more (QueuedFlow.Usage). A
 // flow waits no longer than its caller does. If more flows wait than can be served in that time, the last
 // in order is refused at once.
 //
@@ -41,6 +42,7 @@
 	Priority  int           // 0 is the highest
 	FirstSent time.Time     // when the caller sent the first opening packet
 	Target    time.Duration // target latency of the request; 0 if there is none
+	Usage     uint8         // level of what its caller uses already (package usage)
 	Packet    []byte
 }
 
@@ -57,6 +59,8 @@
 		return wOnTime
 	case w.Priority != v.Priority:
 		return w.Priority < v.Priority
+	case w.Usage != v.Usage:
+		return w.Usage < v.Usage
 	case wOnTime:
 		return w.FirstSent.After(v.FirstSent)
 	default:
--- a/internal/load/hold/hold_test.go
+++ b/internal/load/hold/hold_test.go
@@ -101,3 +101,23 @@
 		assert.Equal(r, out+len(seen), len(in))
 	})
 }
+
+// Guards against callers that get more because they open more flows: within a priority, a caller that uses
+// less is served first and is the last to be refused. Neither lateness nor priority is overridden.
+func TestCallersThatUseLessComeFirst(t *testing.T) {
+	q := New(maxWait)
+	for n, usage := range []uint8{3, 0, 1, 0} {
+		w := waiting(n+1, 1, time.Duration(n)*time.Millisecond)
+		w.Usage = usage
+		assert.Assert(t, q.Add(now, w, 6) == nil)
+	}
+	late := waiting(5, 1, 800*time.Millisecond)
+	urgent := waiting(6, 0, 0)
+	urgent.Usage = 9
+	q.Add(now, late, 6)
+	q.Add(now, urgent, 6)
+	assert.Equal(t, q.Add(now, waiting(7, 1, 0), 6), late)
+	assert.Equal(t, q.Add(now, waiting(8, 1, time.Second), 6).Flow, flow(8))
+	assert.Equal(t, q.Add(now, waiting(9, 1, 0), 6).Flow, flow(1), "the highest level is refused first")
+	assert.Equal(t, order(q)[0], 6)
+}
