--- a/internal/flow/owner/owner_test.go
+++ b/internal/flow/owner/owner_test.go
@@ -159,3 +159,19 @@
 	table.Expire(now.Add(16*time.Second), l)
 	assert.Assert(t, table.Get(flow) == nil)
 }
+
+// Guards against requests on an open flow that aren't counted, and further packets or copies of one request that are.
+func TestRequestsAreCountedOnce(t *testing.T) {
+	p := &EntryFlow{}
+	for i, c := range []struct {
+		seq, ack uint32
+		want     int
+	}{{1000, 50, 1}, {1000, 50, 1}, {1100, 50, 1}, {1200, 50, 1}, {1300, 90, 2}, {1300, 90, 2}, {1400, 120, 3}} {
+		s := data(c.seq)
+		s.Ack = c.ack
+		p.Observe(s)
+		assert.Equal(t, p.Requests, c.want, i)
+	}
+	p.Observe(&segs.Segment{Flow: flow, Flags: segs.Ack, Seq: 1500, Ack: 150})
+	assert.Equal(t, p.Requests, 3, "an acknowledgement is no request")
+}
--- /dev/null
+++ b/internal/node/edge/shares_test.go
@@ -0,0 +1,108 @@
+package edge
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mangowinch/internal/flow/segs"
+	"mangowinch/internal/load/parts"
+	"mangowinch/internal/load/usage"
+)
+
+var now = time.Unix(1_700_000_000, 0)
+
+const giveUp = time.Second
+
+func newTestShares() *shares {
+	return newShares(&Config{Shares: &usage.Callers{SiteBits: 32}, Callers: segs.CallerTiming{GiveUp: giveUp}})
+}
+
+// flowOf returns the nth flow of a caller.
+func flowOf(caller byte, n int) segs.Flow {
+	return segs.Flow{Caller: [4]byte{100, 64, 0, caller}, CallerPort: uint16(n), Port: 443}
+}
+
+// Guards against counts in a deployment that doesn't ask for shares.
+func TestNothingIsCountedWithoutSettings(t *testing.T) {
+	for _, s := range []*shares{newShares(&Config{}), newShares(&Config{Shares: &usage.Callers{}, Off: parts.Off{Shares: true}})} {
+		assert.Assert(t, s == nil)
+		assert.Equal(t, s.open(now, flowOf(1, 1)), uint8(0))
+		s.opened(flowOf(1, 1))
+		s.charge(now, flowOf(1, 1))
+		s.tick(now, 1)
+		_, _, first := s.refuse(now, flowOf(1, 1), now)
+		assert.Assert(t, !first)
+	}
+}
+
+// Guards against a caller that stays behind because of flows which no server has opened: their charges are taken
+// back when they are refused, or when the caller has given up, and never twice.
+func TestFlowsThatWereNotOpenedAreNotCharged(t *testing.T) {
+	s := newTestShares()
+	for n := range 40 {
+		f := flowOf(1, n)
+		s.open(now, f)
+		switch n % 4 {
+		case 0:
+			s.opened(f)
+		case 1:
+			s.refuse(now, f, now.Add(time.Second))
+			s.refuse(now, f, now.Add(time.Second))
+		}
+	}
+	s.tick(now, 1)
+	assert.Equal(t, s.counter.Heaviest(now, 1)[0].Requests, 30.0)
+	s.tick(now.Add(giveUp+time.Millisecond), 1)
+	got := s.counter.Heaviest(now, 1)[0].Requests
+	assert.Assert(t, got < 10 && len(s.pending) == 0, got)
+}
+
+// Guards against a refused caller whose next flow isn't seen as a retry, and against new flows that are.
+func TestFlowAfterARefusalIsARetry(t *testing.T) {
+	s := newTestShares()
+	count := func(at time.Time, f segs.Flow) uint64 {
+		before := retried.Get()
+		s.open(at, f)
+		return retried.Get() - before
+	}
+	assert.Equal(t, count(now, flowOf(1, 1)), uint64(0))
+	s.refuse(now, flowOf(1, 1), now.Add(time.Second))
+	assert.Equal(t, count(now, flowOf(2, 1)), uint64(0), "another caller")
+	other := flowOf(1, 2)
+	other.Port = 80
+	assert.Equal(t, count(now, other), uint64(0), "another address")
+	assert.Equal(t, count(now, flowOf(1, 3)), uint64(1))
+	assert.Equal(t, count(now, flowOf(1, 4)), uint64(0), "only one flow was refused")
+	s.refuse(now, flowOf(1, 4), now.Add(time.Second))
+	assert.Equal(t, count(now.Add(time.Second), flowOf(1, 5)), uint64(0), "too late")
+}
+
+// Guards against a line for each refusal, and against memory that grows with the number of callers.
+func TestExclusionIsReportedOnce(t *testing.T) {
+	s := newTestShares()
+	reported := 0
+	for caller := range 2 * maxBehind {
+		for n := range 20 {
+			s.open(now, flowOf(byte(caller), n))
+		}
+		for n := range 10 {
+			if _, _, first := s.refuse(now, flowOf(byte(caller), n), now.Add(time.Second)); first {
+				reported++
+			}
+		}
+	}
+	assert.Equal(t, reported, maxBehind)
+	s.open(now, flowOf(250, 1))
+	_, level, first := s.refuse(now, flowOf(250, 1), now)
+	assert.Assert(t, level == 0 && !first, "a caller that uses little")
+	for i := range 2 * maxRefused {
+		f := segs.Flow{Caller: [4]byte{100, 65, byte(i >> 8), byte(i)}}
+		s.open(now, f)
+		s.refuse(now, f, now.Add(time.Second))
+	}
+	assert.Equal(t, len(s.refused), maxRefused)
+	s.tick(now.Add(2*behindFor), 1)
+	assert.Assert(t, len(s.refused) == 0 && len(s.behind) == 0)
+}
