A caller's use is estimated from its count and the mean of the others

Change: the estimate is the expectation of a rate with an exponential prior of the mean at the entry, and levels begin at 2.

--- a/internal/load/usage/usage.go
+++ b/internal/load/usage/usage.go
@@ -10,8 +10,11 @@
 // or are open, and requests on open flows. The charge for a flow that was not opened is taken back, so that a
 // caller whose flows are refused gets its turn as its level falls, however often it comes again.
 //
-// Counts are a sample: two equal callers differ by chance. Levels are therefore a factor of up to two apart, and a
-// count below minCount is level 0. Entries of a failure domain with fewer entries see a larger part of each caller,
+// Counts are a sample, and small where a failure domain has many entries. The estimate of a caller's use therefore
+// combines its count with the mean of the callers at the entry: the expectation of a rate of which n events were
+// seen, and which was exponentially distributed with that mean before. Callers of a failure domain in a burst are so
+// told from those of others before their own counts show it; within an entry, the order is that of the counts.
+// Levels are a factor of up to two apart, and an estimate below minUse is level 0. Entries of a failure domain with fewer entries see a larger part of each caller,
 // so they scale their counts down (Counter.SetScale): one level means the same use at all entries.
 //
 // The memory is bounded by the space-saving algorithm (Metwally, Agrawal, El Abbadi: Efficient Computation of
@@ -45,9 +48,11 @@
 	// window is the time constant of the decay. A caller's retries extend over some seconds; a shorter window
 	// would forget the caller between them, and a longer one would hold a past burst against it.
 	window = 4 * time.Second
-	// minCount is the count from which a caller has a level above 0. Of callers that send an entry a quarter
-	// as much, one in fifty reaches it by chance.
-	minCount = 4
+	// minUse is the estimate from which a caller has a level above 0. A caller of which nothing was seen is
+	// estimated to less than 1, and one of which a single request was seen to less than 2.
+	minUse = 2
+	// meanInterval is the time between two computations of the mean use.
+	meanInterval = 100 * time.Millisecond
 	// DefaultLimit is the number of callers that an entry counts. It takes about 400 KB.
 	DefaultLimit = 2048
 	// MaxLevel is the highest level.
@@ -64,7 +69,9 @@
 	origin  time.Time
 	latest  time.Time
 	callers map[queue.Caller]*count
-	heap    counts // smallest count first
+	heap    counts  // smallest count first
+	mean    float64 // use of the callers that were seen within the window
+	meanAt  time.Time
 }
 
 // count is the use of one caller, in units of the decayed cost at Counter.origin. Its true use is between
@@ -146,7 +153,7 @@
 
 // Level returns the level of a caller's use per weight. A caller that is not counted has level 0.
 func (c *Counter) Level(now time.Time, caller queue.Caller, weight float64) uint8 {
-	use := c.use(now, caller) * c.scale / max(weight, 1)
+	use := c.estimate(now, caller) * c.scale / max(weight, 1)
 	level, found := slices.BinarySearch(bounds[:], use)
 	if found {
 		level++
@@ -154,9 +161,33 @@
 	return uint8(level)
 }
 
-// bounds are the counts from which a caller has each level above 0. They are a factor of two apart, and from 16 on,
+// estimate returns the expected use of a caller.
+func (c *Counter) estimate(now time.Time, caller queue.Caller) float64 {
+	if c.mean == 0 || now.Sub(c.meanAt) >= meanInterval {
+		c.mean, c.meanAt = c.meanUse(now), now
+	}
+	if c.mean == 0 {
+		return 0
+	}
+	return (c.use(now, caller) + 1) / (1 + 1/c.mean)
+}
+
+// meanUse returns the mean use of the callers that were seen within the window.
+func (c *Counter) meanUse(now time.Time) float64 {
+	growth := c.advance(now)
+	seen, sum := 0, 0.0
+	for _, k := range c.heap {
+		if use := (k.upper - k.excess) / growth; use > 1/math.E {
+			seen++
+			sum += use
+		}
+	}
+	return sum / float64(max(seen, 1))
+}
+
+// bounds are the estimates from which a caller has each level above 0. They are a factor of two apart, and from 16 on,
 // where chance moves a count by a quarter, the square root of it. Within a level, whoever opens more flows gets more.
-var bounds = [MaxLevel]float64{minCount, 8, 16, 23, 32, 45, 64, 91, 128, 181, 256, 362, 512, 724, 1024}
+var bounds = [MaxLevel]float64{minUse, 4, 8, 16, 23, 32, 45, 64, 91, 128, 181, 256, 362, 512, 724}
 
 // Use is what one caller uses, as shown to operators.
 type Use struct {
