--- a/internal/node/edge/counts.go
+++ b/internal/node/edge/counts.go
@@ -25,7 +25,7 @@
 
 // countLevel counts a new flow by the level of what its caller uses.
 func countLevel(level uint8) {
-	metrics.GetOrCreateCounter(`mangowinch_flows_by_level_total{level="` + strconv.Itoa(int(level)) + `"}`).Inc()
+	metrics.GetOrCreateCounter(`mangowinch_flows_by_usage_total{usage="` + strconv.Itoa(int(level)) + `"}`).Inc()
 }
 
 // countRefused counts a flow that was reset before it was open.
--- a/internal/node/edge/place.go
+++ b/internal/node/edge/place.go
@@ -71,7 +71,7 @@
 	if p.Attempts > 1 {
 		class = event.Failure
 	}
-	e.Events.Flow(class, "placed", s.Flow).Stringer("agent", agent).Int("try", p.Attempts).Uint8("level", p.Usage).
+	e.Events.Flow(class, "placed", s.Flow).Stringer("agent", agent).Int("try", p.Attempts).Uint8("usage", p.Usage).
 		Int64("version", v.Version()).Stringer("revision", v.Revision).Send()
 	e.send(v, agent, msgs.Forward{LastResort: p.Returned, Hops: p.Usage, Packet: datagram})
 }
--- a/internal/node/edge/shares.go
+++ b/internal/node/edge/shares.go
@@ -153,7 +153,7 @@
 		retryTime = r.Timeout
 	}
 	if caller, level, first := e.shares.refuse(now, f, now.Add(retryTime)); first {
-		e.Events.State("caller-behind").Stringer("caller", caller).Uint8("level", level).Send()
+		e.Events.State("caller-behind").Stringer("caller", caller).Uint8("usage", level).Send()
 	}
 }
 
