--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -143,7 +143,7 @@
 		expired.Add(n)
 	}
 	e.bulk.Expire(now)
-	e.shares.tick(now, e.Control.EntryShare())
+	e.shares.tick(now, e.Control.EntryShare)
 	e.placeWaiting(now)
 	e.checkReach(now)
 	e.checkSuspects(now)
--- a/internal/node/edge/shares.go
+++ b/internal/node/edge/shares.go
@@ -15,13 +15,16 @@
 	// maxRefused bounds the callers whose last refusal is remembered, and maxBehind those that are known to be
 	// excluded because of their use.
 	maxRefused = 4096
-	maxBehind  = 64
+	maxBehind  = 16
 	// defaultRetryTime is how long a caller with a refused flow is expected to come again if the route has no
 	// timeout.
 	defaultRetryTime = time.Second
 	// behindFor is how long a caller that was refused because of its use counts as excluded, so that one
 	// line is written for one exclusion.
 	behindFor = 30 * time.Second
+	// upkeepInterval is the time between two removals of what is no longer remembered. Doing it at each tick
+	// would take some percent of a small instance's processor.
+	upkeepInterval = time.Second
 	// heaviestShown is the number of callers that the status shows.
 	heaviestShown = 10
 )
@@ -34,6 +37,7 @@
 	pending map[segs.Flow]time.Time // flows that are charged and not known to be open, by when they were placed
 	refused map[attempt]time.Time   // until when the next flow counts as a retry
 	behind  map[queue.Caller]time.Time
+	upkept  time.Time // last upkeep
 }
 
 // attempt is what a caller tries again after a refusal.
@@ -122,18 +126,22 @@
 	return caller, level, true
 }
 
-// tick takes back the charges for flows whose callers have given up, and sets the part of the callers' flows
-// that this entry sees.
-func (s *shares) tick(now time.Time, entryShare float64) {
+// tick takes back the charges for flows whose callers have given up. At times it forgets old refusals and sets the
+// part of the callers' flows that this entry sees.
+func (s *shares) tick(now time.Time, entryShare func() float64) {
 	if s == nil {
 		return
 	}
-	s.counter.SetScale(entryShare)
 	for f, since := range s.pending {
 		if now.Sub(since) > s.giveUp {
 			s.takeBack(now, f)
 		}
 	}
+	if now.Sub(s.upkept) < upkeepInterval {
+		return
+	}
+	s.upkept = now
+	s.counter.SetScale(entryShare())
 	for a, until := range s.refused {
 		if !now.Before(until) {
 			delete(s.refused, a)
--- a/internal/node/edge/shares_test.go
+++ b/internal/node/edge/shares_test.go
@@ -15,6 +15,9 @@
 
 const giveUp = time.Second
 
+// onlyDomain is the share of entries where there is one failure domain.
+func onlyDomain() float64 { return 1 }
+
 func newTestShares() *shares {
 	return newShares(&Config{Shares: &usage.Callers{SiteBits: 32}, Callers: segs.CallerTiming{GiveUp: giveUp}})
 }
@@ -31,7 +34,7 @@
 		assert.Equal(t, s.open(now, flowOf(1, 1)), uint8(0))
 		s.opened(flowOf(1, 1))
 		s.charge(now, flowOf(1, 1))
-		s.tick(now, 1)
+		s.tick(now, onlyDomain)
 		_, _, first := s.refuse(now, flowOf(1, 1), now)
 		assert.Assert(t, !first)
 	}
@@ -52,9 +55,9 @@
 			s.refuse(now, f, now.Add(time.Second))
 		}
 	}
-	s.tick(now, 1)
+	s.tick(now, onlyDomain)
 	assert.Equal(t, s.counter.Heaviest(now, 1)[0].Requests, 30.0)
-	s.tick(now.Add(giveUp+time.Millisecond), 1)
+	s.tick(now.Add(giveUp+time.Millisecond), onlyDomain)
 	got := s.counter.Heaviest(now, 1)[0].Requests
 	assert.Assert(t, got < 10 && len(s.pending) == 0, got)
 }
@@ -103,6 +106,6 @@
 		s.refuse(now, f, now.Add(time.Second))
 	}
 	assert.Equal(t, len(s.refused), maxRefused)
-	s.tick(now.Add(2*behindFor), 1)
+	s.tick(now.Add(2*behindFor), onlyDomain)
 	assert.Assert(t, len(s.refused) == 0 && len(s.behind) == 0)
 }
