--- a/internal/load/usage/usage.go
+++ b/internal/load/usage/usage.go
@@ -48,9 +48,9 @@
 	// window is the time constant of the decay. A caller's retries extend over some seconds; a shorter window
 	// would forget the caller between them, and a longer one would hold a past burst against it.
 	window = 4 * time.Second
-	// minUse is the estimate from which a caller has a level above 0. A caller of which nothing was seen is
-	// estimated to less than 1, and one of which a single request was seen to less than 2.
-	minUse = 2
+	// minUse is the estimate from which a caller has a level above 0. Among equal callers with a mean of 2, one in
+	// twenty reaches it by chance.
+	minUse = 4
 	// meanInterval is the time between two computations of the mean use.
 	meanInterval = 100 * time.Millisecond
 	// DefaultLimit is the number of callers that an entry counts. It takes about 400 KB.
@@ -187,7 +187,7 @@
 
 // bounds are the estimates from which a caller has each level above 0. They are a factor of two apart, and from 16 on,
 // where chance moves a count by a quarter, the square root of it. Within a level, whoever opens more flows gets more.
-var bounds = [MaxLevel]float64{minUse, 4, 8, 16, 23, 32, 45, 64, 91, 128, 181, 256, 362, 512, 724}
+var bounds = [MaxLevel]float64{minUse, 8, 16, 23, 32, 45, 64, 91, 128, 181, 256, 362, 512, 724, 1024}
 
 // Use is what one caller uses, as shown to operators.
 type Use struct {
