A level of admission for a service whose servers are all full

Cause: each agent refuses for itself. In overload an opening packet visits four servers before it is refused, the caller's next attempt four more, while every other server is as full.

Change: package load/level, at the entry. The admitted part of a service and priority falls only while nine of ten servers have reported waits over half of the time left, and agents return flows; it never falls below what is opened plus a tenth, and rises by steps when a quarter has room or hardly a flow is returned. One flow in 32, and one in 100 ms, is admitted at any level. Routes with a timeout only; copies of an opening packet are never refused, since another entry may have brought the flow to a server. Reason overload, mechanism level, lines overload and overload-ends, mangowinch_level_percent.

What decided: DAGOR's condition (queueing time) with its fixed steps, or plain AIMD, has to integrate a queue that takes as long as the timeout to drain, and steps that are quick enough for a burst undershoot; not played, worked out only. The bound by what is opened needs no such steps. Breakwater's credits need messages that older processes don't know.

An agent that returns a flow as busy is no longer avoided for a second: entries learn only from their own flows that it has room again.

--- /dev/null
+++ b/internal/load/level/level.go
@@ -0,0 +1,381 @@
+// Package level decides, at an entry, which part of a service's new opaque flows is admitted while the service
+// is overloaded.
+//
+// An agent whose server is full offers the opening packet to others, and returns it as busy after several
+// visits. If every server is as full, each flow that is refused costs these visits and the time for them, and
+// its caller's next attempt costs them again. Only the entry can refuse a flow without any visit, and it has
+// the waits that agents report with the flows they open.
+//
+// The gate keeps a level for each service and priority, the part of the new flows that is admitted:
+//
+//   - The level falls only if two things are true: nearly all servers of the service have reported, not long
+//     ago, a wait that takes half of the time left to a flow of this priority or more, or refused such a flow;
+//     and agents return flows of this priority. It never falls below the part that agents open, plus a margin
+//     that keeps their queues filled.
+//   - The level rises by steps when a good part of the servers has room, or agents return hardly any flow. It
+//     holds in between.
+//   - A few flows are admitted at any level, so that the end of an overload is noticed. A lower priority is
+//     never admitted in a greater part than a higher one.
+//
+// Servers that have not reported count as having room. An entry that has just started, is cut off from some
+// agents, or serves a service too rarely to know its servers therefore admits every flow, and so does every
+// entry while more than a tenth of the servers has room.
+//
+// The condition on waits is that of DAGOR (Zhou et al., SoCC 2018), which detects overload by queueing time
+// and not by utilization. DAGOR's fixed steps, and other additive increase and multiplicative decrease, undershoot
+// while queues drain; so the level is bounded by what is opened, as in client-side throttling (Beyer et al.,
+// Site Reliability Engineering, 2016, chapter 21). Credits as in Breakwater (Cho et al., OSDI 2020)
+// need messages in both directions and state of the callers at the servers.
+//
+// Package level does not measure waits and does not choose servers. It performs no I/O: the caller passes in
+// the time and the source of randomness. A Gate is not safe for concurrent use.
+//
+// # Usage
+//
+//	g := level.New(random)
+//	g.Report(now, service, agent, estimate)
+//	g.Opened(now, service, priority)
+//	g.Refused(now, service, agent, priority)
+//	if g.Admit(now, service, priority, left, servers) { place(packet) }
+//	for _, c := range g.Changes(now) { log(c) }
+package level
+
+import (
+	"math"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"mangowinch/internal/flow/msgs"
+)
+
+const (
+	// forgetAfter is how long a report is used. It bounds how long an entry refuses flows by what it has
+	// heard and can no longer check.
+	forgetAfter = 5 * time.Second
+	// stepInterval is the shortest time between two steps of a level. In this time every agent has opened
+	// several flows, whose reports show the effect of the last step.
+	stepInterval = 100 * time.Millisecond
+	// averageTime is the time over which flows are counted. It spans several steps, and ends soon enough that
+	// flows returned during an overload don't count for long after it.
+	averageTime = 500 * time.Millisecond
+	// fullPercent is the part of the servers that must be full before a level falls, roomBelowPercent the
+	// part below which it rises.
+	fullPercent      = 90
+	roomBelowPercent = 75
+	// longWaitPart is the part of the time left to a flow that counts as a long wait. Agents take no flows
+	// beyond the whole of it, so an agent that refuses flows reports a little less than that.
+	longWaitPart = 2
+	// margin is how many flows are admitted for each one that is opened, so that there are always enough
+	// waiting flows when a server gets faster.
+	margin = 1.1
+	// fallFactor and riseFactor are the largest steps of a level, riseStep the smallest one up.
+	fallFactor = 0.7
+	riseFactor = 1.2
+	riseStep   = 0.01
+	// fewReturned is the number of returned flows for each opened one below which a level rises whatever
+	// agents have reported. It is well below margin less one, so it isn't reached while servers are full.
+	fewReturned = 0.02
+	// probePart is the part of the flows that is admitted at any level. It is small against a margin of one
+	// tenth and larger than the level of an overload that is survived at all.
+	probePart = 1.0 / 32
+	// probeInterval is the longest time without an admitted flow while there are flows.
+	probeInterval = 100 * time.Millisecond
+	// minOutcomes is the number of opened and returned flows from which their ratio means something.
+	minOutcomes = 8
+	// fullFor is how long a level must have been full before that is reported as a change.
+	fullFor = time.Second
+	// maxServices and maxAgents bound the memory used for services, and for the agents of each.
+	maxServices = 256
+	maxAgents   = 8192
+)
+
+// Gate holds the levels of one entry.
+type Gate struct {
+	random   *rand.Rand
+	services map[string]*service
+}
+
+// service is what is known about one service.
+type service struct {
+	reports    map[netip.Addr]report
+	levels     [msgs.NumWaits]level
+	steppedAt  time.Time
+	limited    bool      // last reported by Changes
+	notFullAt  time.Time // when a level was last below full admission
+	lastLowest int       // lowest level in percent since the last change
+}
+
+// report is what an agent has last reported.
+type report struct {
+	estimate    msgs.Estimate
+	at          time.Time
+	refusedFrom int // highest priority of which the agent has refused a flow since; NumWaits: none
+}
+
+// level is the state of one priority of a service. The counts lose their weight over averageTime.
+type level struct {
+	fallen     float64 // part of the flows that is not admitted
+	arrived    float64
+	admitted   float64
+	opened     float64
+	returned   float64
+	mostLeft   time.Duration // time left to the most patient caller between the last two steps with flows
+	nextLeft   time.Duration // the same since the last step
+	arrivedAt  time.Time
+	admittedAt time.Time
+}
+
+// Change is a service that has begun or ended to refuse flows.
+type Change struct {
+	Service string
+	Limited bool // flows are refused; false: all flows are admitted again
+	Percent int  // of the flows of the lowest priority that were admitted, at the least since the last change
+}
+
+// Level is the admitted part of one priority of a service.
+type Level struct {
+	Service  string
+	Priority int
+	Percent  int
+}
+
+// New returns a gate that has no reports and admits every flow.
+func New(random *rand.Rand) *Gate {
+	return &Gate{random: random, services: map[string]*service{}}
+}
+
+// Report records the estimate that an agent of a service has sent.
+func (g *Gate) Report(now time.Time, name string, agent netip.Addr, e msgs.Estimate) {
+	s := g.service(name)
+	if s == nil {
+		return
+	}
+	if e == (msgs.Estimate{}) {
+		delete(s.reports, agent)
+		return
+	}
+	s.record(agent, report{estimate: e, at: now, refusedFrom: msgs.NumWaits})
+}
+
+// Refused records that an agent has returned a flow as busy, after it was offered to several.
+func (g *Gate) Refused(now time.Time, name string, agent netip.Addr, priority int) {
+	s := g.service(name)
+	if s == nil {
+		return
+	}
+	p := class(priority)
+	s.levels[p].returned++
+	r, known := s.reports[agent]
+	if !known {
+		r.refusedFrom = msgs.NumWaits
+	}
+	r.refusedFrom, r.at = min(r.refusedFrom, p), now
+	s.record(agent, r)
+}
+
+// Opened records that a server of the service has accepted a flow.
+func (g *Gate) Opened(_ time.Time, name string, priority int) {
+	if s := g.service(name); s != nil {
+		s.levels[class(priority)].opened++
+	}
+}
+
+// Admit reports whether a new flow may be placed. The caller of the flow gives up after left; the service has
+// the given number of servers that take new flows.
+func (g *Gate) Admit(now time.Time, name string, priority int, left time.Duration, servers int) bool {
+	s := g.service(name)
+	if s == nil || left <= 0 {
+		return true
+	}
+	p := class(priority)
+	l := &s.levels[p]
+	l.nextLeft = max(l.nextLeft, left)
+	l.arrivedAt = now
+	if now.Sub(s.steppedAt) >= stepInterval {
+		s.step(now, servers)
+	}
+	l.arrived++
+	part := s.part(p)
+	if part < 1 && g.random.Float64() >= part && now.Sub(l.admittedAt) < probeInterval {
+		return false
+	}
+	l.admitted++
+	l.admittedAt = now
+	return true
+}
+
+// Levels returns all levels below full admission, in order.
+func (g *Gate) Levels() (list []Level) {
+	for name, s := range g.services {
+		for p := range s.levels {
+			if part := s.part(p); part < 1 {
+				list = append(list, Level{Service: name, Priority: p, Percent: int(math.Floor(100 * part))})
+			}
+		}
+	}
+	slices.SortFunc(list, func(a, b Level) int {
+		if a.Service != b.Service {
+			if a.Service < b.Service {
+				return -1
+			}
+			return 1
+		}
+		return a.Priority - b.Priority
+	})
+	return list
+}
+
+// Changes returns the services that have begun to refuse flows, or have admitted all flows for fullFor, since
+// the last call. It also removes what is outdated and must be called regularly.
+func (g *Gate) Changes(now time.Time) (list []Change) {
+	for name, s := range g.services {
+		idle := s.idle(now)
+		if idle {
+			s.expire(now)
+		}
+		lowest := int(math.Floor(100 * s.part(msgs.NumWaits-1)))
+		if lowest < 100 {
+			s.notFullAt = now
+			s.lastLowest = min(s.lastLowest, lowest)
+		}
+		limited := lowest < 100 || s.limited && now.Sub(s.notFullAt) < fullFor
+		if limited != s.limited {
+			list = append(list, Change{Service: name, Limited: limited, Percent: s.lastLowest})
+			s.limited, s.lastLowest = limited, 100
+		}
+		if idle && len(s.reports) == 0 && !s.limited {
+			delete(g.services, name)
+		}
+	}
+	slices.SortFunc(list, func(a, b Change) int {
+		if a.Service < b.Service {
+			return -1
+		}
+		return 1
+	})
+	return list
+}
+
+// Retain removes the reports of all agents for which takesFlows returns false, given the service's name.
+func (g *Gate) Retain(takesFlows func(name string, agent netip.Addr) bool) {
+	for name, s := range g.services {
+		for a := range s.reports {
+			if !takesFlows(name, a) {
+				delete(s.reports, a)
+			}
+		}
+	}
+}
+
+// service returns what is known about a service, or nil if there are too many.
+func (g *Gate) service(name string) *service {
+	s := g.services[name]
+	if s == nil && len(g.services) < maxServices {
+		s = &service{reports: map[netip.Addr]report{}, lastLowest: 100}
+		g.services[name] = s
+	}
+	return s
+}
+
+// class returns the index of a priority.
+func class(priority int) int { return min(max(priority, 0), msgs.NumWaits-1) }
+
+func (s *service) record(agent netip.Addr, r report) {
+	if _, known := s.reports[agent]; known || len(s.reports) < maxAgents {
+		s.reports[agent] = r
+	}
+}
+
+// part returns the part of the flows of a priority that is admitted.
+func (s *service) part(p int) float64 {
+	fallen := 0.0
+	for _, l := range s.levels[:p+1] {
+		fallen = max(fallen, l.fallen)
+	}
+	return 1 - fallen
+}
+
+// step moves the levels of a service with the given number of servers.
+func (s *service) step(now time.Time, servers int) {
+	keep := math.Exp(-now.Sub(s.steppedAt).Seconds() / averageTime.Seconds())
+	s.steppedAt = now
+	s.expire(now)
+	for p := range s.levels {
+		l := &s.levels[p]
+		if l.nextLeft > 0 {
+			l.mostLeft, l.nextLeft = l.nextLeft, 0
+		}
+		if l.mostLeft == 0 {
+			continue // no flows
+		}
+		l.move(100*s.full(p, l.mostLeft), servers)
+		l.decay(keep)
+	}
+}
+
+// full returns the number of servers whose wait is long for a flow of a priority with the given time left.
+func (s *service) full(p int, left time.Duration) (n int) {
+	for _, r := range s.reports {
+		if p >= r.refusedFrom || r.estimate.Wait(p)+r.estimate.ServiceTime() > left/longWaitPart {
+			n++
+		}
+	}
+	return n
+}
+
+// move takes one step, by 100 times the number of full servers and the number of all servers.
+func (l *level) move(full, servers int) {
+	part := 1 - l.fallen
+	switch {
+	case full < roomBelowPercent*servers || l.opened > 0 && l.returned < fewReturned*l.opened:
+		part = part*riseFactor + riseStep
+	case full >= fullPercent*servers && l.opened+l.returned >= minOutcomes:
+		part = max(part*fallFactor, l.target(), probePart)
+	}
+	l.fallen = max(0, 1-part)
+}
+
+// target returns the part of the flows to which a level may fall at once.
+func (l *level) target() float64 {
+	admitted := 1.0
+	if l.arrived > 0 {
+		admitted = l.admitted / l.arrived
+	}
+	return margin * admitted * l.opened / (l.opened + l.returned)
+}
+
+func (l *level) decay(keep float64) {
+	l.arrived *= keep
+	l.admitted *= keep
+	l.opened *= keep
+	l.returned *= keep
+	if l.arrived < 0.01 {
+		l.arrived, l.admitted = 0, 0
+	}
+}
+
+// expire removes reports that are too old, and levels without flows.
+func (s *service) expire(now time.Time) {
+	for a, r := range s.reports {
+		if now.Sub(r.at) > forgetAfter {
+			delete(s.reports, a)
+		}
+	}
+	for p := range s.levels {
+		if l := &s.levels[p]; now.Sub(l.arrivedAt) > forgetAfter {
+			*l = level{}
+		}
+	}
+}
+
+// idle reports whether the service has had no flows for long.
+func (s *service) idle(now time.Time) bool {
+	for p := range s.levels {
+		if now.Sub(s.levels[p].arrivedAt) <= forgetAfter {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/load/parts/parts.go
+++ b/internal/load/parts/parts.go
@@ -31,6 +31,7 @@
 	Breaker  bool // no new flows for a server that aborts requests, and notification of its callers (package trip)
 	Quick    bool // few new flows for a server that answers too fast (package quick)
 	Bulk     bool // queueing of flows that occupy the entry's link for a long time (package bulk)
+	Level    bool // refusal at the entry while a service is overloaded (package level)
 }
 
 // mechanism is a mechanism with its name in settings and its field of Off.
@@ -54,6 +55,7 @@
 	{"breaker", func(o *Off) *bool { return &o.Breaker }},
 	{"quick", func(o *Off) *bool { return &o.Quick }},
 	{"bulk", func(o *Off) *bool { return &o.Bulk }},
+	{"level", func(o *Off) *bool { return &o.Level }},
 }
 
 // Names returns the names of all mechanisms.
--- a/internal/load/steer/steer_test.go
+++ b/internal/load/steer/steer_test.go
@@ -141,3 +141,59 @@
 	c.Placed(agent(0))
 	assert.Equal(t, choose(t, c, now, list), agent(1))
 }
+
+// playFullServers plays twenty entries before ten servers with short queues, of which each reports to an entry
+// only with that entry's flows, and returns the flows opened as a part of what the servers can open. The given
+// function is called for each flow that a server returns as busy.
+func playFullServers(seed uint64, demand float64, busy func(c *Chooser, at time.Time, a netip.Addr, l msgs.Load)) (part float64) {
+	const entries, servers, maxQueue, took, duration = 20, 10, 3, 20, 60_000 // took, duration in ms
+	random := rand.New(rand.NewPCG(seed, 1))
+	list := candidates(servers)
+	choosers := make([]*Chooser, entries)
+	for i := range choosers {
+		choosers[i] = New("zg-a", rand.New(rand.NewPCG(seed, uint64(i))), parts.Off{})
+	}
+	var queues [servers][]int // entries of the waiting flows
+	var next [servers]int
+	opened, due := 0, 0.0
+	for ms := range duration {
+		at := now.Add(time.Duration(ms) * time.Millisecond)
+		for i, q := range queues {
+			if len(q) == 0 || ms < next[i] {
+				continue
+			}
+			c := choosers[q[0]]
+			queues[i], next[i] = q[1:], ms+took
+			opened++
+			c.Accepted(agent(i))
+			c.Report(at, agent(i), msgs.Load{Busy: uint16(len(q))})
+		}
+		times := 0.6 * demand
+		if ms%1500 < 250 {
+			times = 3 * demand // a burst
+		}
+		for due += times * servers / took; due >= 1; due-- {
+			e := random.IntN(entries)
+			a, _ := choosers[e].Choose(at, list, nil)
+			choosers[e].Placed(a)
+			i := int(a.As4()[3])
+			if len(queues[i]) < maxQueue {
+				queues[i] = append(queues[i], e)
+			} else {
+				busy(choosers[e], at, a, msgs.Load{Busy: uint16(len(queues[i]))})
+			}
+		}
+	}
+	return float64(opened) * took / servers / duration
+}
+
+// Guards against servers that stand idle after a burst because they returned a flow as busy in it: only entries
+// whose own flows they open would learn that they have room again. Their load says as much as is needed.
+func TestFullServersAreUsedAgainAtOnce(t *testing.T) {
+	for _, demand := range []float64{1.1, 1.5, 2} {
+		reported := playFullServers(1, demand, func(c *Chooser, at time.Time, a netip.Addr, l msgs.Load) { c.Report(at, a, l) })
+		avoided := playFullServers(1, demand, func(c *Chooser, at time.Time, a netip.Addr, _ msgs.Load) { c.Refused(at, a) })
+		t.Logf("demand %.1f: opened %.3f, with avoidance %.3f", demand, reported, avoided)
+		assert.Assert(t, reported > avoided)
+	}
+}
--- a/internal/node/edge/counts.go
+++ b/internal/node/edge/counts.go
@@ -1,6 +1,10 @@
 package edge
 
-import "github.com/VictoriaMetrics/metrics"
+import (
+	"strconv"
+
+	"github.com/VictoriaMetrics/metrics"
+)
 
 var (
 	received    = metrics.NewCounter(`mangowinch_caller_packets_total`)
@@ -32,3 +36,9 @@
 func countReset(reason string) {
 	metrics.GetOrCreateCounter(`mangowinch_flows_reset_total{reason="` + reason + `"}`).Inc()
 }
+
+// setLevel sets the part of a service's new flows that the entry admits, in percent.
+func setLevel(service string, priority, percent int) {
+	name := `mangowinch_level_percent{service="` + service + `",priority="` + strconv.Itoa(priority) + `"}`
+	metrics.GetOrCreateGauge(name, nil).Set(float64(percent))
+}
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -30,6 +30,7 @@
 	"mangowinch/internal/flow/segs"
 	"mangowinch/internal/load/bulk"
 	"mangowinch/internal/load/detect"
+	"mangowinch/internal/load/level"
 	"mangowinch/internal/load/parts"
 	"mangowinch/internal/load/steer"
 	"mangowinch/internal/node/doubt"
@@ -88,6 +89,8 @@
 	flows       *owner.Entry
 	chooser     *steer.Chooser
 	bulk        *bulk.Gate
+	level       *level.Gate
+	levels      []level.Level             // below full admission at the last tick
 	reach       *detect.Detector          // of all agents together: detects that this entry is cut off
 	suspects    *doubt.Monitor            // agents that have left a packet unanswered
 	toReset     []segs.Flow               // flows of failed agents, whose callers are still to be notified
@@ -112,6 +115,7 @@
 		chooser:     steer.New(c.Domain, c.Rand, c.Off),
 		reach:       detect.New(reachBounds),
 		bulk:        newGate(&c),
+		level:       level.New(c.Rand),
 		suspects:    doubt.New(c.Self, c.Prober, c.Rand),
 		cold:        map[string]coldPeriod{},
 		evacuations: map[string]order.Revision{},
@@ -139,6 +143,7 @@
 	}
 	e.bulk.Expire(now)
 	e.placeWaiting(now)
+	e.reportLevels(now)
 	e.checkReach(now)
 	e.checkSuspects(now)
 	e.resetFailedFlows(now)
@@ -151,6 +156,10 @@
 	defer e.mu.Unlock()
 	v := e.Log.View()
 	e.chooser.Retain(v.Homes.Agents())
+	e.level.Retain(func(service string, agent netip.Addr) bool {
+		s, ok := v.Server(agent)
+		return ok && s.Service == service && e.takesFlows(v, s)
+	})
 	present := map[string]bool{}
 	for _, a := range v.Homes.Agents() {
 		s, _ := v.Server(a)
--- /dev/null
+++ b/internal/node/edge/level.go
@@ -0,0 +1,98 @@
+package edge
+
+import (
+	"net/netip"
+	"time"
+
+	"mangowinch/internal/ctrl/belief"
+	"mangowinch/internal/flow/msgs"
+	"mangowinch/internal/flow/segs"
+)
+
+// Admission of new flows while all servers of a service are overloaded (package level). It applies to routes
+// with a timeout: without one, nothing says which wait is too long.
+
+// admitByLevel reports whether the level of its service admits a new flow. Otherwise the flow is refused. A
+// copy of an opening packet is always admitted: a server may have opened its flow by way of another entry.
+func (e *Entry) admitByLevel(now time.Time, v *belief.View, route *belief.Route, s *segs.Segment) bool {
+	if e.Off.Level || route.Timeout <= 0 || s.Ack > 0 {
+		return true
+	}
+	service := pickService(route.Shares, s.Flow)
+	left := route.Timeout
+	if w := e.Callers.OpenWindow(); w > 0 {
+		left = min(left, w)
+	}
+	if e.level.Admit(now, service, route.Priority, left, e.countServers(v, service)) {
+		return true
+	}
+	e.refuse(now, s, "overload")
+	return false
+}
+
+// countServers returns the number of servers of a service that take new flows.
+func (e *Entry) countServers(v *belief.View, service string) (n int) {
+	for _, s := range v.Servers(service) {
+		if e.takesFlows(v, s) {
+			n++
+		}
+	}
+	return n
+}
+
+// takesFlows reports whether a server takes new flows.
+func (e *Entry) takesFlows(v *belief.View, s belief.Server) bool {
+	return s.State != belief.Unknown && s.State != belief.Draining && !e.evacuated(v, s.Domain)
+}
+
+// levelKey returns the service of an agent, and the priority of the route of a flow.
+func (e *Entry) levelKey(agent netip.Addr, f segs.Flow) (service string, priority int, ok bool) {
+	v := e.Log.View()
+	s, known := v.Server(agent)
+	route := v.Route(f.ServiceAddr())
+	if !known || route == nil || route.Timeout <= 0 {
+		return "", 0, false
+	}
+	return s.Service, route.Priority, true
+}
+
+// recordOpened records that an agent's server has opened a flow, and the estimate that came with it.
+func (e *Entry) recordOpened(now time.Time, agent netip.Addr, f segs.Flow, m msgs.Estimate) {
+	if service, priority, ok := e.levelKey(agent, f); ok {
+		e.level.Opened(now, service, priority)
+		e.level.Report(now, service, agent, m)
+	}
+}
+
+// recordEstimate records the estimate that came with the location of a flow.
+func (e *Entry) recordEstimate(now time.Time, agent netip.Addr, f segs.Flow, m msgs.Estimate) {
+	if service, _, ok := e.levelKey(agent, f); ok && m != (msgs.Estimate{}) {
+		e.level.Report(now, service, agent, m)
+	}
+}
+
+// recordBusy records that an agent has returned a flow as busy.
+func (e *Entry) recordBusy(now time.Time, agent netip.Addr, f segs.Flow) {
+	if service, priority, ok := e.levelKey(agent, f); ok {
+		e.level.Refused(now, service, agent, priority)
+	}
+}
+
+// reportLevels logs services that have begun or ended to refuse flows, and updates the levels' metrics.
+func (e *Entry) reportLevels(now time.Time) {
+	for _, c := range e.level.Changes(now) {
+		if c.Limited {
+			e.Events.State("overload").Str("service", c.Service).Int("percent", c.Percent).Send()
+		} else {
+			e.Events.State("overload-ends").Str("service", c.Service).Int("percent", c.Percent).Send()
+		}
+	}
+	levels := e.level.Levels()
+	for _, l := range e.levels {
+		setLevel(l.Service, l.Priority, 100)
+	}
+	for _, l := range levels {
+		setLevel(l.Service, l.Priority, l.Percent)
+	}
+	e.levels = levels
+}
--- a/internal/node/edge/peer.go
+++ b/internal/node/edge/peer.go
@@ -37,6 +37,7 @@
 func (e *Entry) opened(now time.Time, from netip.Addr, m msgs.Opened) {
 	e.chooser.Accepted(from)
 	e.chooser.Report(now, from, m.Load)
+	e.recordOpened(now, from, m.Flow, m.Estimate)
 	if p := e.flows.Get(m.Flow); p != nil {
 		p.MarkAccepted(from, m.Seq)
 	}
@@ -53,7 +54,7 @@
 	countReturned(m.Reason.String())
 	e.Events.Flow(event.Failure, "turned-back", s.Flow).Stringer("agent", from).Stringer("why", m.Reason).
 		Uint16("busy", m.Load.Busy).Uint16("flows", m.Load.Flows).Stringer("revision", m.Revision).Send()
-	e.chooser.Refused(now, from)
+	e.recordReturn(now, from, s.Flow, &m)
 	p := e.flows.Get(s.Flow)
 	if p == nil {
 		if p = e.flows.Add(now, s.Flow); p == nil {
@@ -82,6 +83,17 @@
 	e.place(now, v, route, p, &s, tried, m.Packet)
 }
 
+// recordReturn records that an agent has returned an opening packet. An agent that is merely full is not
+// avoided: the flow was offered to several, and the one that returns it is the least busy of them.
+func (e *Entry) recordReturn(now time.Time, from netip.Addr, f segs.Flow, m *msgs.Refused) {
+	if m.Reason != msgs.ReasonBusy {
+		e.chooser.Refused(now, from)
+		return
+	}
+	e.chooser.Report(now, from, m.Load)
+	e.recordBusy(now, from, f)
+}
+
 // lastOpened reports whether the last agent that the flow was offered to has opened it.
 func lastOpened(p *owner.EntryFlow) bool {
 	last := p.Last()
@@ -103,5 +115,6 @@
 		p.Owner = from
 	}
 	p.Candidates = append(p.Candidates[:0], owner.Candidate{Agent: from})
+	e.recordEstimate(now, from, m.Flow, m.Estimate)
 	e.Events.Flow(event.Ordinary, "told", m.Flow).Stringer("agent", from).Stringer("revision", m.Revision).Send()
 }
--- a/internal/node/edge/place.go
+++ b/internal/node/edge/place.go
@@ -20,6 +20,9 @@
 	}
 	p := e.flows.Get(s.Flow)
 	if p == nil {
+		if !e.bulk.Contains(s.Flow) && !e.admitByLevel(now, v, route, s) {
+			return
+		}
 		if !e.admit(now, v, s, datagram) {
 			return
 		}
