Headroom: how much room services have, and what an order would cost

Cause: operators can't ask how much room is left, or what emptying a failure domain or taking servers away would cost before they give the order.

Change: package load/room (pure): capacity by slots over service time, requests in progress, waits by priority, flows asked for and opened, and what would be refused without some servers. A process that doesn't answer is listed, and the sums say that they are partial. Servers without a reported service time count with the average of their service and are shown as unmeasured.

--- a/internal/node/edge/counts.go
+++ b/internal/node/edge/counts.go
@@ -4,6 +4,8 @@
 	"strconv"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"mangowinch/internal/load/room"
 )
 
 var (
@@ -42,3 +44,11 @@
 	name := `mangowinch_level_percent{service="` + service + `",priority="` + strconv.Itoa(priority) + `"}`
 	metrics.GetOrCreateGauge(name, nil).Set(float64(percent))
 }
+
+// setRoom sets the metrics of a service's servers in one failure domain.
+func setRoom(s *room.Sum) {
+	labels := `{service="` + s.Service + `",domain="` + s.Domain + `"}`
+	metrics.GetOrCreateGauge(`mangowinch_room_slots`+labels, nil).Set(float64(s.Slots))
+	metrics.GetOrCreateGauge(`mangowinch_room_busy`+labels, nil).Set(float64(s.Busy))
+	metrics.GetOrCreateGauge(`mangowinch_room_capacity`+labels, nil).Set(s.Capacity)
+}
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -32,6 +32,7 @@
 	"mangowinch/internal/load/detect"
 	"mangowinch/internal/load/level"
 	"mangowinch/internal/load/parts"
+	"mangowinch/internal/load/room"
 	"mangowinch/internal/load/steer"
 	"mangowinch/internal/node/doubt"
 	"mangowinch/internal/oper/event"
@@ -90,6 +91,9 @@
 	chooser     *steer.Chooser
 	bulk        *bulk.Gate
 	level       *level.Gate
+	room        *room.Meter
+	roomAt      time.Time                 // when the metrics of room were updated
+	roomSums    []room.Sum                // as in these metrics
 	levels      []level.Level             // below full admission at the last tick
 	reach       *detect.Detector          // of all agents together: detects that this entry is cut off
 	suspects    *doubt.Monitor            // agents that have left a packet unanswered
@@ -116,6 +120,7 @@
 		reach:       detect.New(reachBounds),
 		bulk:        newGate(&c),
 		level:       level.New(c.Rand),
+		room:        room.NewMeter(),
 		suspects:    doubt.New(c.Self, c.Prober, c.Rand),
 		cold:        map[string]coldPeriod{},
 		evacuations: map[string]order.Revision{},
@@ -144,6 +149,7 @@
 	e.bulk.Expire(now)
 	e.placeWaiting(now)
 	e.reportLevels(now)
+	e.updateRoom(now)
 	e.checkReach(now)
 	e.checkSuspects(now)
 	e.resetFailedFlows(now)
@@ -156,6 +162,7 @@
 	defer e.mu.Unlock()
 	v := e.Log.View()
 	e.chooser.Retain(v.Homes.Agents())
+	e.room.Retain(now, v.Homes.Agents())
 	e.level.Retain(func(service string, agent netip.Addr) bool {
 		s, ok := v.Server(agent)
 		return ok && s.Service == service && e.takesFlows(v, s)
--- a/internal/node/edge/level.go
+++ b/internal/node/edge/level.go
@@ -56,11 +56,12 @@
 	return s.Service, route.Priority, true
 }
 
-// recordOpened records that an agent's server has opened a flow, and the estimate that came with it.
-func (e *Entry) recordOpened(now time.Time, agent netip.Addr, f segs.Flow, m msgs.Estimate) {
-	if service, priority, ok := e.levelKey(agent, f); ok {
+// recordOpened records that an agent's server has opened a flow, and what the agent sent with it.
+func (e *Entry) recordOpened(now time.Time, agent netip.Addr, m *msgs.Opened) {
+	e.countOpened(now, agent, m)
+	if service, priority, ok := e.levelKey(agent, m.Flow); ok {
 		e.level.Opened(now, service, priority)
-		e.level.Report(now, service, agent, m)
+		e.level.Report(now, service, agent, m.Estimate)
 	}
 }
 
--- a/internal/node/edge/level_test.go
+++ b/internal/node/edge/level_test.go
@@ -114,6 +114,18 @@
 	assert.Equal(t, toCallers, 0)
 }
 
+// Guards against figures for operators that miss a server, its last report, or what callers asked for.
+func TestRoomHoldsReportsAndDemand(t *testing.T) {
+	c := newLevelCase(t, time.Second, parts.Off{})
+	c.overload()
+	r := c.entry.Room(c.now)
+	assert.Equal(t, len(r.Servers), 2)
+	assert.Assert(t, r.Servers[0].Known && r.Servers[0].ServiceMillis == 20)
+	assert.Equal(t, len(r.Demands), 1)
+	assert.Assert(t, r.Demands[0].Asked > r.Demands[0].Opened && r.Demands[0].Opened > 0)
+	assert.Assert(t, r.Demands[0].Percent < 100)
+}
+
 // Guards against refusals where the configuration doesn't call for them, or the mechanism is switched off.
 func TestLevelAppliesToRoutesWithTimeoutOnly(t *testing.T) {
 	for _, c := range []*levelCase{newLevelCase(t, 0, parts.Off{}), newLevelCase(t, time.Second, parts.Off{Level: true})} {
--- a/internal/node/edge/peer.go
+++ b/internal/node/edge/peer.go
@@ -37,7 +37,7 @@
 func (e *Entry) opened(now time.Time, from netip.Addr, m msgs.Opened) {
 	e.chooser.Accepted(from)
 	e.chooser.Report(now, from, m.Load)
-	e.recordOpened(now, from, m.Flow, m.Estimate)
+	e.recordOpened(now, from, &m)
 	if p := e.flows.Get(m.Flow); p != nil {
 		p.MarkAccepted(from, m.Seq)
 	}
--- a/internal/node/edge/place.go
+++ b/internal/node/edge/place.go
@@ -20,6 +20,7 @@
 	}
 	p := e.flows.Get(s.Flow)
 	if p == nil {
+		e.countAsked(now, route, s)
 		if !e.bulk.Contains(s.Flow) && !e.admitByLevel(now, v, route, s) {
 			return
 		}
--- a/internal/node/opaque/agent.go
+++ b/internal/node/opaque/agent.go
@@ -49,6 +49,7 @@
 	p.prober.OnAlive, p.prober.OnAnswer = g.MarkAlive, g.ProbeAnswered
 	p.admin.Section("belief", func() any { return p.status() })
 	p.admin.Section("load", func() any { return g.Load(time.Now()) })
+	p.admin.Section("room", func() any { return g.Room(time.Now()) })
 	staying := p.admin.Condition("staying")
 	staying.Set(true, "")
 	return p.serve(ctx, g.Tick,
--- a/internal/node/opaque/entry.go
+++ b/internal/node/opaque/entry.go
@@ -54,6 +54,7 @@
 	})
 	p.admin.Section("belief", func() any { return p.status() })
 	p.admin.Section("flows", func() any { return e.Len() })
+	p.admin.Section("room", func() any { return e.Room(time.Now()) })
 	p.prober.OnAlive, p.prober.OnAnswer = e.MarkAlive, e.ProbeAnswered
 	staying, configured, reachable := p.admin.Condition("staying"), p.admin.Condition("configuration"), p.admin.Condition("reach")
 	staying.Set(true, "")
--- a/internal/oper/verbs/verbs.go
+++ b/internal/oper/verbs/verbs.go
@@ -43,14 +43,15 @@
 
 // commands declares the commands and global flags for kong.
 type commands struct {
-	Entry   EntryCmd   `cmd:"" help:"Run an entry: forward the datagrams of flows to the agents of their servers."`
-	Agent   AgentCmd   `cmd:"" help:"Run an agent beside a backend server: end connections, let requests in, place them."`
-	Check   CheckCmd   `cmd:"" help:"Check settings files and service documents and list every fault."`
-	Status  StatusCmd  `cmd:"" help:"Ask a running process what it knows and why it decided so."`
-	Compare CompareCmd `cmd:"" help:"Ask several processes whether they are ready with the same documents."`
-	Call    CallCmd    `cmd:"" help:"Send one request as a caller and show what became of it."`
-	Explain ExplainCmd `cmd:"" help:"Tell from collected log lines what became of one opaque flow."`
-	Certify CertifyCmd `cmd:"" help:"Make a certificate and keys for a demonstration; never for real callers."`
+	Entry    EntryCmd    `cmd:"" help:"Run an entry: forward the datagrams of flows to the agents of their servers."`
+	Agent    AgentCmd    `cmd:"" help:"Run an agent beside a backend server: end connections, let requests in, place them."`
+	Check    CheckCmd    `cmd:"" help:"Check settings files and service documents and list every fault."`
+	Status   StatusCmd   `cmd:"" help:"Ask a running process what it knows and why it decided so."`
+	Compare  CompareCmd  `cmd:"" help:"Ask several processes whether they are ready with the same documents."`
+	Headroom HeadroomCmd `cmd:"" help:"Ask processes how much room services have, and what would be refused without some servers."`
+	Call     CallCmd     `cmd:"" help:"Send one request as a caller and show what became of it."`
+	Explain  ExplainCmd  `cmd:"" help:"Tell from collected log lines what became of one opaque flow."`
+	Certify  CertifyCmd  `cmd:"" help:"Make a certificate and keys for a demonstration; never for real callers."`
 
 	Version kong.VersionFlag `help:"Print the version and end."`
 }
--- a/internal/oper/verbs/verbs_test.go
+++ b/internal/oper/verbs/verbs_test.go
@@ -19,6 +19,7 @@
 	"gotest.tools/v3/golden"
 
 	"mangowinch/internal/flow/order"
+	"mangowinch/internal/load/room"
 	"mangowinch/internal/node/start"
 	"mangowinch/internal/oper/admin"
 )
@@ -40,7 +41,7 @@
 }
 
 func TestHelp(t *testing.T) {
-	for _, verb := range []string{"", "entry", "agent", "check", "status", "compare", "call", "call upload", "certify"} {
+	for _, verb := range []string{"", "entry", "agent", "check", "status", "compare", "headroom", "call", "call upload", "certify"} {
 		code, out, _ := run(append(strings.Fields(verb), "--help")...)
 		assert.Equal(t, code, exitOK)
 		golden.Assert(t, out, strings.ReplaceAll("help "+verb, " ", "-")+".golden")
@@ -134,6 +135,55 @@
 		"tracing-core: revision 3 at e3\ntracing-core: revision 4 at e1, e2\n")
 }
 
+// startRoomServer starts the operators' HTTP server of a process that reports the given room.
+func startRoomServer(t *testing.T, r room.Report) (address string) {
+	t.Helper()
+	s := admin.New(netip.AddrPort{}, zerolog.Nop())
+	s.Section("room", func() any { return r })
+	server := httptest.NewServer(s.Handler())
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// roomOf returns the room of a service with a server in each of two failure domains. Only the first one has
+// been measured.
+func roomOf(busy int, age int64) room.Report {
+	return room.Report{
+		Servers: []room.Server{
+			{ID: "s1", Agent: "10.0.1.1", Service: "svc", Domain: "zg-a", Open: true, Slots: 2, Known: true, Busy: busy,
+				ServiceMillis: 20, WaitMillis: [4]float64{5, 10, 20, 40}, AgeMillis: age},
+			{ID: "s2", Agent: "10.0.2.1", Service: "svc", Domain: "zg-b", Open: true, Slots: 2, Known: true, Busy: 1, AgeMillis: 300},
+			{ID: "s3", Agent: "10.0.2.2", Service: "new", Domain: "zg-b", Slots: 4},
+		},
+		Demands: []room.Demand{
+			{Service: "svc", Priority: 0, Asked: 60, Opened: 60, Percent: 100},
+			{Service: "svc", Priority: 2, Asked: 30, Opened: 15, Percent: 40},
+		},
+	}
+}
+
+// Guards against an order that is given because a process which didn't answer, or a server that nobody has
+// measured, was taken for room.
+func TestHeadroom(t *testing.T) {
+	a, b := startRoomServer(t, roomOf(2, 100)), startRoomServer(t, roomOf(0, 2000))
+	code, out, err := run("headroom", a, b)
+	assert.Equal(t, code, exitOK, err)
+	golden.Assert(t, out, "headroom.golden")
+
+	code, out, err = run("headroom", a, b, "127.0.0.1:1", startStatusServer(t, "e3", 3, ""), "--without", "zg-b")
+	assert.Equal(t, code, exitFailure, err)
+	_, old, _ := strings.Cut(out, "\n") // the addresses of the test's servers differ from run to run
+	_, old, _ = strings.Cut(old, "\n")
+	assert.Assert(t, strings.HasPrefix(out, "127.0.0.1:1: does not answer\n"), out)
+	golden.Assert(t, old, "headroom-without.golden")
+
+	code, _, err = run("headroom", a, "--without", "zg-x,s1")
+	assert.Equal(t, code, exitUsage)
+	assert.Assert(t, strings.Contains(err, "no server or failure domain zg-x"), err)
+	code, _, _ = run("headroom", "127.0.0.1:1")
+	assert.Equal(t, code, exitUsage)
+}
+
 func TestCertifyKeepsExistingFiles(t *testing.T) {
 	directory := certifiedDir(t)
 	before, err := os.ReadFile(filepath.Join(directory, "k1.key"))
