The level shortens waits while it is certain that they are long

Cause: bounded by somewhat more than is opened, the level left servers' queues as long as callers wait at most; answers came just before they gave up.

Change: if nine of ten servers reported a long wait less ago than that wait takes, the level falls to 0.8 of what is opened, also when nothing is returned; by older reports as before.

--- a/internal/load/level/level.go
+++ b/internal/load/level/level.go
@@ -8,10 +8,13 @@
 //
 // The gate keeps a level for each service and priority, the part of the new flows that is admitted:
 //
-//   - The level falls only if two things are true: nearly all servers of the service have reported, not long
-//     ago, a wait that takes half of the time left to a flow of this priority or more, or refused such a flow;
-//     and agents return flows of this priority. It never falls below the part that agents open, plus a margin
-//     that keeps their queues filled.
+//   - A server is full if it has reported, not long ago, a wait that takes half of the time left to a flow of
+//     this priority or more, or has refused such a flow. The level falls only while nearly all servers of the
+//     service are full.
+//   - If nearly all of these reports are so new that the wait can't have passed, the level falls to less than
+//     the part that is opened, until the waits are below that half again. By older reports it falls only if
+//     agents return flows, and to somewhat more than the part that is opened, which keeps servers busy
+//     whatever has changed since.
 //   - The level rises by steps when a good part of the servers has room, or agents return hardly any flow. It
 //     holds in between.
 //   - A few flows are admitted at any level, so that the end of an overload is noticed. A lower priority is
@@ -22,9 +25,9 @@
 // entry while more than a tenth of the servers has room.
 //
 // The condition on waits is that of DAGOR (Zhou et al., SoCC 2018), which detects overload by queueing time
-// and not by utilization. DAGOR's fixed steps, and other additive increase and multiplicative decrease, undershoot
-// while queues drain; so the level is bounded by what is opened, as in client-side throttling (Beyer et al.,
-// Site Reliability Engineering, 2016, chapter 21). Credits as in Breakwater (Cho et al., OSDI 2020)
+// and not by utilization. Its fixed steps, and other additive increase and multiplicative decrease, go on
+// falling for as long as reports are old; so the level is bounded by what is opened, as in client-side
+// throttling (Beyer et al., Site Reliability Engineering, 2016, chapter 21). Credits as in Breakwater (Cho et al., OSDI 2020)
 // need messages in both directions and state of the callers at the servers.
 //
 // Package level does not measure waits and does not choose servers. It performs no I/O: the caller passes in
@@ -67,9 +70,12 @@
 	// longWaitPart is the part of the time left to a flow that counts as a long wait. Agents take no flows
 	// beyond the whole of it, so an agent that refuses flows reports a little less than that.
 	longWaitPart = 2
-	// margin is how many flows are admitted for each one that is opened, so that there are always enough
-	// waiting flows when a server gets faster.
+	// margin is how many flows are admitted at least for each one that is opened, so that there are enough
+	// waiting flows when a server has got faster since its report.
 	margin = 1.1
+	// drainMargin is the same while it is certain that waits are long. The waits of half of a flow's time
+	// become shorter within a few seconds, and no server is idle meanwhile.
+	drainMargin = 0.8
 	// fallFactor and riseFactor are the largest steps of a level, riseStep the smallest one up.
 	fallFactor = 0.7
 	riseFactor = 1.2
@@ -110,8 +116,9 @@
 // report is what an agent has last reported.
 type report struct {
 	estimate    msgs.Estimate
-	at          time.Time
-	refusedFrom int // highest priority of which the agent has refused a flow since; NumWaits: none
+	estimatedAt time.Time
+	at          time.Time // of the estimate, or of the last refusal
+	refusedFrom int       // highest priority of which the agent has refused a flow since; NumWaits: none
 }
 
 // level is the state of one priority of a service. The counts lose their weight over averageTime.
@@ -156,7 +163,7 @@
 		delete(s.reports, agent)
 		return
 	}
-	s.record(agent, report{estimate: e, at: now, refusedFrom: msgs.NumWaits})
+	s.record(agent, report{estimate: e, estimatedAt: now, at: now, refusedFrom: msgs.NumWaits})
 }
 
 // Refused records that an agent has returned a flow as busy, after it was offered to several.
@@ -310,40 +317,51 @@
 		if l.mostLeft == 0 {
 			continue // no flows
 		}
-		l.move(100*s.full(p, l.mostLeft), servers)
+		full, freshlyFull := s.full(now, p, l.mostLeft)
+		l.move(100*full, 100*freshlyFull, servers)
 		l.decay(keep)
 	}
 }
 
-// full returns the number of servers whose wait is long for a flow of a priority with the given time left.
-func (s *service) full(p int, left time.Duration) (n int) {
+// full returns the number of servers whose wait is long for a flow of a priority with the given time left, and
+// the number of those of which this is certain: a wait that was reported less than its own length ago.
+func (s *service) full(now time.Time, p int, left time.Duration) (full, fresh int) {
+	long := left / longWaitPart
 	for _, r := range s.reports {
-		if p >= r.refusedFrom || r.estimate.Wait(p)+r.estimate.ServiceTime() > left/longWaitPart {
-			n++
+		switch {
+		case r.estimate.Wait(p)+r.estimate.ServiceTime() > long:
+			full++
+			if now.Sub(r.estimatedAt) < long {
+				fresh++
+			}
+		case p >= r.refusedFrom:
+			full++
 		}
 	}
-	return n
+	return full, fresh
 }
 
-// move takes one step, by 100 times the number of full servers and the number of all servers.
-func (l *level) move(full, servers int) {
+// move takes one step, by 100 times the number of full servers, 100 times the number of those that are so for
+// certain, and the number of all servers.
+func (l *level) move(full, freshlyFull, servers int) {
 	part := 1 - l.fallen
 	switch {
+	case freshlyFull >= fullPercent*servers:
+		part = max(part*fallFactor, drainMargin*l.openedPart(), probePart)
 	case full < roomBelowPercent*servers || l.opened > 0 && l.returned < fewReturned*l.opened:
 		part = part*riseFactor + riseStep
 	case full >= fullPercent*servers && l.opened+l.returned >= minOutcomes:
-		part = max(part*fallFactor, l.target(), probePart)
+		part = max(part*fallFactor, margin*l.openedPart(), probePart)
 	}
 	l.fallen = max(0, 1-part)
 }
 
-// target returns the part of the flows to which a level may fall at once.
-func (l *level) target() float64 {
-	admitted := 1.0
-	if l.arrived > 0 {
-		admitted = l.admitted / l.arrived
+// openedPart returns the part of the flows that was admitted and opened.
+func (l *level) openedPart() float64 {
+	if l.arrived == 0 || l.opened+l.returned == 0 {
+		return 1
 	}
-	return margin * admitted * l.opened / (l.opened + l.returned)
+	return l.admitted / l.arrived * l.opened / (l.opened + l.returned)
 }
 
 func (l *level) decay(keep float64) {
