A cold server that returns a flow as busy is avoided as before

Cause: a cold server's load does not show the rate that limits it. Placed by its load alone it would get flow after flow and return each.

Change: only agents with warm servers are placed by their load after they have returned a flow as busy. Reports of agents in a failure domain that an agent says is evacuated are dropped at once, since these servers no longer count.

--- a/internal/load/level/sim_test.go
+++ b/internal/load/level/sim_test.go
@@ -1,6 +1,7 @@
 package level
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"net/netip"
@@ -254,10 +255,12 @@
 	for _, times := range []float64{1.1, 2, 9} {
 		for _, staleness := range []time.Duration{time.Second, 5 * time.Second} {
 			for _, lost := range []float64{0, 0.3} {
-				p := (&play{demand: steady(times), duration: 10 * time.Second, staleness: staleness, lost: lost}).run()
-				t.Logf("%.1f, reports every %v, %.1f lost: answered %.3f, visits per refusal %.2f, by second %v", times, staleness, lost,
-					p.answered(), p.visitsPerRefusal(), p.bySecond[:10])
-				assert.Assert(t, p.answered() > 0.95)
+				t.Run(fmt.Sprintf("%.1f, reports every %v, %.1f lost", times, staleness, lost), func(t *testing.T) {
+					t.Parallel()
+					p := (&play{demand: steady(times), duration: 10 * time.Second, staleness: staleness, lost: lost}).run()
+					t.Logf("answered %.3f, visits per refusal %.2f, by second %v", p.answered(), p.visitsPerRefusal(), p.bySecond[:10])
+					assert.Assert(t, p.answered() > 0.95)
+				})
 			}
 		}
 	}
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -163,10 +163,7 @@
 	v := e.Log.View()
 	e.chooser.Retain(v.Homes.Agents())
 	e.room.Retain(now, v.Homes.Agents())
-	e.level.Retain(func(service string, agent netip.Addr) bool {
-		s, ok := v.Server(agent)
-		return ok && s.Service == service && e.takesFlows(v, s)
-	})
+	e.retainReports(v)
 	present := map[string]bool{}
 	for _, a := range v.Homes.Agents() {
 		s, _ := v.Server(a)
--- a/internal/node/edge/evacuate.go
+++ b/internal/node/edge/evacuate.go
@@ -28,6 +28,7 @@
 	}
 	if s, ok := v.Server(agent); ok {
 		e.evacuations[s.Domain] = max(e.evacuations[s.Domain], m.Revision)
+		e.retainReports(v)
 	}
 }
 
--- a/internal/node/edge/level.go
+++ b/internal/node/edge/level.go
@@ -45,6 +45,14 @@
 	return s.State != belief.Unknown && s.State != belief.Draining && !e.evacuated(v, s.Domain)
 }
 
+// retainReports drops the reports of agents whose servers take no new flows.
+func (e *Entry) retainReports(v *belief.View) {
+	e.level.Retain(func(service string, agent netip.Addr) bool {
+		s, ok := v.Server(agent)
+		return ok && s.Service == service && e.takesFlows(v, s)
+	})
+}
+
 // levelKey returns the service of an agent, and the priority of the route of a flow.
 func (e *Entry) levelKey(agent netip.Addr, f segs.Flow) (service string, priority int, ok bool) {
 	v := e.Log.View()
--- a/internal/node/edge/level_test.go
+++ b/internal/node/edge/level_test.go
@@ -28,10 +28,16 @@
 }
 
 // countingWire counts what an entry sends.
-type countingWire struct{ toPeers, toCallers int }
+type countingWire struct {
+	toPeers, toCallers int
+	toAgent            map[netip.Addr]int
+}
 
-func (w *countingWire) ToPeer(netip.Addr, []byte) { w.toPeers++ }
-func (w *countingWire) ToCaller([4]byte, []byte)  { w.toCallers++ }
+func (w *countingWire) ToPeer(a netip.Addr, _ []byte) {
+	w.toPeers++
+	w.toAgent[a]++
+}
+func (w *countingWire) ToCaller([4]byte, []byte) { w.toCallers++ }
 
 // levelCase is an entry before two servers of a service that are full.
 type levelCase struct {
@@ -47,7 +53,7 @@
 	events := event.New(io.Discard, "entry", "e1")
 	t.Cleanup(events.Close)
 	c := &levelCase{
-		wire: &countingWire{},
+		wire: &countingWire{toAgent: map[netip.Addr]int{}},
 		flow: segs.Flow{Caller: [4]byte{100, 64, 0, 7}, Service: [4]byte{198, 18, 0, 1}, Port: 443},
 		now:  time.Unix(1_700_000_000, 0),
 	}
@@ -114,6 +120,22 @@
 	assert.Equal(t, toCallers, 0)
 }
 
+// Guards against a full server that is avoided though it is the least busy one, and against a cold server that
+// gets flow after flow because its load is low, while the rate that limits it is used up.
+func TestBusyServerIsAvoidedOnlyWhileItIsCold(t *testing.T) {
+	for _, cold := range []bool{false, true} {
+		c := newLevelCase(t, time.Second, parts.Off{})
+		busy := netip.AddrFrom4([4]byte{10, 0, 1, 1})
+		if cold {
+			c.entry.cold["10.0.1.1:80"] = coldPeriod{until: c.now.Add(time.Minute)}
+		}
+		c.entry.returned(c.now, busy, msgs.Refused{Reason: msgs.ReasonBusy, Load: msgs.Load{Busy: 1}, Packet: c.packet(0)})
+		c.send(0)
+		got := c.wire.toAgent[busy]
+		assert.Assert(t, cold && got == 0 || !cold && got > 30, "cold %v: %d", cold, got)
+	}
+}
+
 // Guards against figures for operators that miss a server, its last report, or what callers asked for.
 func TestRoomHoldsReportsAndDemand(t *testing.T) {
 	c := newLevelCase(t, time.Second, parts.Off{})
--- a/internal/node/edge/peer.go
+++ b/internal/node/edge/peer.go
@@ -84,14 +84,18 @@
 }
 
 // recordReturn records that an agent has returned an opening packet. An agent that is merely full is not
-// avoided: the flow was offered to several, and the one that returns it is the least busy of them.
+// avoided: the flow was offered to several, and the one that returns it is the least busy of them. A cold
+// server is avoided, because its load does not show the rate that limits it.
 func (e *Entry) recordReturn(now time.Time, from netip.Addr, f segs.Flow, m *msgs.Refused) {
-	if m.Reason != msgs.ReasonBusy {
+	s, _ := e.Log.View().Server(from)
+	if m.Reason == msgs.ReasonBusy {
+		e.recordBusy(now, from, f)
+	}
+	if m.Reason == msgs.ReasonBusy && !now.Before(e.cold[s.ID].until) {
+		e.chooser.Report(now, from, m.Load)
+	} else {
 		e.chooser.Refused(now, from)
-		return
 	}
-	e.chooser.Report(now, from, m.Load)
-	e.recordBusy(now, from, f)
 }
 
 // lastOpened reports whether the last agent that the flow was offered to has opened it.
