Reports of servers that take no new flows don't move the level

Cause: retainReports dropped the reports of drained and evacuated servers when the view changed, but their agents go on opening the flows that wait there, and each brought a new report. It was counted as a full server while the server itself was not counted: half of a service drained made the other half look full.

Change: levelKey ignores agents whose servers take no new flows.

Shown: TestReportsOfDrainingServersDoNotCount fails without the change, passes with it.

--- a/internal/node/edge/level.go
+++ b/internal/node/edge/level.go
@@ -53,12 +53,14 @@
 	})
 }
 
-// levelKey returns the service of an agent, and the priority of the route of a flow.
+// levelKey returns the service of an agent, and the priority of the route of a flow. It returns false if the
+// flow says nothing about the level: the route has no timeout, or the server takes no new flows, so that it is
+// not counted among the servers of its service.
 func (e *Entry) levelKey(agent netip.Addr, f segs.Flow) (service string, priority int, ok bool) {
 	v := e.Log.View()
 	s, known := v.Server(agent)
 	route := v.Route(f.ServiceAddr())
-	if !known || route == nil || route.Timeout <= 0 {
+	if !known || route == nil || route.Timeout <= 0 || !e.takesFlows(v, s) {
 		return "", 0, false
 	}
 	return s.Service, route.Priority, true
--- a/internal/node/edge/level_test.go
+++ b/internal/node/edge/level_test.go
@@ -120,6 +120,27 @@
 	assert.Equal(t, toCallers, 0)
 }
 
+// Guards against flows refused for servers with room because of servers that take no flows any more: their
+// agents go on opening the flows that wait there, and report.
+func TestReportsOfDrainingServersDoNotCount(t *testing.T) {
+	c := newLevelCase(t, time.Second, parts.Off{})
+	c.entry.Log.Apply(c.now, belief.Change{From: 5, To: 6, Items: []belief.Item{{Key: "10.0.1.1:80", Revision: 6, Server: &belief.Server{
+		ID: "10.0.1.1:80", Service: "s", Addr: netip.MustParseAddrPort("10.0.1.1:80"), State: belief.Draining, Slots: 1,
+	}}}})
+	c.entry.ViewChanged(c.now)
+	full := msgs.NewEstimate(20*time.Millisecond, [msgs.NumWaits]time.Duration{time.Second, time.Second, time.Second, time.Second})
+	for range 200 {
+		c.now = c.now.Add(10 * time.Millisecond)
+		f := c.flow
+		f.CallerPort = 60000
+		draining := netip.AddrFrom4([4]byte{10, 0, 1, 1})
+		c.entry.opened(c.now, draining, msgs.Opened{Flow: f, Estimate: full})
+		c.entry.agentAnswered(draining)
+		c.entry.FromCaller(c.now, c.packet(0))
+	}
+	assert.Equal(t, c.wire.toCallers, 0)
+}
+
 // Guards against a full server that is avoided though it is the least busy one, and against a cold server that
 // gets flow after flow because its load is low, while the rate that limits it is used up.
 func TestBusyServerIsAvoidedOnlyWhileItIsCold(t *testing.T) {
