Level: long requests, services without servers, and old refusals are no overload

Causes, each with a test that fails without the change: - A server's own time counted as wait. Where a request takes half of a route's timeout, every idle server was full, and with fresh reports the level fell to one flow in 32. Now the wait is compared with half of the time that remains beside the request. - With no server that takes flows, nothing full was nine tenths of nothing: flows to draining servers, which placement still uses, were refused with overload. - A refusal renewed the age of the whole report, so refusals of a low priority kept an old estimate, and an old refusal of a higher priority, for as long as they came. Each has its own age now.

Also: cmp.Compare in place of hand-written comparisons; fullFor, which was about full admission beside fullPercent about full servers, is endDelay; three comments. No test was changed; three were added.

--- a/internal/load/level/level.go
+++ b/internal/load/level/level.go
@@ -8,9 +8,9 @@
 //
 // The gate keeps a level for each service and priority, the part of the new flows that is admitted:
 //
-//   - A server is full if it has reported, not long ago, a wait that takes half of the time left to a flow of
-//     this priority or more, or has refused such a flow. The level falls only while nearly all servers of the
-//     service are full.
+//   - A server is full if it has reported, not long ago, a wait that takes more than half of the time left to a
+//     flow of this priority beside the server's own, or has refused such a flow. The level falls only while
+//     nearly all servers of the service are full.
 //   - If nearly all of these reports are so new that the wait can't have passed, the level falls to less than
 //     the part that is opened, until the waits are below that half again. By older reports it falls only if
 //     agents return flows, and to somewhat more than the part that is opened, which keeps servers busy
@@ -44,6 +44,7 @@
 package level
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"net/netip"
@@ -67,8 +68,8 @@
 	// part below which it rises.
 	fullPercent      = 90
 	roomBelowPercent = 75
-	// longWaitPart is the part of the time left to a flow that counts as a long wait. Agents take no flows
-	// beyond the whole of it, so an agent that refuses flows reports a little less than that.
+	// longWaitPart divides the time that a flow has left to wait: a longer wait than this part counts as long.
+	// Agents take no flows beyond the whole of it, so an agent that refuses flows reports a little less than that.
 	longWaitPart = 2
 	// margin is how many flows are admitted at least for each one that is opened, so that there are enough
 	// waiting flows when a server has got faster since its report.
@@ -83,15 +84,15 @@
 	// fewReturned is the number of returned flows for each opened one below which a level rises whatever
 	// agents have reported. It is well below margin less one, so it isn't reached while servers are full.
 	fewReturned = 0.02
-	// probePart is the part of the flows that is admitted at any level. It is small against a margin of one
-	// tenth and larger than the level of an overload that is survived at all.
+	// probePart is the part of the flows that is admitted at any level. It is small against margin less one, so
+	// that probes alone don't fill servers.
 	probePart = 1.0 / 32
 	// probeInterval is the longest time without an admitted flow while there are flows.
 	probeInterval = 100 * time.Millisecond
-	// minOutcomes is the number of opened and returned flows from which their ratio means something.
+	// minOutcomes is the number of opened and returned flows below which their ratio is left to chance.
 	minOutcomes = 8
-	// fullFor is how long a level must have been full before that is reported as a change.
-	fullFor = time.Second
+	// endDelay is how long every flow must have been admitted before an overload is reported as ended.
+	endDelay = time.Second
 	// maxServices and maxAgents bound the memory used for services, and for the agents of each.
 	maxServices = 256
 	maxAgents   = 8192
@@ -117,8 +118,7 @@
 type report struct {
 	estimate    msgs.Estimate
 	estimatedAt time.Time
-	at          time.Time // of the estimate, or of the last refusal
-	refusedFrom int       // highest priority of which the agent has refused a flow since; NumWaits: none
+	refusedAt   [msgs.NumWaits]time.Time // by priority: the last refusal since the estimate
 }
 
 // level is the state of one priority of a service. The counts lose their weight over averageTime.
@@ -163,7 +163,7 @@
 		delete(s.reports, agent)
 		return
 	}
-	s.record(agent, report{estimate: e, estimatedAt: now, at: now, refusedFrom: msgs.NumWaits})
+	s.record(agent, report{estimate: e, estimatedAt: now})
 }
 
 // Refused records that an agent has returned a flow as busy, after it was offered to several.
@@ -174,11 +174,8 @@
 	}
 	p := class(priority)
 	s.levels[p].returned++
-	r, known := s.reports[agent]
-	if !known {
-		r.refusedFrom = msgs.NumWaits
-	}
-	r.refusedFrom, r.at = min(r.refusedFrom, p), now
+	r := s.reports[agent]
+	r.refusedAt[p] = now
 	s.record(agent, r)
 }
 
@@ -190,10 +187,10 @@
 }
 
 // Admit reports whether a new flow may be placed. The caller of the flow gives up after left; the service has
-// the given number of servers that take new flows.
+// the given number of servers that take new flows. Without any server, waits don't decide about the flow.
 func (g *Gate) Admit(now time.Time, name string, priority int, left time.Duration, servers int) bool {
 	s := g.service(name)
-	if s == nil || left <= 0 {
+	if s == nil || left <= 0 || servers <= 0 {
 		return true
 	}
 	p := class(priority)
@@ -223,18 +220,12 @@
 		}
 	}
 	slices.SortFunc(list, func(a, b Level) int {
-		if a.Service != b.Service {
-			if a.Service < b.Service {
-				return -1
-			}
-			return 1
-		}
-		return a.Priority - b.Priority
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Priority, b.Priority))
 	})
 	return list
 }
 
-// Changes returns the services that have begun to refuse flows, or have admitted all flows for fullFor, since
+// Changes returns the services that have begun to refuse flows, or have admitted all flows for endDelay, since
 // the last call. It also removes what is outdated and must be called regularly.
 func (g *Gate) Changes(now time.Time) (list []Change) {
 	for name, s := range g.services {
@@ -247,7 +238,7 @@
 			s.notFullAt = now
 			s.lastLowest = min(s.lastLowest, lowest)
 		}
-		limited := lowest < 100 || s.limited && now.Sub(s.notFullAt) < fullFor
+		limited := lowest < 100 || s.limited && now.Sub(s.notFullAt) < endDelay
 		if limited != s.limited {
 			list = append(list, Change{Service: name, Limited: limited, Percent: s.lastLowest})
 			s.limited, s.lastLowest = limited, 100
@@ -256,12 +247,7 @@
 			delete(g.services, name)
 		}
 	}
-	slices.SortFunc(list, func(a, b Change) int {
-		if a.Service < b.Service {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(list, func(a, b Change) int { return cmp.Compare(a.Service, b.Service) })
 	return list
 }
 
@@ -326,21 +312,28 @@
 // full returns the number of servers whose wait is long for a flow of a priority with the given time left, and
 // the number of those of which this is certain: a wait that was reported less than its own length ago.
 func (s *service) full(now time.Time, p int, left time.Duration) (full, fresh int) {
-	long := left / longWaitPart
 	for _, r := range s.reports {
+		wait := r.estimate.Wait(p)
+		long := max(0, left-r.estimate.ServiceTime()) / longWaitPart
+		age := now.Sub(r.estimatedAt)
 		switch {
-		case r.estimate.Wait(p)+r.estimate.ServiceTime() > long:
+		case wait > long && age <= forgetAfter:
 			full++
-			if now.Sub(r.estimatedAt) < long {
+			if age < long {
 				fresh++
 			}
-		case p >= r.refusedFrom:
+		case r.hasRefused(now, p):
 			full++
 		}
 	}
 	return full, fresh
 }
 
+// hasRefused reports whether the agent has refused a flow of a priority or a higher one, not long ago.
+func (r *report) hasRefused(now time.Time, p int) bool {
+	return slices.ContainsFunc(r.refusedAt[:p+1], func(at time.Time) bool { return now.Sub(at) <= forgetAfter })
+}
+
 // move takes one step, by 100 times the number of full servers, 100 times the number of those that are so for
 // certain, and the number of all servers.
 func (l *level) move(full, freshlyFull, servers int) {
@@ -377,7 +370,7 @@
 // expire removes reports that are too old, and levels without flows.
 func (s *service) expire(now time.Time) {
 	for a, r := range s.reports {
-		if now.Sub(r.at) > forgetAfter {
+		if now.Sub(r.estimatedAt) > forgetAfter && !r.hasRefused(now, msgs.NumWaits-1) {
 			delete(s.reports, a)
 		}
 	}
--- a/internal/load/level/level_test.go
+++ b/internal/load/level/level_test.go
@@ -52,6 +52,55 @@
 	})
 }
 
+// Guards against flows refused because requests take long, while servers have no queues.
+func TestLongRequestsAreNoOverload(t *testing.T) {
+	for _, service := range []time.Duration{timeout / 2, timeout * 9 / 10, 2 * timeout} {
+		g, now := newGate(), begin
+		for range 200 {
+			now = now.Add(10 * time.Millisecond)
+			for a := range 10 {
+				g.Report(now, "svc", agentAddr(a), msgs.NewEstimate(service, [msgs.NumWaits]time.Duration{}))
+			}
+			assert.Assert(t, g.Admit(now, "svc", 0, timeout, 10))
+		}
+	}
+}
+
+// Guards against a refusal for overload where the last servers of a service drain.
+func TestServiceWithoutServersIsLeftToPlacement(t *testing.T) {
+	g := newGate()
+	now := overload(g, begin)
+	for range 500 {
+		now = now.Add(10 * time.Millisecond)
+		assert.Assert(t, g.Admit(now, "svc", 1, timeout, 0))
+	}
+}
+
+// Guards against old reports, and old refusals of a higher priority, that refusals of a lower one keep alive.
+func TestRefusalsDoNotRenewWhatIsOld(t *testing.T) {
+	for name, old := range map[string]func(g *Gate, a netip.Addr){
+		"estimate": func(g *Gate, a netip.Addr) { g.Report(begin, "svc", a, long) },
+		"refusal":  func(g *Gate, a netip.Addr) { g.Refused(begin, "svc", a, 0) },
+	} {
+		g := newGate()
+		for a := range 10 {
+			old(g, agentAddr(a))
+		}
+		for at := time.Duration(0); at <= 2*forgetAfter; at += 50 * time.Millisecond {
+			for a := range 10 {
+				g.Refused(begin.Add(at), "svc", agentAddr(a), 2)
+			}
+		}
+		s := g.services["svc"]
+		now := begin.Add(2 * forgetAfter)
+		s.expire(now)
+		full, _ := s.full(now, 0, timeout)
+		assert.Equal(t, full, 0, name)
+		full, _ = s.full(now, 2, timeout)
+		assert.Equal(t, full, 10, name)
+	}
+}
+
 // Guards against flows refused because of old reports while agents open every flow.
 func TestNothingIsRefusedByOldReportsAlone(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
