Names of services and failure domains are quoted in the labels of metrics

Cause: the metrics library panics on a label that isn't well formed, so a service with a quote or a line break in its name would have ended each entry.

Change: %q, as the other metrics with a service.

Shown: TestMetricsBearAnyServiceName panics without the change, passes with it.

--- a/internal/node/edge/counts.go
+++ b/internal/node/edge/counts.go
@@ -1,7 +1,7 @@
 package edge
 
 import (
-	"strconv"
+	"fmt"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -41,14 +41,13 @@
 
 // setLevel sets the part of a service's new flows that the entry admits, in percent.
 func setLevel(service string, priority, percent int) {
-	name := `mangowinch_level_percent{service="` + service + `",priority="` + strconv.Itoa(priority) + `"}`
+	name := fmt.Sprintf(`mangowinch_level_percent{service=%q,priority="%d"}`, service, priority)
 	metrics.GetOrCreateGauge(name, nil).Set(float64(percent))
 }
 
 // setRoom sets the metrics of a service's servers in one failure domain.
 func setRoom(s *room.Sum) {
-	labels := `{service="` + s.Service + `",domain="` + s.Domain + `"}`
-	metrics.GetOrCreateGauge(`mangowinch_room_slots`+labels, nil).Set(float64(s.Slots))
-	metrics.GetOrCreateGauge(`mangowinch_room_busy`+labels, nil).Set(float64(s.Busy))
-	metrics.GetOrCreateGauge(`mangowinch_room_capacity`+labels, nil).Set(s.Capacity)
+	metrics.GetOrCreateGauge(fmt.Sprintf(`mangowinch_room_slots{service=%q,domain=%q}`, s.Service, s.Domain), nil).Set(float64(s.Slots))
+	metrics.GetOrCreateGauge(fmt.Sprintf(`mangowinch_room_busy{service=%q,domain=%q}`, s.Service, s.Domain), nil).Set(float64(s.Busy))
+	metrics.GetOrCreateGauge(fmt.Sprintf(`mangowinch_room_capacity{service=%q,domain=%q}`, s.Service, s.Domain), nil).Set(s.Capacity)
 }
--- a/internal/node/edge/level_test.go
+++ b/internal/node/edge/level_test.go
@@ -14,6 +14,7 @@
 	"mangowinch/internal/flow/order"
 	"mangowinch/internal/flow/segs"
 	"mangowinch/internal/load/parts"
+	"mangowinch/internal/load/room"
 	"mangowinch/internal/oper/event"
 )
 
@@ -177,3 +178,10 @@
 		assert.Equal(t, toCallers, 0)
 	}
 }
+
+// Guards against a process that panics because the name of a service is no plain word.
+func TestMetricsBearAnyServiceName(*testing.T) {
+	name := "a \"b\\\n{c}"
+	setLevel(name, 0, 50)
+	setRoom(&room.Sum{Service: name, Domain: name})
+}
