Headroom keeps service times that only entries know; processes are queried by one function

Cause: an agent's own answer is always the newest and has no service time, so asking agents beside entries made measured servers unmeasured. Now the service time and waits of the newest figures that have them are kept, with their age.

Shown: TestMergeKeepsServiceTimesThatOnlyEntriesKnow fails without the change, passes with it; no test or golden was changed.

--- a/internal/load/room/room.go
+++ b/internal/load/room/room.go
@@ -91,13 +91,11 @@
 
 // Merge joins the reports of several processes.
 func Merge(reports []Report) (all Report) {
-	servers := map[string]Server{}
+	servers := map[string][]Server{} // by agent
 	demands := map[Demand]Demand{}
 	for _, r := range reports {
 		for _, s := range r.Servers {
-			if seen, ok := servers[s.Agent]; !ok || newer(s, seen) {
-				servers[s.Agent] = s
-			}
+			servers[s.Agent] = append(servers[s.Agent], s)
 		}
 		for _, d := range r.Demands {
 			key := Demand{Service: d.Service, Priority: d.Priority}
@@ -111,17 +109,32 @@
 			demands[key] = sum
 		}
 	}
-	all.Servers = slices.SortedFunc(maps.Values(servers), compareServers)
+	for _, seen := range servers {
+		all.Servers = append(all.Servers, newest(seen))
+	}
+	slices.SortFunc(all.Servers, compareServers)
 	all.Demands = slices.SortedFunc(maps.Values(demands), compareDemands)
 	return all
 }
 
-// newer reports whether the figures of a are newer than those of b.
-func newer(a, b Server) bool {
-	if a.Known != b.Known {
-		return a.Known
+// newest returns the newest figures about one server. If they lack the service time, it and the waits are those
+// of the newest figures that have it, and so is the age.
+func newest(seen []Server) Server {
+	slices.SortStableFunc(seen, func(a, b Server) int {
+		if a.Known != b.Known {
+			if a.Known {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(a.AgeMillis, b.AgeMillis)
+	})
+	s := seen[0]
+	i := slices.IndexFunc(seen, func(s Server) bool { return s.Known && s.ServiceMillis > 0 })
+	if s.ServiceMillis <= 0 && i >= 0 {
+		s.ServiceMillis, s.WaitMillis, s.AgeMillis = seen[i].ServiceMillis, seen[i].WaitMillis, seen[i].AgeMillis
 	}
-	return a.AgeMillis < b.AgeMillis
+	return s
 }
 
 func compareServers(a, b Server) int {
--- a/internal/load/room/room_test.go
+++ b/internal/load/room/room_test.go
@@ -113,6 +113,19 @@
 	})
 }
 
+// Guards against a service time that is lost because the agent itself, which sends none, has answered too.
+func TestMergeKeepsServiceTimesThatOnlyEntriesKnow(t *testing.T) {
+	entry := Report{Servers: fleet(2, 1)}
+	agent := Report{Servers: slices.Clone(entry.Servers[:1])}
+	entry.Servers[0].AgeMillis = 300
+	agent.Servers[0].ServiceMillis, agent.Servers[0].Busy = 0, 5
+	for _, reports := range [][]Report{{entry, agent}, {agent, entry}} {
+		merged := Merge(reports)
+		s := merged.Servers[0]
+		assert.Assert(t, s.Busy == 5 && s.ServiceMillis == 10 && s.AgeMillis == 300, "%v", s)
+	}
+}
+
 // Guards against rates that keep the weight of flows long past, and memory that grows with messages.
 func TestMeter(t *testing.T) {
 	m := NewMeter()
--- a/internal/oper/verbs/compare.go
+++ b/internal/oper/verbs/compare.go
@@ -48,16 +48,7 @@
 
 // Run queries the processes and prints a table of them and the differences.
 func (c *CompareCmd) Run(ctx context.Context, o *console) error {
-	answers := make([]answer, len(c.Addresses))
-	var g errgroup.Group
-	g.SetLimit(maxConcurrent)
-	for i, a := range c.Addresses {
-		g.Go(func() error {
-			answers[i] = fetchStatus(ctx, a)
-			return nil
-		})
-	}
-	_ = g.Wait() // each answer holds its own error
+	answers := fetchAll(ctx, c.Addresses, fetchStatus)
 	printAnswers(o.out, c.Addresses, answers)
 	differing := differences(answers)
 	for _, d := range differing {
@@ -70,6 +61,22 @@
 	return nil
 }
 
+// fetchAll queries several processes at the same time and returns their answers, each of which holds its own
+// error.
+func fetchAll[A any](ctx context.Context, addresses []netip.AddrPort, fetch func(context.Context, netip.AddrPort) A) (answers []A) {
+	answers = make([]A, len(addresses))
+	var g errgroup.Group
+	g.SetLimit(maxConcurrent)
+	for i, a := range addresses {
+		g.Go(func() error {
+			answers[i] = fetch(ctx, a)
+			return nil
+		})
+	}
+	_ = g.Wait()
+	return answers
+}
+
 func fetchStatus(ctx context.Context, address netip.AddrPort) (a answer) {
 	text, err := fetch(ctx, "http://"+address.String()+"/status")
 	if err == nil {
--- a/internal/oper/verbs/headroom.go
+++ b/internal/oper/verbs/headroom.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"golang.org/x/sync/errgroup"
 
 	"mangowinch/internal/flow/msgs"
 	"mangowinch/internal/load/room"
@@ -45,7 +44,7 @@
 
 // Run queries the processes and prints the sums of what they know.
 func (c *HeadroomCmd) Run(ctx context.Context, o *console) error {
-	answers := c.fetchAll(ctx)
+	answers := fetchAll(ctx, c.Addresses, fetchRoom)
 	var reports []room.Report
 	for i := range answers {
 		a := &answers[i]
@@ -73,20 +72,6 @@
 	return nil
 }
 
-func (c *HeadroomCmd) fetchAll(ctx context.Context) (answers []roomAnswer) {
-	answers = make([]roomAnswer, len(c.Addresses))
-	var g errgroup.Group
-	g.SetLimit(maxConcurrent)
-	for i, a := range c.Addresses {
-		g.Go(func() error {
-			answers[i] = fetchRoom(ctx, a)
-			return nil
-		})
-	}
-	_ = g.Wait() // each answer holds its own error
-	return answers
-}
-
 func fetchRoom(ctx context.Context, address netip.AddrPort) (a roomAnswer) {
 	text, err := fetch(ctx, "http://"+address.String()+"/status")
 	switch {
