--- a/internal/node/edge/place.go
+++ b/internal/node/edge/place.go
@@ -20,9 +20,11 @@
 	}
 	p := e.flows.Get(s.Flow)
 	if p == nil {
-		e.countAsked(now, route, s)
-		if !e.bulk.Contains(s.Flow) && !e.admitByLevel(now, v, route, s) {
-			return
+		if !e.bulk.Contains(s.Flow) {
+			e.countAsked(now, route, s)
+			if !e.admitByLevel(now, v, route, s) {
+				return
+			}
 		}
 		if !e.admit(now, v, s, datagram) {
 			return
--- a/internal/node/edge/room.go
+++ b/internal/node/edge/room.go
@@ -33,7 +33,7 @@
 
 // countAsked counts a new flow. Copies of an opening packet are not counted.
 func (e *Entry) countAsked(now time.Time, route *belief.Route, s *segs.Segment) {
-	if s.Ack == 0 && !e.bulk.Contains(s.Flow) {
+	if s.Ack == 0 {
 		e.room.Arrived(now, pickService(route.Shares, s.Flow), route.Priority)
 	}
 }
