The test of full servers reports the load that agents report

Cause: its servers reported their queues as requests in progress. Agents count only flows that the server has, so a full server always reports about its slots, and the test gave the chooser more than it gets.

Change: a server with one slot reports 1. The assertion is the same; it passes with less to go by.

--- a/internal/load/steer/steer_test.go
+++ b/internal/load/steer/steer_test.go
@@ -143,8 +143,8 @@
 }
 
 // playFullServers plays twenty entries before ten servers with short queues, of which each reports to an entry
-// only with that entry's flows, and returns the flows opened as a part of what the servers can open. The given
-// function is called for each flow that a server returns as busy.
+// only with that entry's flows, and returns the flows opened as a part of what the servers can open. Loads do not
+// count flows in queues. The given function is called for each flow that a server returns as busy.
 func playFullServers(seed uint64, demand float64, busy func(c *Chooser, at time.Time, a netip.Addr, l msgs.Load)) (part float64) {
 	const entries, servers, maxQueue, took, duration = 20, 10, 3, 20, 60_000 // took, duration in ms
 	random := rand.New(rand.NewPCG(seed, 1))
@@ -166,7 +166,7 @@
 			queues[i], next[i] = q[1:], ms+took
 			opened++
 			c.Accepted(agent(i))
-			c.Report(at, agent(i), msgs.Load{Busy: uint16(len(q))})
+			c.Report(at, agent(i), msgs.Load{Busy: 1})
 		}
 		times := 0.6 * demand
 		if ms%1500 < 250 {
@@ -180,7 +180,7 @@
 			if len(queues[i]) < maxQueue {
 				queues[i] = append(queues[i], e)
 			} else {
-				busy(choosers[e], at, a, msgs.Load{Busy: uint16(len(queues[i]))})
+				busy(choosers[e], at, a, msgs.Load{Busy: 1})
 			}
 		}
 	}
