Merge the level of services and headroom

A refusal has no room for an estimate, so it reports the load alone; an agent that returns a flow as busy is avoided as before with the level switched off. Headroom gets the agents' estimates.

--- a/internal/load/parts/parts.go
+++ b/internal/load/parts/parts.go
@@ -34,6 +34,7 @@
 	Pace     bool // packets of such flows go out at the rate of the link, after everything else (package pace)
 	Rates    bool // placement and offers by the measured service time of each server (packages speed, steer and share)
 	Shares   bool // flows of callers that use less come first (package usage)
+	Level    bool // refusal at the entry while a service is overloaded (package level)
 }
 
 // mechanism is a mechanism with its name in settings and its field of Off.
@@ -60,6 +61,7 @@
 	{"pace", func(o *Off) *bool { return &o.Pace }},
 	{"rates", func(o *Off) *bool { return &o.Rates }},
 	{"shares", func(o *Off) *bool { return &o.Shares }},
+	{"level", func(o *Off) *bool { return &o.Level }},
 }
 
 // Names returns the names of all mechanisms.
--- a/internal/load/steer/steer.go
+++ b/internal/load/steer/steer.go
@@ -216,8 +216,13 @@
 // Report records the load and the estimate that an agent reports for its server. Without an estimate the server's
 // speed is unknown: its agent has measured nothing since a restart, or measures nothing.
 func (c *Chooser) Report(now time.Time, agent netip.Addr, l msgs.Load, e msgs.Estimate) {
+	c.state(agent).rate.record(now, e)
+	c.ReportLoad(now, agent, l)
+}
+
+// ReportLoad records the load that an agent reports in a message that has no room for an estimate.
+func (c *Chooser) ReportLoad(now time.Time, agent netip.Addr, l msgs.Load) {
 	s := c.state(agent)
-	s.rate.record(now, e)
 	s.load, s.reportedAt, s.placed = l, now, 0
 	s.avgBusy += (float64(l.Busy) - s.avgBusy) / busyWindow
 	c.avgBusy += (float64(l.Busy) - c.avgBusy) / flowWorkWindow
--- a/internal/node/edge/counts.go
+++ b/internal/node/edge/counts.go
@@ -1,9 +1,12 @@
 package edge
 
 import (
+	"fmt"
 	"strconv"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"mangowinch/internal/load/room"
 )
 
 var (
@@ -46,3 +49,16 @@
 func countReset(reason string) {
 	metrics.GetOrCreateCounter(`mangowinch_flows_reset_total{reason="` + reason + `"}`).Inc()
 }
+
+// setLevel sets the part of a service's new flows that the entry admits, in percent.
+func setLevel(service string, priority, percent int) {
+	name := fmt.Sprintf(`mangowinch_level_percent{service=%q,priority="%d"}`, service, priority)
+	metrics.GetOrCreateGauge(name, nil).Set(float64(percent))
+}
+
+// setRoom sets the metrics of a service's servers in one failure domain.
+func setRoom(s *room.Sum) {
+	metrics.GetOrCreateGauge(fmt.Sprintf(`mangowinch_room_slots{service=%q,domain=%q}`, s.Service, s.Domain), nil).Set(float64(s.Slots))
+	metrics.GetOrCreateGauge(fmt.Sprintf(`mangowinch_room_busy{service=%q,domain=%q}`, s.Service, s.Domain), nil).Set(float64(s.Busy))
+	metrics.GetOrCreateGauge(fmt.Sprintf(`mangowinch_room_capacity{service=%q,domain=%q}`, s.Service, s.Domain), nil).Set(s.Capacity)
+}
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -30,8 +30,10 @@
 	"mangowinch/internal/flow/segs"
 	"mangowinch/internal/load/bulk"
 	"mangowinch/internal/load/detect"
+	"mangowinch/internal/load/level"
 	"mangowinch/internal/load/pace"
 	"mangowinch/internal/load/parts"
+	"mangowinch/internal/load/room"
 	"mangowinch/internal/load/steer"
 	"mangowinch/internal/load/usage"
 	"mangowinch/internal/node/doubt"
@@ -95,7 +97,12 @@
 	queue       *pace.Queue // packets of long flows
 	link        *pace.Link  // what the link carries
 	narrow      rateReport
-	shares      *shares                   // nil: room is not shared between callers
+	shares      *shares // nil: room is not shared between callers
+	level       *level.Gate
+	room        *room.Meter
+	roomAt      time.Time                 // when the metrics of room were updated
+	roomSums    []room.Sum                // as in these metrics
+	levels      []level.Level             // below full admission at the last tick
 	reach       *detect.Detector          // of all agents together: detects that this entry is cut off
 	suspects    *doubt.Monitor            // agents that have left a packet unanswered
 	toReset     []segs.Flow               // flows of failed agents, whose callers are still to be notified
@@ -126,6 +133,8 @@
 		link:        pace.NewLink(c.Rate),
 		queued:      make(chan struct{}, 1),
 		shares:      newShares(&c),
+		level:       level.New(c.Rand),
+		room:        room.NewMeter(),
 		suspects:    doubt.New(c.Self, c.Prober, c.Rand),
 		cold:        map[string]coldPeriod{},
 		evacuations: map[string]order.Revision{},
@@ -156,6 +165,8 @@
 	e.placeWaiting(now)
 	e.sendQueued(now)
 	e.adjustRate(now)
+	e.reportLevels(now)
+	e.updateRoom(now)
 	e.checkReach(now)
 	e.checkSuspects(now)
 	e.resetFailedFlows(now)
@@ -168,6 +179,8 @@
 	defer e.mu.Unlock()
 	v := e.Log.View()
 	e.chooser.Retain(v.Homes.Agents())
+	e.room.Retain(now, v.Homes.Agents())
+	e.retainReports(v)
 	present := map[string]bool{}
 	for _, a := range v.Homes.Agents() {
 		s, _ := v.Server(a)
--- a/internal/node/edge/peer.go
+++ b/internal/node/edge/peer.go
@@ -38,6 +38,7 @@
 	e.chooser.Accepted(from)
 	e.chooser.Report(now, from, m.Load, m.Estimate)
 	e.shares.opened(m.Flow)
+	e.recordOpened(now, from, &m)
 	if p := e.flows.Get(m.Flow); p != nil {
 		e.link.Answered(now, p.SentAt(from))
 		p.MarkAccepted(from, m.Seq)
@@ -55,7 +56,7 @@
 	countReturned(m.Reason.String())
 	e.Events.Flow(event.Failure, "turned-back", s.Flow).Stringer("agent", from).Stringer("why", m.Reason).
 		Uint16("busy", m.Load.Busy).Uint16("flows", m.Load.Flows).Stringer("revision", m.Revision).Send()
-	e.chooser.Refused(now, from)
+	e.recordReturn(now, from, s.Flow, &m)
 	p := e.flows.Get(s.Flow)
 	if p == nil {
 		if p = e.flows.Add(now, s.Flow); p == nil {
@@ -85,6 +86,22 @@
 	e.place(now, v, route, p, &s, tried, m.Packet)
 }
 
+// recordReturn records that an agent has returned an opening packet. An agent that is merely full is not
+// avoided: the flow was offered to several, and the one that returns it is the least busy of them. A cold
+// server is avoided, because its load does not show the rate that limits it.
+func (e *Entry) recordReturn(now time.Time, from netip.Addr, f segs.Flow, m *msgs.Refused) {
+	s, _ := e.Log.View().Server(from)
+	if m.Reason == msgs.ReasonBusy {
+		e.recordBusy(now, from, f)
+	}
+	full := m.Reason == msgs.ReasonBusy && !now.Before(e.cold[s.ID].until)
+	if full && !e.Off.Level {
+		e.chooser.ReportLoad(now, from, m.Load)
+	} else {
+		e.chooser.Refused(now, from)
+	}
+}
+
 // lastOpened reports whether the last agent that the flow was offered to has opened it.
 func lastOpened(p *owner.EntryFlow) bool {
 	last := p.Last()
@@ -110,5 +127,6 @@
 		p.Owner = from
 	}
 	p.Candidates = append(p.Candidates[:0], owner.Candidate{Agent: from})
+	e.recordEstimate(now, from, m.Flow, m.Estimate)
 	e.Events.Flow(event.Ordinary, "told", m.Flow).Stringer("agent", from).Stringer("revision", m.Revision).Send()
 }
