Full servers don't count as failing

Cause: a server whose queue is full answers within a millisecond that it has not run a request. Package quick took it for one that fails its requests at once: agents opened the breaker 71 times in a burst of 7 s and returned new flows because of it, when there was room nowhere else.

Change: an answer is judged only if the server had a free slot when the request came. A server that fails at once has no queue, so it is found as before. The new test failed with the guard switched off.

--- a/internal/flow/owner/agent.go
+++ b/internal/flow/owner/agent.go
@@ -21,6 +21,7 @@
 	PendingSince time.Time  // arrival of the caller's data that is still unanswered; zero: none
 	Home         netip.Addr // agent at which the flow is registered
 	Requested    bool       // a request has arrived on the flow
+	Ahead        int        // requests that were in progress at the server when the last one arrived
 	Ack          uint32     // the caller's last acknowledgement; 0 before its first packet after the opening ones
 	acceptedAt   time.Time  // when the server answered the opening packet; zero: not observed
 	dataEnd      uint32     // sequence number after the caller's last data
@@ -115,6 +116,7 @@
 		}
 	}
 	if o.addData(s) && o.PendingSince.IsZero() {
+		_, o.Ahead, _ = t.requests.count(now)
 		o.PendingSince = now
 		t.requests.asked(now, o)
 	}
--- a/internal/flow/owner/owner_test.go
+++ b/internal/flow/owner/owner_test.go
@@ -159,3 +159,15 @@
 	table.Expire(now.Add(16*time.Second), l)
 	assert.Assert(t, table.Get(flow) == nil)
 }
+
+// An answer within a millisecond means failure only if the server had a free slot when the request came.
+func TestRequestsInProgressAreCountedOnArrival(t *testing.T) {
+	table := NewAgent(10, parts.Off{})
+	for port := range 3 {
+		o := table.Add(now, segs.Flow{CallerPort: uint16(port)})
+		table.FromCaller(now, o, data(1))
+		assert.Equal(t, o.Ahead, port)
+		table.FromCaller(now, o, data(1))
+		assert.Equal(t, o.Ahead, port, "a retransmission is no new request")
+	}
+}
--- a/internal/load/quick/quick.go
+++ b/internal/load/quick/quick.go
@@ -6,6 +6,10 @@
 // has no requests in progress and looks idle, so that placement by load sends it more requests than any other,
 // and requests that must not run twice fail permanently.
 //
+// A server that is full also answers within a millisecond, that it has not run the request. Answers to
+// requests that came while all slots of the server were in use are therefore not judged. A server that fails
+// its requests at once has free slots.
+//
 // For each kind of request, identified by the address that is called, the breaker learns the time below
 // which a tenth of the answers fall. An answer in less than a third of that time is hardly ever a good
 // one. After several such answers the server receives no new flows except one per probeInterval, until
@@ -21,7 +25,7 @@
 // # Usage
 //
 //	b := quick.New()
-//	if b.RecordAnswer(now, called, took) { log() }
+//	if b.RecordAnswer(now, called, took, free) { log() }
 //	if !b.Allows(now) { placeElsewhere() }
 package quick
 
@@ -75,9 +79,12 @@
 // New returns a closed breaker without samples.
 func New() *Breaker { return &Breaker{kinds: map[netip.AddrPort]*kind{}} }
 
-// RecordAnswer records how long an answer took on a flow to the address called. It reports whether the
-// answer has opened or closed the breaker.
-func (b *Breaker) RecordAnswer(now time.Time, called netip.AddrPort, took time.Duration) (changed bool) {
+// RecordAnswer records how long an answer took on a flow to the address called, and whether the server had a
+// free slot when the request came. It reports whether the answer has opened or closed the breaker.
+func (b *Breaker) RecordAnswer(now time.Time, called netip.AddrPort, took time.Duration, free bool) (changed bool) {
+	if !free {
+		return false
+	}
 	k := b.kinds[called]
 	if k == nil {
 		if len(b.kinds) >= maxKinds {
--- a/internal/load/quick/quick_test.go
+++ b/internal/load/quick/quick_test.go
@@ -44,7 +44,7 @@
 			took = 4 * time.Millisecond
 			failed++
 		}
-		if s.breaker.RecordAnswer(s.now, called, took) {
+		if s.breaker.RecordAnswer(s.now, called, took, true) {
 			s.transitions++
 		}
 	}
@@ -93,7 +93,22 @@
 	s.run(20*time.Second, lookups, 47*time.Millisecond, 0)
 	for range 2000 { // every flow is placed here because all other servers return it too
 		s.now = s.now.Add(25 * time.Millisecond)
-		s.breaker.RecordAnswer(s.now, lookups, s.good(5*time.Millisecond))
+		s.breaker.RecordAnswer(s.now, lookups, s.good(5*time.Millisecond), true)
 	}
 	assert.Assert(t, !s.breaker.Open())
 }
+
+// Guards against taking a server that is full, and answers at once that it has not run a request, for one that
+// fails its requests: agents would return new flows just when there is no room elsewhere.
+func TestBreakerStaysClosedForFullServer(t *testing.T) {
+	s := newServer(1)
+	s.run(20*time.Second, lookups, 47*time.Millisecond, 0)
+	for range 200 {
+		s.now = s.now.Add(25 * time.Millisecond)
+		s.breaker.RecordAnswer(s.now, lookups, s.good(150*time.Millisecond), false)
+		s.breaker.RecordAnswer(s.now, lookups, time.Millisecond, false)
+	}
+	assert.Assert(t, !s.breaker.Open())
+	s.run(time.Second, lookups, 47*time.Millisecond, 1)
+	assert.Assert(t, s.breaker.Open(), "what was not judged must not be learned")
+}
--- a/internal/node/local/breaker.go
+++ b/internal/node/local/breaker.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"mangowinch/internal/flow/owner"
 	"mangowinch/internal/flow/segs"
 )
 
@@ -56,10 +57,11 @@
 	a.pendingResets = a.pendingResets[n:]
 }
 
-// checkResponseTime records how long an answer took. A server that answers far too fast fails its requests
+// checkResponseTime records how long an answer on a flow took. A server that answers far too fast fails its requests
 // (package quick) and gets few new flows; its open flows continue, as some of its answers may be valid.
-func (a *Agent) checkResponseTime(now time.Time, f segs.Flow, elapsed time.Duration) {
-	if a.Off.Quick || !a.quick.RecordAnswer(now, f.ServiceAddr(), elapsed) {
+func (a *Agent) checkResponseTime(now time.Time, f segs.Flow, o *owner.Flow, elapsed time.Duration) {
+	free := o.Ahead < a.slots()
+	if a.Off.Quick || !a.quick.RecordAnswer(now, f.ServiceAddr(), elapsed, free) {
 		return
 	}
 	a.Events.State("server-too-fast").Stringer("server", a.Backend).Bool("failing", a.quick.Open()).Dur("took", elapsed).Send()
--- a/internal/node/local/server.go
+++ b/internal/node/local/server.go
@@ -60,7 +60,7 @@
 	}
 	if took := a.flows.FromServer(now, o, s); took > 0 {
 		a.requestAnswered()
-		a.checkResponseTime(now, s.Flow, took)
+		a.checkResponseTime(now, s.Flow, o, took)
 		answerTime.Update(took.Seconds())
 		defer a.admit(now)
 	}
