Waiting flows are refused by estimate, with signs of life and a floor for each priority

Cause: under overload thousands of flows of the lowest priority wait at agents until their callers leave and are never told; other flows are opened long after their callers have left the try.

Change: hold learns how fast flows of each priority arrive and are opened while others wait, and returns a flow that would be opened too late for its target while more arrive than are opened, or too late for the route's timeout in any case. Callers repeat opening packets at known times: a flow whose copy is overdue comes last. Each priority whose flows wait gets an eighth of the capacity. Mechanisms early, signs and floor switch them off. The average answer time begins with the first answer instead of rising from zero.

--- a/internal/exper/outage/outage.go
+++ b/internal/exper/outage/outage.go
@@ -23,6 +23,7 @@
 	"mangowinch/internal/flow/msgs"
 	"mangowinch/internal/flow/segs"
 	"mangowinch/internal/load/hold"
+	"mangowinch/internal/load/parts"
 	"mangowinch/internal/load/share"
 )
 
@@ -148,7 +149,7 @@
 		maxWait = c.Length // admit skips the flows of callers that have given up
 	}
 	for i := range c.Servers {
-		r.agents = append(r.agents, &agent{index: i, queue: hold.New(maxWait), waiting: map[segs.Flow]*pendingFlow{}})
+		r.agents = append(r.agents, &agent{index: i, queue: hold.New(segs.CallerTiming{GiveUp: maxWait + openAnswerTime}, parts.Off{}), waiting: map[segs.Flow]*pendingFlow{}})
 	}
 	for i := range c.Servers {
 		var list []share.Server
@@ -297,7 +298,7 @@
 // admit opens waiting flows while the queue allows it.
 func (r *run) admit(a *agent) {
 	for {
-		w := a.queue.Next(r.loop.Now(), a.expectedLoad(), r.c.Slots, r.lowestPriority())
+		w := a.queue.Next(r.loop.Now(), r.state(a))
 		if w == nil {
 			return
 		}
@@ -312,6 +313,11 @@
 	}
 }
 
+// state returns the state of an agent's server.
+func (r *run) state(a *agent) hold.Server {
+	return hold.Server{Expected: a.expectedLoad(), Slots: r.c.Slots, Lowest: r.lowestPriority()}
+}
+
 func (r *run) lowestPriority() (lowest int) {
 	for _, k := range r.c.Kinds {
 		lowest = max(lowest, k.Priority)
--- a/internal/flow/owner/requests.go
+++ b/internal/flow/owner/requests.go
@@ -54,7 +54,13 @@
 
 func (r *requests) asked(now time.Time, o *Flow) { r.active = append(r.active, pending{o, now}) }
 
-func (r *requests) answered(took time.Duration) { r.avgAnswer += (took - r.avgAnswer) / averageWindow }
+func (r *requests) answered(took time.Duration) {
+	if r.avgAnswer == 0 {
+		r.avgAnswer = took
+		return
+	}
+	r.avgAnswer += (took - r.avgAnswer) / averageWindow
+}
 
 // addDelay records the time from a flow's acceptance to its first request.
 func (r *requests) addDelay(delay time.Duration) {
@@ -80,6 +86,9 @@
 	return now.Sub(p.flow.acceptedAt) < max(minRequestDelay, requestDelayFactor*delay)
 }
 
+// ServiceTime returns the average time from a request's arrival to its answer, or 0 if it is unknown.
+func (t *Agent) ServiceTime() time.Duration { return t.requests.avgAnswer }
+
 // overdueAge returns the age from which a request is overdue.
 func (r *requests) overdueAge() time.Duration { return max(minOverdueAge, overdueFactor*r.avgAnswer) }
 
--- a/internal/load/hold/hold.go
+++ b/internal/load/hold/hold.go
@@ -27,7 +27,9 @@
 	"slices"
 	"time"
 
+	"mangowinch/internal/flow/msgs"
 	"mangowinch/internal/flow/segs"
+	"mangowinch/internal/load/parts"
 )
 
 // onTimePercent is the percentage of the target within which a flow has to be opened to be answered in
@@ -40,24 +42,45 @@
 	Origin    netip.Addr    // entry that placed the flow
 	Priority  int           // 0 is the highest
 	FirstSent time.Time     // when the caller sent the first opening packet
+	Copies    int           // copies of the opening packet that were sent before the last one that arrived
 	Target    time.Duration // target latency of the request; 0 if there is none
+	Timeout   time.Duration // after which the caller gives up the request; 0 if it is unknown
 	Packet    []byte
 }
 
-// onTime reports whether the request can still be answered within its target.
-func (w *QueuedFlow) onTime(now time.Time) bool {
-	return w.Target > 0 && now.Sub(w.FirstSent) < w.Target*onTimePercent/100
+// openBy returns the age at which a flow must have been opened for the request to be answered in time.
+func (w *QueuedFlow) openBy() time.Duration { return w.Target * onTimePercent / 100 }
+
+// rank says how much a flow's caller still gets from an answer.
+type rank uint8
+
+const (
+	inTime rank = iota // an answer within the target
+	late               // an answer after it
+	left               // nothing: by all signs the caller has left
+)
+
+func (w *QueuedFlow) rank(now time.Time, overdue bool) rank {
+	switch {
+	case overdue:
+		return left
+	case now.Sub(w.FirstSent) < w.openBy():
+		return inTime
+	default:
+		return late
+	}
 }
 
 // before reports whether w is served before v.
-func (w *QueuedFlow) before(v *QueuedFlow, now time.Time) bool {
-	wOnTime, vOnTime := w.onTime(now), v.onTime(now)
+func (q *Queue) before(w, v *QueuedFlow, now time.Time) bool {
+	wRank, vRank := w.rank(now, q.signs.overdue(w, now)), v.rank(now, q.signs.overdue(v, now))
 	switch {
-	case wOnTime != vOnTime:
-		return wOnTime
+	case wRank != vRank:
+		return wRank < vRank
 	case w.Priority != v.Priority:
 		return w.Priority < v.Priority
-	case wOnTime:
+	// An order between callers belongs here.
+	case wRank == inTime:
 		return w.FirstSent.After(v.FirstSent)
 	default:
 		return w.FirstSent.Before(v.FirstSent)
@@ -67,11 +90,21 @@
 // Queue holds the flows that wait at one agent.
 type Queue struct {
 	maxWait time.Duration // how long a caller waits for its flow to open
+	off     parts.Off
 	waiting []*QueuedFlow
+	signs   signs
+	paces   [msgs.NumWaits]pace
+	floors  [msgs.NumWaits]time.Time // when flows of a priority began to wait or were last opened
 }
 
-// New returns an empty queue for flows whose callers wait at most maxWait for the flow to open.
-func New(maxWait time.Duration) *Queue { return &Queue{maxWait: maxWait} }
+// New returns an empty queue for flows of callers with the given timing.
+func New(callers segs.CallerTiming, off parts.Off) *Queue {
+	q := &Queue{maxWait: callers.OpenWindow(), off: off}
+	if !off.Signs {
+		q.signs.sendTimes = callers.SendTimes
+	}
+	return q
+}
 
 // Len returns the number of waiting flows.
 func (q *Queue) Len() int { return len(q.waiting) }
@@ -84,12 +117,18 @@
 // Add adds a flow to the queue. If the queue then holds more than limit flows, Add removes and returns
 // the last in order, which may be w itself.
 func (q *Queue) Add(now time.Time, w *QueuedFlow, limit int) (last *QueuedFlow) {
+	q.advance(now)
+	i := paceIndex(w.Priority)
+	q.paces[i].arrived++
+	if !slices.ContainsFunc(q.waiting, func(v *QueuedFlow) bool { return paceIndex(v.Priority) == i }) {
+		q.floors[i] = now
+	}
 	q.waiting = append(q.waiting, w)
 	if len(q.waiting) <= limit {
 		return nil
 	}
 	for _, v := range q.waiting {
-		if last == nil || last.before(v, now) {
+		if last == nil || q.before(last, v, now) {
 			last = v
 		}
 	}
@@ -101,55 +140,107 @@
 	q.waiting = slices.DeleteFunc(q.waiting, func(v *QueuedFlow) bool { return v == w })
 }
 
-// Peek returns the flow that is served next without removing it, or nil. It drops flows whose callers
-// have given up.
-func (q *Queue) Peek(now time.Time) (first *QueuedFlow) {
+// ordered returns the waiting flows in the order in which they are served.
+func (q *Queue) ordered(now time.Time) []*QueuedFlow {
+	list := slices.Clone(q.waiting)
+	slices.SortStableFunc(list, func(w, v *QueuedFlow) int {
+		switch {
+		case q.before(w, v, now):
+			return -1
+		case q.before(v, w, now):
+			return 1
+		default:
+			return 0
+		}
+	})
+	return list
+}
+
+// Server is the state of the server that the queue is for.
+type Server struct {
+	Expected int           // requests that are in progress or about to arrive
+	Slots    int           // requests it serves at the same time
+	Lowest   int           // lowest priority of the routes
+	Service  time.Duration // time it takes for a request; 0 if it is unknown
+}
+
+// Next removes and returns the flow that is served next, or nil if the server has no room for it. Flows above
+// the lowest priority are admitted to a busier server (see limit), and so is the first flow of a priority that
+// has had less than its floor.
+func (q *Queue) Next(now time.Time, s Server) (next *QueuedFlow) {
 	q.Expire(now)
+	q.advance(now)
+	if s.Expected < urgentPerSlot*s.Slots {
+		next = q.belowFloor(now, s)
+	}
+	if next == nil {
+		next = q.first(now, func(*QueuedFlow) bool { return true })
+		if next == nil || s.Expected >= s.limit(next.Priority) {
+			return nil
+		}
+	}
+	q.remove(next)
+	i := paceIndex(next.Priority)
+	q.paces[i].opened++
+	q.floors[i] = now
+	return next
+}
+
+// first returns the first flow in order that match selects, or nil.
+func (q *Queue) first(now time.Time, match func(*QueuedFlow) bool) (first *QueuedFlow) {
 	for _, w := range q.waiting {
-		if first == nil || w.before(first, now) {
+		if match(w) && (first == nil || q.before(w, first, now)) {
 			first = w
 		}
 	}
 	return first
 }
 
-// Next removes and returns the flow that is served next, or nil if the server has no room for it. The
-// server has the given number of slots, and expected is the number of its requests that are in progress or
-// about to arrive. lowest is the lowest priority; flows of a higher one are admitted to a busier server (see
-// admissionLimit).
-func (q *Queue) Next(now time.Time, expected, slots, lowest int) (next *QueuedFlow) {
-	next = q.Peek(now)
-	if next == nil || expected >= admissionLimit(next, slots, lowest) {
+// floorPart is the part of the server's capacity that each priority gets while its flows wait: one request in
+// eight. Higher priorities, and requests on open flows, could else keep out the lowest for ever.
+const floorPart = 8
+
+// belowFloor returns the first flow of a priority that has been without an opening for longer than its floor
+// allows, or nil.
+func (q *Queue) belowFloor(now time.Time, s Server) *QueuedFlow {
+	if s.Service <= 0 || q.off.Floor {
 		return nil
 	}
-	q.remove(next)
-	return next
+	interval := floorPart * s.Service / time.Duration(s.Slots)
+	return q.first(now, func(w *QueuedFlow) bool {
+		return now.Sub(q.floors[paceIndex(w.Priority)]) > interval && !q.signs.overdue(w, now)
+	})
 }
 
 // extraFlows is the number of flows the server may receive beyond its slots, so that no slot is idle
 // while the next caller learns that its flow is open. That takes a tenth of a request's service time.
 const extraFlows = 1
 
-// admissionLimit returns the number of requests at which the server receives no further flow. Requests on
+// limit returns the number of requests at which the server receives no further flow of a priority. Requests on
 // open flows are not queued here, so under sustained overload they would keep out every new flow. A flow
 // with a priority above the lowest is therefore admitted to the server's own queue, which holds four
 // requests per slot.
-func admissionLimit(w *QueuedFlow, slots, lowest int) int {
-	if w.Priority < lowest {
-		return urgentPerSlot * slots
+func (s Server) limit(priority int) int {
+	if priority < s.Lowest {
+		return urgentPerSlot * s.Slots
 	}
-	return slots + extraFlows
+	return s.Slots + extraFlows
 }
 
 // urgentPerSlot is the number of requests per slot up to which a server receives flows with a priority
 // above the lowest. With 3, such a flow is served after two other requests, within half of its target.
 const urgentPerSlot = 3
 
-// Expire drops flows whose callers have given up and returns their number.
-func (q *Queue) Expire(now time.Time) int {
-	before := len(q.waiting)
-	q.waiting = slices.DeleteFunc(q.waiting, func(w *QueuedFlow) bool { return now.Sub(w.FirstSent) > q.maxWait })
-	return before - len(q.waiting)
+// Expire removes and returns the flows whose callers have given up.
+func (q *Queue) Expire(now time.Time) (expired []*QueuedFlow) {
+	q.waiting = slices.DeleteFunc(q.waiting, func(w *QueuedFlow) bool {
+		over := now.Sub(w.FirstSent) > q.maxWait
+		if over {
+			expired = append(expired, w)
+		}
+		return over
+	})
+	return expired
 }
 
 // Clear removes and returns all flows.
--- a/internal/load/hold/hold_test.go
+++ b/internal/load/hold/hold_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"mangowinch/internal/flow/segs"
+	"mangowinch/internal/load/parts"
 )
 
 var now = time.Unix(1_700_000_000, 0)
@@ -18,6 +19,9 @@
 	secondCopyAge = 600 * time.Millisecond // age of a flow at the second retransmission
 )
 
+// callers wait for maxWait, and send no copies whose absence would tell that they have left.
+var callers = segs.CallerTiming{GiveUp: maxWait + 50*time.Millisecond}
+
 func flow(n int) segs.Flow { return segs.Flow{CallerPort: uint16(n)} }
 
 func waiting(n, priority int, age time.Duration) *QueuedFlow {
@@ -25,7 +29,7 @@
 }
 
 func order(q *Queue) (ports []int) {
-	for w := q.Next(now, 0, 1, 0); w != nil; w = q.Next(now, 0, 1, 0) {
+	for w := q.Next(now, Server{Slots: 1}); w != nil; w = q.Next(now, Server{Slots: 1}) {
 		ports = append(ports, int(w.Flow.CallerPort))
 	}
 	return ports
@@ -34,7 +38,7 @@
 // Guards against serving flows oldest first after an outage: the first requests are late in any case, and
 // new requests then become late too. Newest first, only the requests that are late anyway miss their target.
 func TestFlowsThatCanMeetTheirTargetComeFirst(t *testing.T) {
-	q := New(maxWait)
+	q := New(callers, parts.Off{})
 	for _, w := range []*QueuedFlow{
 		waiting(1, 2, 800*time.Millisecond), waiting(2, 2, 500*time.Millisecond), waiting(3, 2, 50*time.Millisecond),
 		waiting(4, 1, 60*time.Millisecond), waiting(5, 2, 10*time.Millisecond), waiting(6, 1, 700*time.Millisecond),
@@ -46,25 +50,25 @@
 
 // A flow is admitted when a slot becomes free.
 func TestServerGetsNoMoreThanItHasSlotsFor(t *testing.T) {
-	q := New(maxWait)
+	q := New(callers, parts.Off{})
 	q.Add(now, waiting(1, 2, 0), 10)
-	assert.Assert(t, q.Next(now, 3, 2, 2) == nil)
-	assert.Assert(t, q.Next(now, 2, 2, 2) != nil)
+	assert.Assert(t, q.Next(now, Server{Expected: 3, Slots: 2, Lowest: 2}) == nil)
+	assert.Assert(t, q.Next(now, Server{Expected: 2, Slots: 2, Lowest: 2}) != nil)
 }
 
 // Guards against refusing feeds, which have a higher priority and a flow each, three times as often as
 // lookups in a long burst: requests on open flows are not queued here and keep every slot busy.
 func TestUrgentFlowsAreAdmittedToBusyServer(t *testing.T) {
-	q := New(maxWait)
+	q := New(callers, parts.Off{})
 	q.Add(now, waiting(1, 1, 0), 10)
-	assert.Assert(t, q.Next(now, 6, 2, 2) == nil)
-	assert.Assert(t, q.Next(now, 5, 2, 2) != nil)
+	assert.Assert(t, q.Next(now, Server{Expected: 6, Slots: 2, Lowest: 2}) == nil)
+	assert.Assert(t, q.Next(now, Server{Expected: 5, Slots: 2, Lowest: 2}) != nil)
 }
 
 // If more flows wait than can be served, the last in order is refused at once, so that its caller does
 // not wait in vain. A new flow is kept if it comes before the last one.
 func TestFullQueueRefusesTheLast(t *testing.T) {
-	q := New(maxWait)
+	q := New(callers, parts.Off{})
 	q.Add(now, waiting(1, 2, 900*time.Millisecond), 2)
 	q.Add(now, waiting(2, 2, 400*time.Millisecond), 2)
 	last := q.Add(now, waiting(3, 1, 0), 2)
@@ -74,16 +78,16 @@
 }
 
 func TestFlowWaitsNoLongerThanItsCaller(t *testing.T) {
-	q := New(maxWait)
+	q := New(callers, parts.Off{})
 	q.Add(now, waiting(1, 2, secondCopyAge), 10)
-	assert.Assert(t, q.Next(now.Add(maxWait-secondCopyAge+time.Millisecond), 0, 2, 2) == nil)
+	assert.Assert(t, q.Next(now.Add(maxWait-secondCopyAge+time.Millisecond), Server{Slots: 2, Lowest: 2}) == nil)
 	assert.Equal(t, q.Len(), 0)
 }
 
 // For any order of arrivals, no flow is lost or duplicated and the queue's limit holds.
 func TestNoFlowIsLostOrDuplicated(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
-		q := New(maxWait)
+		q := New(callers, parts.Off{})
 		limit := rapid.IntRange(1, 8).Draw(r, "limit")
 		in := rapid.SliceOfN(rapid.IntRange(0, 1300), 0, 20).Draw(r, "ages")
 		out := 0
--- /dev/null
+++ b/internal/load/hold/load_test.go
@@ -0,0 +1,286 @@
+package hold
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mangowinch/internal/exper/loop"
+	"mangowinch/internal/flow/segs"
+	"mangowinch/internal/load/parts"
+)
+
+// capacity is what the servers can do, in requests per second.
+var capacity = float64(servers*slots) / service.Seconds()
+
+// The load: servers whose new flows wait in queues, and requests on open flows that don't.
+const (
+	servers      = 8
+	slots        = 2
+	service      = 17 * time.Millisecond
+	openFlowPart = 0.3 // part of the capacity that requests on open flows take
+	trip         = 2 * time.Millisecond
+	loadTarget   = 200 * time.Millisecond
+	loadTimeout  = time.Second
+	loadTime     = 4 * time.Second
+)
+
+var timing = segs.CallerTiming{SendTimes: []time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond}, GiveUp: 1400 * time.Millisecond}
+
+// got is what callers of one priority got.
+type got struct{ asked, inTime, late int }
+
+func (g got) worth() float64 { return (float64(g.inTime) + float64(g.late)/2) / float64(g.asked) }
+
+func (p *play) asked() int  { return p.got[1].asked + p.got[2].asked }
+func (p *play) inTime() int { return p.got[1].inTime + p.got[2].inTime }
+
+// server is a server with its agent's queue.
+type server struct {
+	queue             *Queue
+	pending           map[segs.Flow]*try
+	reserved, running int
+	backlog           []func()
+}
+
+// call is a caller's request, try one attempt to have it served.
+type call struct {
+	priority, tries int
+	sent            time.Time
+	ended           bool
+}
+
+type try struct {
+	*call
+	left bool // or refused
+}
+
+type play struct {
+	*loop.Loop
+	random  *rand.Rand
+	off     parts.Off
+	servers []*server
+	ports   uint16
+	callers uint16
+	got     [3]got
+	untold  int // tries that ended while their flow waited
+	inVain  int // flows opened for callers that had left the try
+	refused int
+}
+
+// runLoad plays a demand of the given multiple of the capacity.
+func runLoad(times float64, off parts.Off, seed uint64) *play {
+	p := &play{Loop: loop.New(), random: rand.New(rand.NewPCG(seed, 1)), off: off}
+	for range servers {
+		p.servers = append(p.servers, &server{queue: New(timing, off), pending: map[segs.Flow]*try{}})
+	}
+	p.arrive(openFlowPart*capacity, func() {
+		if s := p.servers[p.random.IntN(servers)]; len(s.backlog) < urgentPerSlot*slots {
+			p.serve(s, func() {})
+		}
+	})
+	demand := (times - openFlowPart) * capacity
+	for i, part := range []float64{1. / 3, 2. / 3} {
+		priority := i + 1
+		p.arrive(part*demand, func() {
+			p.got[priority].asked++
+			p.try(&call{priority: priority, sent: p.Now()})
+		})
+	}
+	p.tick()
+	p.Run(loadTime + 2*time.Second)
+	return p
+}
+
+func (p *play) arrive(rate float64, f func()) {
+	p.After(time.Duration(-math.Log(1-p.random.Float64())/rate*float64(time.Second)), func() {
+		if p.Elapsed() < loadTime {
+			f()
+			p.arrive(rate, f)
+		}
+	})
+}
+
+func (p *play) tick() {
+	for _, s := range p.servers {
+		p.admit(s)
+	}
+	p.After(50*time.Millisecond, p.tick)
+}
+
+const maxTries = 3
+
+// try starts an attempt at the least loaded of four servers. The caller leaves it after a while.
+func (p *play) try(c *call) {
+	if c.tries == maxTries || c.ended || p.Now().Sub(c.sent) > loadTimeout {
+		return
+	}
+	c.tries++
+	a := &try{call: c}
+	s := p.servers[p.random.IntN(servers)]
+	for range 3 {
+		if v := p.servers[p.random.IntN(servers)]; v.load() < s.load() {
+			s = v
+		}
+	}
+	p.ports++
+	if p.ports == 0 {
+		p.callers++
+	}
+	f := segs.Flow{CallerPort: p.ports, Caller: [4]byte{byte(p.callers)}}
+	patience := 200*time.Millisecond + time.Duration(p.random.Int64N(int64(300*time.Millisecond)))
+	p.After(patience, func() {
+		if !a.left && !c.ended {
+			if _, waits := s.pending[f]; waits {
+				p.untold++
+			}
+			a.left = true
+			p.try(c)
+		}
+	})
+	for i, d := range timing.SendTimes[1:] {
+		p.After(d+trip, func() {
+			if !a.left {
+				s.queue.Heard(p.Now(), f, i+1)
+			}
+		})
+	}
+	p.After(trip, func() {
+		s.pending[f] = a
+		s.queue.Add(p.Now(), &QueuedFlow{Flow: f, Priority: c.priority, FirstSent: p.Now().Add(-trip), Target: loadTarget, Timeout: loadTimeout}, 30*slots)
+		p.admit(s)
+	})
+}
+
+func (s *server) expected() int { return s.reserved + s.running + len(s.backlog) }
+func (s *server) load() int     { return s.expected() + s.queue.Len() }
+
+func (s *server) state() Server {
+	return Server{Expected: s.expected(), Slots: slots, Lowest: 2, Service: service}
+}
+
+func (p *play) admit(s *server) {
+	for _, w := range s.queue.Expire(p.Now()) {
+		delete(s.pending, w.Flow)
+	}
+	for w := s.queue.Next(p.Now(), s.state()); w != nil; w = s.queue.Next(p.Now(), s.state()) {
+		p.open(s, s.pending[w.Flow])
+		delete(s.pending, w.Flow)
+	}
+	for _, r := range s.queue.Refuse(p.Now(), s.state()) {
+		a := s.pending[r.Flow]
+		delete(s.pending, r.Flow)
+		p.refused++
+		p.After(trip, func() {
+			if !a.left {
+				a.left = true
+				p.After(trip, func() { p.try(a.call) })
+			}
+		})
+	}
+}
+
+func (p *play) open(s *server, a *try) {
+	s.reserved++
+	p.After(2*trip, func() {
+		if a.left {
+			p.inVain++
+			p.After(4*trip, func() { s.reserved--; p.admit(s) })
+			return
+		}
+		s.reserved--
+		p.serve(s, func() {
+			if a.left || a.ended {
+				return
+			}
+			a.ended = true
+			switch took := p.Now().Add(trip).Sub(a.sent); {
+			case took <= loadTarget:
+				p.got[a.priority].inTime++
+			case took <= loadTimeout:
+				p.got[a.priority].late++
+			}
+		})
+	})
+}
+
+func (p *play) serve(s *server, done func()) {
+	s.backlog = append(s.backlog, done)
+	p.start(s)
+}
+
+func (p *play) start(s *server) {
+	for s.running < slots && len(s.backlog) > 0 {
+		done := s.backlog[0]
+		s.backlog = s.backlog[1:]
+		s.running++
+		p.After(time.Duration(float64(service)*(0.5+p.random.Float64())), func() {
+			s.running--
+			done()
+			p.start(s)
+			p.admit(s)
+		})
+	}
+}
+
+// worth returns the worth of the answers as a part of what was asked, a request of priority 1 counting twice.
+func (p *play) worth() float64 {
+	return (2*p.got[1].worth()*float64(p.got[1].asked) + p.got[2].worth()*float64(p.got[2].asked)) / float64(2*p.got[1].asked+p.got[2].asked)
+}
+
+// Guards against callers that wait in vain and are never told, and against servers that open flows whose
+// callers have left, when more is asked than servers can do.
+func TestCallersAreToldAtOnceUnderOverload(t *testing.T) {
+	for _, times := range []float64{1.1, 1.5, 2, 5} {
+		p, without := runLoad(times, parts.Off{}, 1), runLoad(times, parts.Off{Early: true, Signs: true, Floor: true}, 1)
+		t.Logf("%.1f times capacity: worth %.3f, before %.3f; untold %d, before %d; opened in vain %d, before %d; refused %d", times,
+			p.worth(), without.worth(), p.untold, without.untold, p.inVain, without.inVain, p.refused)
+		for i, g := range p.got[1:] {
+			t.Logf("priority %d: %+v, before %+v", i+1, g, without.got[i+1])
+		}
+		assert.Assert(t, p.untold < p.asked()/100)
+		assert.Assert(t, p.inVain < without.inVain/10)
+		assert.Assert(t, p.got[1].late+p.got[2].late < p.asked()/100, "what is served is served in time")
+		assert.Assert(t, p.inTime() > without.inTime())
+	}
+}
+
+// Guards against refusing callers while servers have room for them.
+func TestNobodyIsRefusedBelowCapacity(t *testing.T) {
+	p := runLoad(0.9, parts.Off{}, 1)
+	assert.Equal(t, p.refused, 0)
+	assert.Equal(t, p.inTime(), p.asked())
+}
+
+// Guards against a lowest priority that gets nothing as long as higher ones ask for all that servers can do.
+func TestLowestPriorityKeepsItsFloor(t *testing.T) {
+	served := func(off parts.Off) float64 {
+		g := runLoad(5, off, 1).got[2]
+		return float64(g.inTime+g.late) / (capacity * loadTime.Seconds())
+	}
+	with, without := served(parts.Off{}), served(parts.Off{Floor: true})
+	t.Logf("%.3f of the capacity, without a floor %.3f", with, without)
+	assert.Assert(t, with > 0.8/floorPart)
+	assert.Assert(t, without < 0.2/floorPart)
+}
+
+// Guards against opening flows whose callers have left before those of callers that still wait.
+func TestFlowWithoutSignOfLifeComesLast(t *testing.T) {
+	q := New(timing, parts.Off{})
+	for n := range 3 {
+		q.Add(now, waiting(n+1, 1, 0), 10)
+	}
+	q.Add(now, waiting(4, 2, 0), 10)
+	for n := range 2 {
+		assert.Assert(t, q.Heard(now.Add(202*time.Millisecond), flow(n+2), 1))
+	}
+	var ports []int
+	at := now.Add(300 * time.Millisecond)
+	for w := q.Next(at, Server{Slots: 1}); w != nil; w = q.Next(at, Server{Slots: 1}) {
+		ports = append(ports, int(w.Flow.CallerPort))
+	}
+	assert.DeepEqual(t, ports, []int{2, 3, 1, 4})
+}
--- a/internal/load/parts/parts.go
+++ b/internal/load/parts/parts.go
@@ -23,6 +23,9 @@
 	Distance bool // preference for servers of the own failure domain (steer)
 	Offers   bool // offering a flow to another agent while no slot is free (package share)
 	Waiting  bool // queueing of flows at the agent until a slot is free (package hold)
+	Early    bool // refusal of waiting flows that can't be opened early enough (hold)
+	Signs    bool // flows whose callers seem to have left come last (hold)
+	Floor    bool // a least part of the openings for each priority (hold)
 	Lag      bool // early release of the slot of an open flow without a request (package owner)
 	Mute     bool // no new flows for an unresponsive own server (package local)
 	Search   bool // querying all agents for a flow's owner, and resets of flows without an owner (local)
@@ -46,6 +49,9 @@
 	{"distance", func(o *Off) *bool { return &o.Distance }},
 	{"offers", func(o *Off) *bool { return &o.Offers }},
 	{"waiting", func(o *Off) *bool { return &o.Waiting }},
+	{"early", func(o *Off) *bool { return &o.Early }},
+	{"signs", func(o *Off) *bool { return &o.Signs }},
+	{"floor", func(o *Off) *bool { return &o.Floor }},
 	{"lag", func(o *Off) *bool { return &o.Lag }},
 	{"mute", func(o *Off) *bool { return &o.Mute }},
 	{"search", func(o *Off) *bool { return &o.Search }},
--- a/internal/node/local/caller.go
+++ b/internal/node/local/caller.go
@@ -60,7 +60,7 @@
 		a.Wire.ToServer(m.Packet) // a retransmission: the server's answer was lost or is on its way
 		return
 	}
-	if a.waiting.Contains(s.Flow) {
+	if a.waiting.Heard(now, s.Flow, int(s.Ack)) {
 		return // a retransmission: the flow must wait at one agent only, or two servers would open it
 	}
 	if reason := a.refusalReason(now, m, s); reason != 0 {
@@ -86,10 +86,11 @@
 		Flow:      s.Flow,
 		Origin:    m.Origin,
 		FirstSent: now.Add(-a.Callers.Age(s.Ack)),
+		Copies:    int(s.Ack),
 		Packet:    slices.Clone(m.Packet),
 	}
 	if r := a.Log.View().Route(s.Flow.ServiceAddr()); r != nil {
-		w.Priority, w.Target = r.Priority, r.Target
+		w.Priority, w.Target, w.Timeout = r.Priority, r.Target, r.Timeout
 	}
 	if evicted := a.waiting.Add(now, w, a.waitingLimit(now)); evicted != nil {
 		a.returnWaitingFlow(now, evicted, msgs.ReasonBusy)
@@ -98,6 +99,7 @@
 		}
 	}
 	a.admit(now)
+	a.refuseWaiting(now)
 	if a.waiting.Contains(s.Flow) {
 		queued.Inc()
 		a.Events.Flow(event.Ordinary, "waits", s.Flow).Int("waiting", a.waiting.Len()).Uint16("work", a.utilization(now)).
@@ -123,12 +125,9 @@
 
 // admit gives waiting flows to the server while it has free slots.
 func (a *Agent) admit(now time.Time) {
+	a.expireWaiting(now)
 	for a.waiting.Len() > 0 && a.mayOpen(now) {
-		expected := a.flows.Expected(now)
-		if a.Off.Waiting {
-			expected = 0
-		}
-		w := a.waiting.Next(now, expected, a.slots(), a.Log.View().LowestPriority)
+		w := a.waiting.Next(now, a.serverState(now))
 		if w == nil {
 			return
 		}
--- a/internal/node/local/counts.go
+++ b/internal/node/local/counts.go
@@ -35,3 +35,8 @@
 func countReset(reason string) {
 	metrics.GetOrCreateCounter(`mangowinch_flows_reset_total{reason="` + reason + `"}`).Inc()
 }
+
+// countUnserved counts a waiting flow that the server never received.
+func countUnserved(reason string) {
+	metrics.GetOrCreateCounter(`mangowinch_flows_unserved_total{reason="` + reason + `"}`).Inc()
+}
--- a/internal/node/local/local.go
+++ b/internal/node/local/local.go
@@ -131,7 +131,7 @@
 		hash:             belief.ServiceHash(c.Service),
 		flows:            owner.NewAgent(flowLimit, c.Off),
 		home:             owner.NewHome(homeLimit),
-		waiting:          hold.New(c.Callers.OpenWindow()),
+		waiting:          hold.New(c.Callers, c.Off),
 		probes:           map[segs.Flow]probe{},
 		lookups:          map[segs.Flow]*lookup{},
 		rounds:           locate.New(rand.Uint32()),
@@ -191,6 +191,7 @@
 	idle := a.idle()
 	a.flows.Expire(now, owner.Lifetimes{Idle: idle, MaxAge: a.MaxLife + closedRetention, Closed: closedRetention, Opening: a.Callers.GiveUp + openingRetention})
 	a.admit(now)
+	a.refuseWaiting(now)
 	a.home.Expire(now, a.MaxLife+closedRetention)
 	a.resetIdleFlows(now)
 	a.expireProbes(now)
--- /dev/null
+++ b/internal/node/local/waits.go
@@ -0,0 +1,43 @@
+package local
+
+import (
+	"time"
+
+	"mangowinch/internal/flow/msgs"
+	"mangowinch/internal/load/hold"
+	"mangowinch/internal/oper/event"
+)
+
+// serverState returns the state of the local server for the queue of waiting flows.
+func (a *Agent) serverState(now time.Time) hold.Server {
+	s := hold.Server{Expected: a.flows.Expected(now), Slots: a.slots(), Lowest: a.Log.View().LowestPriority, Service: a.flows.ServiceTime()}
+	if a.Off.Waiting {
+		s.Expected = 0
+	}
+	return s
+}
+
+// expectedWaits returns how long a new flow of each priority would wait at this agent.
+func (a *Agent) expectedWaits(now time.Time) [msgs.NumWaits]time.Duration {
+	return a.waiting.Waits(now, a.serverState(now))
+}
+
+// refuseWaiting returns the waiting flows that can't be opened early enough, so that their callers learn it at
+// once.
+func (a *Agent) refuseWaiting(now time.Time) {
+	for _, r := range a.waiting.Refuse(now, a.serverState(now)) {
+		a.Events.Flow(event.Failure, "hopeless", r.Flow).Dur("wait", r.Wait).Dur("left", r.Left).Int("priority", r.Priority).
+			Int("waiting", a.waiting.Len()).Stringer("revision", a.Log.Revision()).Send()
+		countUnserved("hopeless")
+		a.returnWaitingFlow(now, r.QueuedFlow, msgs.ReasonBusy)
+	}
+}
+
+// expireWaiting drops the waiting flows whose callers no longer wait. Nobody would hear a refusal.
+func (a *Agent) expireWaiting(now time.Time) {
+	for _, w := range a.waiting.Expire(now) {
+		countUnserved("expired")
+		a.Events.Flow(event.Failure, "wait-expired", w.Flow).Int("priority", w.Priority).Int("waiting", a.waiting.Len()).
+			Stringer("revision", a.Log.Revision()).Send()
+	}
+}
