--- a/internal/load/hold/hold.go
+++ b/internal/load/hold/hold.go
@@ -9,17 +9,26 @@
 // The server receives a flow when a slot is free or about to be free. Waiting flows that can still be
 // answered in time come first, by priority and, within a priority, newest first: under overload this
 // order meets the most deadlines, and callers whose answers are late in any case lose nothing more. Late
-// flows follow, by priority and then oldest first, because the oldest caller is the next to give up. A
-// flow waits no longer than its caller does. If more flows wait than can be served in that time, the last
-// in order is refused at once.
+// flows follow, by priority and then oldest first, because the oldest caller is the next to give up. Flows
+// whose callers seem to have left come last (sign.go). A flow waits no longer than its caller does. If more
+// flows wait than can be served in that time, the last in order is refused at once.
+//
+// A flow is also refused as soon as an estimate says that it can't be opened early enough (pace.go). A caller
+// that is told at once can still be served in time by another server; one that is told after its target has
+// passed comes back as a new flow, whose answer is late and takes the place of one in time.
+//
+// Each priority whose flows wait gets a part of the openings, so that none is kept out for ever.
+//
+// The queue doesn't order requests on open flows, and doesn't know how long other agents' queues are.
 //
 // Package hold performs no I/O: the caller passes in the time. A Queue is not safe for concurrent use.
 //
 // # Usage
 //
-//	q := hold.New(maxWait)
+//	q := hold.New(callers, off)
 //	if last := q.Add(now, &hold.QueuedFlow{Flow: f, FirstSent: now}, limit); last != nil { refuse(last) }
-//	if w := q.Next(now, expected, slots, lowest); w != nil { open(w) }
+//	if w := q.Next(now, server); w != nil { open(w) }
+//	for _, r := range q.Refuse(now, server) { refuse(r.QueuedFlow) }
 package hold
 
 import (
--- a/internal/node/local/waits.go
+++ b/internal/node/local/waits.go
@@ -37,7 +37,7 @@
 func (a *Agent) expireWaiting(now time.Time) {
 	for _, w := range a.waiting.Expire(now) {
 		countUnserved("expired")
-		a.Events.Flow(event.Failure, "wait-expired", w.Flow).Int("priority", w.Priority).Int("waiting", a.waiting.Len()).
+		a.Events.Flow(event.Failure, "gave-up", w.Flow).Int("priority", w.Priority).Int("waiting", a.waiting.Len()).
 			Stringer("revision", a.Log.Revision()).Send()
 	}
 }
