Nothing is refused by estimate at agents: it served callers worse

Why: a refused caller comes back within milliseconds as a new flow, up to twice. If it had waited, its answer is late and takes the place of one in time; if it had not, it uses up its tries against the same load, and the server lacks it in the next lull.

What stays: signs of life, the floor for each priority, the estimate of waits, the count of what expires. New: a flow expires with its request's timeout if that is shorter than the time in which flows are opened.

--- a/internal/exper/outage/outage.go
+++ b/internal/exper/outage/outage.go
@@ -255,7 +255,7 @@
 		if o.abandoned || q.finished {
 			return
 		}
-		w := hold.QueuedFlow{Flow: o.flow, Priority: q.kind.Priority, FirstSent: r.loop.Now().Add(-age), Target: q.kind.Target}
+		w := hold.QueuedFlow{Flow: o.flow, Priority: q.kind.Priority, FirstSent: r.loop.Now().Add(-age), Target: q.kind.Target, Timeout: q.kind.Deadline}
 		if r.rules.KnownAges {
 			w.FirstSent = q.sent
 		}
@@ -315,7 +315,7 @@
 
 // state returns the state of an agent's server.
 func (r *run) state(a *agent) hold.Server {
-	return hold.Server{Expected: a.expectedLoad(), Slots: r.c.Slots, Lowest: r.lowestPriority()}
+	return hold.Server{Expected: a.expectedLoad(), Slots: r.c.Slots, Lowest: r.lowestPriority(), Service: r.c.Kinds[0].ServiceTime}
 }
 
 func (r *run) lowestPriority() (lowest int) {
--- a/internal/flow/owner/requests.go
+++ b/internal/flow/owner/requests.go
@@ -86,8 +86,8 @@
 	return now.Sub(p.flow.acceptedAt) < max(minRequestDelay, requestDelayFactor*delay)
 }
 
-// ServiceTime returns the average time from a request's arrival to its answer, or 0 if it is unknown.
-func (t *Agent) ServiceTime() time.Duration { return t.requests.avgAnswer }
+// AnswerTime returns the average time from a request's arrival to its answer, or 0 if it is unknown.
+func (t *Agent) AnswerTime() time.Duration { return t.requests.avgAnswer }
 
 // overdueAge returns the age from which a request is overdue.
 func (r *requests) overdueAge() time.Duration { return max(minOverdueAge, overdueFactor*r.avgAnswer) }
--- a/internal/load/hold/hold.go
+++ b/internal/load/hold/hold.go
@@ -13,9 +13,8 @@
 // whose callers seem to have left come last (sign.go). A flow waits no longer than its caller does. If more
 // flows wait than can be served in that time, the last in order is refused at once.
 //
-// A flow is also refused as soon as an estimate says that it can't be opened early enough (pace.go). A caller
-// that is told at once can still be served in time by another server; one that is told after its target has
-// passed comes back as a new flow, whose answer is late and takes the place of one in time.
+// The queue estimates how long a new flow of each priority would wait (pace.go), but refuses none for it: a
+// refused caller comes back at once, looks like a new one and uses up its tries against the same load.
 //
 // Each priority whose flows wait gets a part of the openings, so that none is kept out for ever.
 //
@@ -28,7 +27,7 @@
 //	q := hold.New(callers, off)
 //	if last := q.Add(now, &hold.QueuedFlow{Flow: f, FirstSent: now}, limit); last != nil { refuse(last) }
 //	if w := q.Next(now, server); w != nil { open(w) }
-//	for _, r := range q.Refuse(now, server) { refuse(r.QueuedFlow) }
+//	for _, w := range q.Expire(now) { count(w) }
 package hold
 
 import (
@@ -69,9 +68,10 @@
 	left               // nothing: by all signs the caller has left
 )
 
-func (w *QueuedFlow) rank(now time.Time, overdue bool) rank {
+// rank returns the rank of a waiting flow.
+func (q *Queue) rank(w *QueuedFlow, now time.Time) rank {
 	switch {
-	case overdue:
+	case q.signs.overdue(w, now):
 		return left
 	case now.Sub(w.FirstSent) < w.openBy():
 		return inTime
@@ -82,7 +82,7 @@
 
 // before reports whether w is served before v.
 func (q *Queue) before(w, v *QueuedFlow, now time.Time) bool {
-	wRank, vRank := w.rank(now, q.signs.overdue(w, now)), v.rank(now, q.signs.overdue(v, now))
+	wRank, vRank := q.rank(w, now), q.rank(v, now)
 	switch {
 	case wRank != vRank:
 		return wRank < vRank
@@ -103,7 +103,7 @@
 	waiting []*QueuedFlow
 	signs   signs
 	paces   [msgs.NumWaits]pace
-	floors  [msgs.NumWaits]time.Time // when flows of a priority began to wait or were last opened
+	floors  [msgs.NumWaits]time.Time // when flows of a priority began to wait, or when the last one was due to be opened
 }
 
 // New returns an empty queue for flows of callers with the given timing.
@@ -128,7 +128,6 @@
 func (q *Queue) Add(now time.Time, w *QueuedFlow, limit int) (last *QueuedFlow) {
 	q.advance(now)
 	i := paceIndex(w.Priority)
-	q.paces[i].arrived++
 	if !slices.ContainsFunc(q.waiting, func(v *QueuedFlow) bool { return paceIndex(v.Priority) == i }) {
 		q.floors[i] = now
 	}
@@ -149,22 +148,6 @@
 	q.waiting = slices.DeleteFunc(q.waiting, func(v *QueuedFlow) bool { return v == w })
 }
 
-// ordered returns the waiting flows in the order in which they are served.
-func (q *Queue) ordered(now time.Time) []*QueuedFlow {
-	list := slices.Clone(q.waiting)
-	slices.SortStableFunc(list, func(w, v *QueuedFlow) int {
-		switch {
-		case q.before(w, v, now):
-			return -1
-		case q.before(v, w, now):
-			return 1
-		default:
-			return 0
-		}
-	})
-	return list
-}
-
 // Server is the state of the server that the queue is for.
 type Server struct {
 	Expected int           // requests that are in progress or about to arrive
@@ -179,10 +162,13 @@
 func (q *Queue) Next(now time.Time, s Server) (next *QueuedFlow) {
 	q.Expire(now)
 	q.advance(now)
+	opened := now
 	if s.Expected < urgentPerSlot*s.Slots {
 		next = q.belowFloor(now, s)
 	}
-	if next == nil {
+	if next != nil {
+		opened = q.floorDue(now, s, next.Priority)
+	} else {
 		next = q.first(now, func(*QueuedFlow) bool { return true })
 		if next == nil || s.Expected >= s.limit(next.Priority) {
 			return nil
@@ -191,7 +177,7 @@
 	q.remove(next)
 	i := paceIndex(next.Priority)
 	q.paces[i].opened++
-	q.floors[i] = now
+	q.floors[i] = opened
 	return next
 }
 
@@ -209,15 +195,27 @@
 // eight. Higher priorities, and requests on open flows, could else keep out the lowest for ever.
 const floorPart = 8
 
+// floorInterval returns the mean time between two openings of a priority at its floor.
+func (s Server) floorInterval() time.Duration { return floorPart * s.Service / time.Duration(s.Slots) }
+
+// floorDue returns when the opening of a priority was due that its floor allows now. The next one is due an
+// interval later, so that an opening that comes late delays no other; more than one isn't made up for.
+func (q *Queue) floorDue(now time.Time, s Server, priority int) time.Time {
+	due := q.floors[paceIndex(priority)].Add(s.floorInterval())
+	if earliest := now.Add(-s.floorInterval()); due.Before(earliest) {
+		return earliest
+	}
+	return due
+}
+
 // belowFloor returns the first flow of a priority that has been without an opening for longer than its floor
 // allows, or nil.
 func (q *Queue) belowFloor(now time.Time, s Server) *QueuedFlow {
 	if s.Service <= 0 || q.off.Floor {
 		return nil
 	}
-	interval := floorPart * s.Service / time.Duration(s.Slots)
 	return q.first(now, func(w *QueuedFlow) bool {
-		return now.Sub(q.floors[paceIndex(w.Priority)]) > interval && !q.signs.overdue(w, now)
+		return now.Sub(q.floors[paceIndex(w.Priority)]) > s.floorInterval() && !q.signs.overdue(w, now)
 	})
 }
 
@@ -240,10 +238,18 @@
 // above the lowest. With 3, such a flow is served after two other requests, within half of its target.
 const urgentPerSlot = 3
 
+// patience returns how long a flow's caller waits for the flow to open.
+func (q *Queue) patience(w *QueuedFlow) time.Duration {
+	if w.Timeout > 0 {
+		return min(w.Timeout, q.maxWait)
+	}
+	return q.maxWait
+}
+
 // Expire removes and returns the flows whose callers have given up.
 func (q *Queue) Expire(now time.Time) (expired []*QueuedFlow) {
 	q.waiting = slices.DeleteFunc(q.waiting, func(w *QueuedFlow) bool {
-		over := now.Sub(w.FirstSent) > q.maxWait
+		over := now.Sub(w.FirstSent) > q.patience(w)
 		if over {
 			expired = append(expired, w)
 		}
--- a/internal/load/hold/hold_test.go
+++ b/internal/load/hold/hold_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"mangowinch/internal/flow/msgs"
 	"mangowinch/internal/flow/segs"
 	"mangowinch/internal/load/parts"
 )
@@ -105,3 +106,35 @@
 		assert.Equal(r, out+len(seen), len(in))
 	})
 }
+
+// Guards against opening a flow whose caller has given up the request, although it would still await the opening.
+func TestFlowWaitsNoLongerThanItsRequest(t *testing.T) {
+	q := New(callers, parts.Off{})
+	w := waiting(1, 2, secondCopyAge)
+	w.Timeout = time.Second
+	q.Add(now, w, 10)
+	assert.Equal(t, len(q.Expire(now.Add(time.Second-secondCopyAge))), 0)
+	expired := q.Expire(now.Add(time.Second - secondCopyAge + time.Millisecond))
+	assert.Equal(t, len(expired), 1)
+	assert.Equal(t, q.Len(), 0)
+}
+
+// Guards against estimates of no wait at a server without room, and of a wait that ignores those who wait.
+func TestWaitsFollowQueueAndPace(t *testing.T) {
+	const service = 20 * time.Millisecond
+	q := New(segs.CallerTiming{GiveUp: time.Minute}, parts.Off{})
+	busy := Server{Expected: 6, Slots: 2, Lowest: 2, Service: service}
+	assert.Equal(t, q.Waits(now, Server{Slots: 2, Lowest: 2, Service: service}), [msgs.NumWaits]time.Duration{})
+	assert.Equal(t, q.Waits(now, busy)[2], service/2, "by the service time alone")
+	at := now
+	for n := range 40 { // one opening in 50 ms
+		q.Add(at, &QueuedFlow{Flow: flow(n), Priority: 2, FirstSent: at, Target: time.Minute}, 100)
+		if n >= 4 {
+			assert.Assert(t, q.Next(at, Server{Expected: 2, Slots: 2, Lowest: 2}) != nil)
+		}
+		at = at.Add(50 * time.Millisecond)
+	}
+	got := q.Waits(at, busy)
+	assert.Assert(t, got[2] > 150*time.Millisecond && got[2] < 300*time.Millisecond, "%v for the fifth of one each 50 ms", got[2])
+	assert.Equal(t, got[1], service/2, "nobody waits")
+}
--- a/internal/load/parts/parts.go
+++ b/internal/load/parts/parts.go
@@ -23,7 +23,6 @@
 	Distance bool // preference for servers of the own failure domain (steer)
 	Offers   bool // offering a flow to another agent while no slot is free (package share)
 	Waiting  bool // queueing of flows at the agent until a slot is free (package hold)
-	Early    bool // refusal of waiting flows that can't be opened early enough (hold)
 	Signs    bool // flows whose callers seem to have left come last (hold)
 	Floor    bool // a least part of the openings for each priority (hold)
 	Lag      bool // early release of the slot of an open flow without a request (package owner)
@@ -49,7 +48,6 @@
 	{"distance", func(o *Off) *bool { return &o.Distance }},
 	{"offers", func(o *Off) *bool { return &o.Offers }},
 	{"waiting", func(o *Off) *bool { return &o.Waiting }},
-	{"early", func(o *Off) *bool { return &o.Early }},
 	{"signs", func(o *Off) *bool { return &o.Signs }},
 	{"floor", func(o *Off) *bool { return &o.Floor }},
 	{"lag", func(o *Off) *bool { return &o.Lag }},
--- a/internal/node/local/caller.go
+++ b/internal/node/local/caller.go
@@ -99,11 +99,10 @@
 		}
 	}
 	a.admit(now)
-	a.refuseWaiting(now)
 	if a.waiting.Contains(s.Flow) {
 		queued.Inc()
 		a.Events.Flow(event.Ordinary, "waits", s.Flow).Int("waiting", a.waiting.Len()).Uint16("work", a.utilization(now)).
-			Int("priority", w.Priority).Stringer("revision", a.Log.Revision()).Send()
+			Int("priority", w.Priority).Dur("expected", a.expectedWait(now, w.Priority)).Stringer("revision", a.Log.Revision()).Send()
 		a.sendOwner(m.Origin, msgs.Owner{Flow: s.Flow}) // otherwise the entry would place a retransmission elsewhere
 	}
 }
--- a/internal/node/local/local.go
+++ b/internal/node/local/local.go
@@ -191,7 +191,6 @@
 	idle := a.idle()
 	a.flows.Expire(now, owner.Lifetimes{Idle: idle, MaxAge: a.MaxLife + closedRetention, Closed: closedRetention, Opening: a.Callers.GiveUp + openingRetention})
 	a.admit(now)
-	a.refuseWaiting(now)
 	a.home.Expire(now, a.MaxLife+closedRetention)
 	a.resetIdleFlows(now)
 	a.expireProbes(now)
