--- a/internal/flow/owner/owner_test.go
+++ b/internal/flow/owner/owner_test.go
@@ -215,3 +215,15 @@
 	p.Observe(&segs.Segment{Flow: flow, Flags: segs.Ack, Seq: 1500, Ack: 150})
 	assert.Equal(t, p.Requests, 3, "an acknowledgement is no request")
 }
+
+// An answer within a millisecond means failure only if the server had a free slot when the request came.
+func TestRequestsInProgressAreCountedOnArrival(t *testing.T) {
+	table := NewAgent(10, parts.Off{})
+	for port := range 3 {
+		o := table.Add(now, segs.Flow{CallerPort: uint16(port)})
+		table.FromCaller(now, o, data(1))
+		assert.Equal(t, o.Ahead, port)
+		table.FromCaller(now, o, data(1))
+		assert.Equal(t, o.Ahead, port, "a retransmission is no new request")
+	}
+}
--- a/internal/flow/owner/requests.go
+++ b/internal/flow/owner/requests.go
@@ -55,7 +55,13 @@
 
 func (r *requests) asked(now time.Time, o *Flow) { r.active = append(r.active, pending{o, now}) }
 
-func (r *requests) answered(took time.Duration) { r.avgAnswer += (took - r.avgAnswer) / averageWindow }
+func (r *requests) answered(took time.Duration) {
+	if r.avgAnswer == 0 {
+		r.avgAnswer = took
+		return
+	}
+	r.avgAnswer += (took - r.avgAnswer) / averageWindow
+}
 
 // addDelay records the time from a flow's acceptance to its first request.
 func (r *requests) addDelay(delay time.Duration) {
--- a/internal/load/hold/hold_test.go
+++ b/internal/load/hold/hold_test.go
@@ -7,7 +7,9 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"mangowinch/internal/flow/msgs"
 	"mangowinch/internal/flow/segs"
+	"mangowinch/internal/load/parts"
 )
 
 var now = time.Unix(1_700_000_000, 0)
@@ -18,6 +20,9 @@
 	secondCopyAge = 600 * time.Millisecond // age of a flow at the second retransmission
 )
 
+// callers wait for maxWait, and send no copies whose absence would tell that they have left.
+var callers = segs.CallerTiming{GiveUp: maxWait + 50*time.Millisecond}
+
 func flow(n int) segs.Flow { return segs.Flow{CallerPort: uint16(n)} }
 
 func waiting(n, priority int, age time.Duration) *QueuedFlow {
@@ -25,7 +30,7 @@
 }
 
 func order(q *Queue) (ports []int) {
-	for w := q.Next(now, 0, 1, 0); w != nil; w = q.Next(now, 0, 1, 0) {
+	for w := q.Next(now, Server{Slots: 1}); w != nil; w = q.Next(now, Server{Slots: 1}) {
 		ports = append(ports, int(w.Flow.CallerPort))
 	}
 	return ports
@@ -34,7 +39,7 @@
 // Guards against serving flows oldest first after an outage: the first requests are late in any case, and
 // new requests then become late too. Newest first, only the requests that are late anyway miss their target.
 func TestFlowsThatCanMeetTheirTargetComeFirst(t *testing.T) {
-	q := New(maxWait)
+	q := New(callers, parts.Off{})
 	for _, w := range []*QueuedFlow{
 		waiting(1, 2, 800*time.Millisecond), waiting(2, 2, 500*time.Millisecond), waiting(3, 2, 50*time.Millisecond),
 		waiting(4, 1, 60*time.Millisecond), waiting(5, 2, 10*time.Millisecond), waiting(6, 1, 700*time.Millisecond),
@@ -46,25 +51,25 @@
 
 // A flow is admitted when a slot becomes free.
 func TestServerGetsNoMoreThanItHasSlotsFor(t *testing.T) {
-	q := New(maxWait)
+	q := New(callers, parts.Off{})
 	q.Add(now, waiting(1, 2, 0), 10)
-	assert.Assert(t, q.Next(now, 3, 2, 2) == nil)
-	assert.Assert(t, q.Next(now, 2, 2, 2) != nil)
+	assert.Assert(t, q.Next(now, Server{Expected: 3, Slots: 2, Lowest: 2}) == nil)
+	assert.Assert(t, q.Next(now, Server{Expected: 2, Slots: 2, Lowest: 2}) != nil)
 }
 
 // Guards against refusing feeds, which have a higher priority and a flow each, three times as often as
 // lookups in a long burst: requests on open flows are not queued here and keep every slot busy.
 func TestUrgentFlowsAreAdmittedToBusyServer(t *testing.T) {
-	q := New(maxWait)
+	q := New(callers, parts.Off{})
 	q.Add(now, waiting(1, 1, 0), 10)
-	assert.Assert(t, q.Next(now, 6, 2, 2) == nil)
-	assert.Assert(t, q.Next(now, 5, 2, 2) != nil)
+	assert.Assert(t, q.Next(now, Server{Expected: 6, Slots: 2, Lowest: 2}) == nil)
+	assert.Assert(t, q.Next(now, Server{Expected: 5, Slots: 2, Lowest: 2}) != nil)
 }
 
 // If more flows wait than can be served, the last in order is refused at once, so that its caller does
 // not wait in vain. A new flow is kept if it comes before the last one.
 func TestFullQueueRefusesTheLast(t *testing.T) {
-	q := New(maxWait)
+	q := New(callers, parts.Off{})
 	q.Add(now, waiting(1, 2, 900*time.Millisecond), 2)
 	q.Add(now, waiting(2, 2, 400*time.Millisecond), 2)
 	last := q.Add(now, waiting(3, 1, 0), 2)
@@ -74,16 +79,16 @@
 }
 
 func TestFlowWaitsNoLongerThanItsCaller(t *testing.T) {
-	q := New(maxWait)
+	q := New(callers, parts.Off{})
 	q.Add(now, waiting(1, 2, secondCopyAge), 10)
-	assert.Assert(t, q.Next(now.Add(maxWait-secondCopyAge+time.Millisecond), 0, 2, 2) == nil)
+	assert.Assert(t, q.Next(now.Add(maxWait-secondCopyAge+time.Millisecond), Server{Slots: 2, Lowest: 2}) == nil)
 	assert.Equal(t, q.Len(), 0)
 }
 
 // For any order of arrivals, no flow is lost or duplicated and the queue's limit holds.
 func TestNoFlowIsLostOrDuplicated(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
-		q := New(maxWait)
+		q := New(callers, parts.Off{})
 		limit := rapid.IntRange(1, 8).Draw(r, "limit")
 		in := rapid.SliceOfN(rapid.IntRange(0, 1300), 0, 20).Draw(r, "ages")
 		out := 0
@@ -105,7 +110,7 @@
 // Guards against callers that get more because they open more flows: within a priority, a caller that uses
 // less is served first and is the last to be refused. Neither lateness nor priority is overridden.
 func TestCallersThatUseLessComeFirst(t *testing.T) {
-	q := New(maxWait)
+	q := New(callers, parts.Off{})
 	for n, usage := range []uint8{3, 0, 1, 0} {
 		w := waiting(n+1, 1, time.Duration(n)*time.Millisecond)
 		w.Usage = usage
@@ -121,3 +126,35 @@
 	assert.Equal(t, q.Add(now, waiting(9, 1, 0), 6).Flow, flow(1), "the highest level is refused first")
 	assert.Equal(t, order(q)[0], 6)
 }
+
+// Guards against opening a flow whose caller has given up the request, although it would still await the opening.
+func TestFlowWaitsNoLongerThanItsRequest(t *testing.T) {
+	q := New(callers, parts.Off{})
+	w := waiting(1, 2, secondCopyAge)
+	w.Timeout = time.Second
+	q.Add(now, w, 10)
+	assert.Equal(t, len(q.Expire(now.Add(time.Second-secondCopyAge))), 0)
+	expired := q.Expire(now.Add(time.Second - secondCopyAge + time.Millisecond))
+	assert.Equal(t, len(expired), 1)
+	assert.Equal(t, q.Len(), 0)
+}
+
+// Guards against estimates of no wait at a server without room, and of a wait that ignores those who wait.
+func TestWaitsFollowQueueAndPace(t *testing.T) {
+	const service = 20 * time.Millisecond
+	q := New(segs.CallerTiming{GiveUp: time.Minute}, parts.Off{})
+	busy := Server{Expected: 6, Slots: 2, Lowest: 2, Service: service}
+	assert.Equal(t, q.Waits(now, Server{Slots: 2, Lowest: 2, Service: service}), [msgs.NumWaits]time.Duration{})
+	assert.Equal(t, q.Waits(now, busy)[2], service/2, "by the service time alone")
+	at := now
+	for n := range 40 { // one opening in 50 ms
+		q.Add(at, &QueuedFlow{Flow: flow(n), Priority: 2, FirstSent: at, Target: time.Minute}, 100)
+		if n >= 4 {
+			assert.Assert(t, q.Next(at, Server{Expected: 2, Slots: 2, Lowest: 2}) != nil)
+		}
+		at = at.Add(50 * time.Millisecond)
+	}
+	got := q.Waits(at, busy)
+	assert.Assert(t, got[2] > 150*time.Millisecond && got[2] < 300*time.Millisecond, "%v for the fifth of one each 50 ms", got[2])
+	assert.Equal(t, got[1], service/2, "nobody waits")
+}
--- a/internal/load/usage/share_test.go
+++ b/internal/load/usage/share_test.go
@@ -10,17 +10,21 @@
 
 	"mangowinch/internal/flow/segs"
 	"mangowinch/internal/load/hold"
+	"mangowinch/internal/load/parts"
 	"mangowinch/internal/load/queue"
 )
 
 func exp(d time.Duration) float64 { return math.Exp(float64(d) / float64(window)) }
 
+// callerTiming says how long callers wait for their flows to open.
+var callerTiming = segs.CallerTiming{GiveUp: giveUp}
+
 // Times of the servers and callers below.
 const (
 	step        = 5 * time.Millisecond
 	serviceTime = 20 * time.Millisecond
 	target      = 200 * time.Millisecond
-	maxWait     = 1350 * time.Millisecond
+	giveUp      = 1400 * time.Millisecond
 	duration    = 13 * time.Second
 	settling    = 4 * time.Second // at the start, when nothing is counted
 	servers     = 8
@@ -62,7 +66,7 @@
 	counters := w.start()
 	queues := [servers]*hold.Queue{}
 	for i := range queues {
-		queues[i] = hold.New(maxWait)
+		queues[i] = hold.New(callerTiming, parts.Off{})
 	}
 	done := [servers][]time.Time{}
 	flows, port := map[segs.Flow]waitingFlow{}, uint32(0)
@@ -108,7 +112,7 @@
 		}
 		delete(again, now)
 		for f, o := range flows {
-			if now.Sub(o.since) > maxWait { // its caller has given up
+			if now.Sub(o.since) > callerTiming.OpenWindow() { // its caller has given up
 				o.counter.Add(now, o.asker.caller, -1)
 				delete(flows, f)
 			}
@@ -117,7 +121,7 @@
 			for len(done[s]) > 0 && !done[s][0].After(now) {
 				done[s] = done[s][1:]
 			}
-			for n := q.Next(now, len(done[s])+1, slots, 0); n != nil; n = q.Next(now, len(done[s])+1, slots, 0) {
+			for n := q.Next(now, hold.Server{Expected: len(done[s]) + 1, Slots: slots}); n != nil; n = q.Next(now, hold.Server{Expected: len(done[s]) + 1, Slots: slots}) {
 				done[s] = append(done[s], now.Add(serviceTime))
 				if counting && now.Sub(n.FirstSent)+serviceTime <= target {
 					flows[n.Flow].asker.served++
--- a/internal/node/local/local.go
+++ b/internal/node/local/local.go
@@ -133,7 +133,7 @@
 		hash:             belief.ServiceHash(c.Service),
 		flows:            owner.NewAgent(flowLimit, c.Off),
 		home:             owner.NewHome(homeLimit),
-		waiting:          hold.New(c.Callers.OpenWindow()),
+		waiting:          hold.New(c.Callers, c.Off),
 		probes:           map[segs.Flow]probe{},
 		lookups:          map[segs.Flow]*lookup{},
 		rounds:           locate.New(rand.Uint32()),
--- a/internal/node/local/waits.go
+++ b/internal/node/local/waits.go
@@ -4,18 +4,39 @@
 	"time"
 
 	"mangowinch/internal/flow/msgs"
+	"mangowinch/internal/load/hold"
+	"mangowinch/internal/oper/event"
 )
 
-// expectedWaits returns, by priority, how long a new flow would wait until a slot of the server is free: the requests
-// that are ahead of it, each of the service time, over the slots. It takes all waiting flows to be ahead.
-func (a *Agent) expectedWaits(now time.Time) (waits [msgs.NumWaits]time.Duration) {
-	ahead := a.flows.Expected(now) + a.waiting.Len() - a.slots() + 1
-	if ahead <= 0 {
-		return waits
+// serverState returns the state of the local server for the queue of waiting flows.
+func (a *Agent) serverState(now time.Time) hold.Server {
+	s := hold.Server{
+		Expected: a.flows.Expected(now),
+		Slots:    a.slots(),
+		Lowest:   a.Log.View().LowestPriority,
+		Service:  a.overallService(now),
 	}
-	wait := time.Duration(ahead) * a.overallService(now) / time.Duration(a.slots())
-	for i := range waits {
-		waits[i] = wait
+	if a.Off.Waiting {
+		s.Expected = 0
+	}
+	return s
+}
+
+// expectedWaits returns how long a new flow of each priority would wait at this agent.
+func (a *Agent) expectedWaits(now time.Time) [msgs.NumWaits]time.Duration {
+	return a.waiting.Waits(now, a.serverState(now))
+}
+
+// expectedWait returns how long a new flow of a priority would wait at this agent.
+func (a *Agent) expectedWait(now time.Time, priority int) time.Duration {
+	return a.expectedWaits(now)[min(max(priority, 0), msgs.NumWaits-1)]
+}
+
+// expireWaiting drops the waiting flows whose callers no longer wait. Nobody would hear a refusal.
+func (a *Agent) expireWaiting(now time.Time) {
+	for _, w := range a.waiting.Expire(now) {
+		countUnserved("expired")
+		a.Events.Flow(event.Failure, "gave-up", w.Flow).Int("priority", w.Priority).Int("waiting", a.waiting.Len()).
+			Stringer("revision", a.Log.Revision()).Send()
 	}
-	return waits
 }
