Reordered data is counted as no further request

Data with an older acknowledgement than the one before, a copy or a packet that was overtaken, differed from it and was charged as a request. Only an acknowledgement that rises begins one.

--- a/internal/flow/owner/entry.go
+++ b/internal/flow/owner/entry.go
@@ -50,7 +50,7 @@
 	// data before it, that is, after an answer.
 	Requests int
 	dataEnd  uint32 // sequence number after the caller's last data
-	dataAck  uint32 // acknowledgement of the caller's last data
+	dataAck  uint32 // highest acknowledgement of the caller's data
 }
 
 // Observe records a caller's packet on the open flow and reports whether it retransmits the data of the
@@ -67,10 +67,13 @@
 	}
 	end := s.Seq + uint32(s.Len)
 	again := end == p.dataEnd
-	if !again && (p.Requests == 0 || s.Ack != p.dataAck) {
-		p.Requests++
+	if p.Requests == 0 || int32(s.Ack-p.dataAck) > 0 {
+		if !again {
+			p.Requests++
+		}
+		p.dataAck = s.Ack
 	}
-	p.dataEnd, p.dataAck = end, s.Ack
+	p.dataEnd = end
 	return again
 }
 
--- a/internal/flow/owner/owner_test.go
+++ b/internal/flow/owner/owner_test.go
@@ -160,13 +160,14 @@
 	assert.Assert(t, table.Get(flow) == nil)
 }
 
-// Guards against requests on an open flow that aren't counted, and further packets or copies of one request that are.
+// Guards against requests on an open flow that aren't counted, and further packets or copies of one request that are, also
+// if they arrive in another order.
 func TestRequestsAreCountedOnce(t *testing.T) {
 	p := &EntryFlow{}
 	for i, c := range []struct {
 		seq, ack uint32
 		want     int
-	}{{1000, 50, 1}, {1000, 50, 1}, {1100, 50, 1}, {1200, 50, 1}, {1300, 90, 2}, {1300, 90, 2}, {1400, 120, 3}} {
+	}{{1000, 50, 1}, {1000, 50, 1}, {1100, 50, 1}, {1200, 50, 1}, {1300, 90, 2}, {1300, 90, 2}, {1200, 50, 2}, {1300, 90, 2}, {1400, 120, 3}} {
 		s := data(c.seq)
 		s.Ack = c.ack
 		p.Observe(s)
