caller-behind only for flows refused as busy; level of a port that is used again

- The line was written for refusals by no route, by a cut-off entry or at the link too, which levels don't cause.
- A caller that opens a new flow with the port of a closed one was passed on with the level of the first flow: a heavy caller kept level 0 for as long as the entry remembered the flow.
- Comments: figures of a measurement and a line that was too long.

--- a/internal/load/usage/usage.go
+++ b/internal/load/usage/usage.go
@@ -14,8 +14,9 @@
 // combines its count with the mean of the callers at the entry: the expectation of a rate of which n events were
 // seen, and which was exponentially distributed with that mean before. Callers of a failure domain in a burst are so
 // told from those of others before their own counts show it; within an entry, the order is that of the counts.
-// Levels are a factor of up to two apart, and an estimate below minUse is level 0. Entries of a failure domain with fewer entries see a larger part of each caller,
-// so they scale their counts down (Counter.SetScale): one level means the same use at all entries.
+// Levels are a factor of up to two apart, and an estimate below minUse is level 0. Entries of a failure domain with
+// fewer entries see a larger part of each caller, so they scale their counts down (Counter.SetScale): one level means
+// the same use at all entries.
 //
 // The memory is bounded by the space-saving algorithm (Metwally, Agrawal, El Abbadi: Efficient Computation of
 // Frequent and Top-k Elements in Data Streams, 2005), on exponentially decayed counts. Where the algorithm
@@ -185,8 +186,8 @@
 	return sum / float64(max(seen, 1))
 }
 
-// bounds are the estimates from which a caller has each level above 0. They are a factor of two apart, and from 16 on,
-// where chance moves a count by a quarter, the square root of it. Within a level, whoever opens more flows gets more.
+// bounds are the estimates from which a caller has each level above 0. They are a factor of two apart up to 16, where
+// the standard deviation of a count is a quarter of it, and the square root of two from there on. Within a level, whoever opens more flows gets more.
 var bounds = [MaxLevel]float64{minUse, 8, 16, 23, 32, 45, 64, 91, 128, 181, 256, 362, 512, 724, 1024}
 
 // Use is what one caller uses, as shown to operators.
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -211,7 +211,7 @@
 
 // refuse resets a flow that isn't open. No server has run any of its requests.
 func (e *Entry) refuse(now time.Time, s *segs.Segment, why string) {
-	e.recordRefusal(now, s.Flow)
+	e.recordRefusal(now, s.Flow, why)
 	e.flows.Delete(s.Flow)
 	e.packet = e.Codec.Reset(e.packet[:0], *s)
 	e.Wire.ToCaller(s.Flow.Caller, e.packet)
--- a/internal/node/edge/place.go
+++ b/internal/node/edge/place.go
@@ -29,6 +29,9 @@
 		}
 	} else if last := p.Last(); last != nil && !e.retryElsewhere(now, p, last, s) {
 		p.LastUsed = now
+		if p.Requests > 0 { // the caller uses the port again, for a new flow
+			p.Usage = e.shares.level(now, s.Flow)
+		}
 		e.forwardOpening(v, last.Agent, p, datagram)
 		return
 	}
--- a/internal/node/edge/shares.go
+++ b/internal/node/edge/shares.go
@@ -22,8 +22,7 @@
 	// behindFor is how long a caller that was refused because of its use counts as excluded, so that one
 	// line is written for one exclusion.
 	behindFor = 30 * time.Second
-	// upkeepInterval is the time between two removals of what is no longer remembered. Doing it at each tick
-	// would take some percent of a small instance's processor.
+	// upkeepInterval is the time between two scans for what is no longer remembered.
 	upkeepInterval = time.Second
 	// heaviestShown is the number of callers that the status shows.
 	heaviestShown = 10
@@ -60,6 +59,7 @@
 	}
 }
 
+// caller returns the caller of a flow.
 func (s *shares) caller(f segs.Flow) queue.Caller {
 	return s.callers.Identify(netip.AddrFrom4(f.Caller))
 }
@@ -74,17 +74,25 @@
 		retried.Inc()
 	}
 	delete(s.refused, tried)
-	caller := s.caller(f)
-	level = s.counter.Level(now, caller, s.callers.Weight(caller))
+	level = s.level(now, f)
 	countLevel(level)
 	if _, charged := s.pending[f]; !charged && len(s.pending) < flowLimit {
 		s.pending[f] = now
-		s.counter.Add(now, caller, 1)
+		s.counter.Add(now, s.caller(f), 1)
 	}
 	return level
 }
 
-// opened notes that a server has accepted a flow. The charge for it stays.
+// level returns the level of what the caller of a flow uses.
+func (s *shares) level(now time.Time, f segs.Flow) uint8 {
+	if s == nil {
+		return 0
+	}
+	caller := s.caller(f)
+	return s.counter.Level(now, caller, s.callers.Weight(caller))
+}
+
+// opened records that a server has accepted a flow. The charge for it stays.
 func (s *shares) opened(f segs.Flow) {
 	if s != nil {
 		delete(s.pending, f)
@@ -107,19 +115,20 @@
 	s.counter.Add(now, s.caller(f), -1)
 }
 
-// refuse notes that a flow was refused. A next flow of its caller to the same address until then is a retry. It
-// reports whether this is the first exclusion of a caller because of its use.
-func (s *shares) refuse(now time.Time, f segs.Flow, until time.Time) (caller queue.Caller, level uint8, first bool) {
+// refuse records that a flow was refused. A next flow of its caller to the same address until then is a retry. If the
+// servers are busy, refuse returns the caller's level, and reports whether this is its first exclusion because of its
+// use.
+func (s *shares) refuse(now time.Time, f segs.Flow, until time.Time, busy bool) (caller queue.Caller, level uint8, first bool) {
 	if s == nil {
 		return queue.Caller{}, 0, false
 	}
 	caller = s.caller(f)
-	level = s.counter.Level(now, caller, s.callers.Weight(caller))
+	level = s.level(now, f)
 	s.takeBack(now, f)
 	if len(s.refused) < maxRefused {
 		s.refused[attempt{f.Caller, f.ServiceAddr()}] = until
 	}
-	if _, known := s.behind[caller]; level == 0 || known || len(s.behind) >= maxBehind {
+	if _, known := s.behind[caller]; !busy || level == 0 || known || len(s.behind) >= maxBehind {
 		return caller, level, false
 	}
 	s.behind[caller] = now
@@ -154,13 +163,13 @@
 	}
 }
 
-// recordRefusal notes that a flow is refused.
-func (e *Entry) recordRefusal(now time.Time, f segs.Flow) {
+// recordRefusal records that a flow is refused.
+func (e *Entry) recordRefusal(now time.Time, f segs.Flow, why string) {
 	retryTime := defaultRetryTime
 	if r := e.Log.View().Route(f.ServiceAddr()); r != nil && r.Timeout > 0 {
 		retryTime = r.Timeout
 	}
-	if caller, level, first := e.shares.refuse(now, f, now.Add(retryTime)); first {
+	if caller, level, first := e.shares.refuse(now, f, now.Add(retryTime), why == "busy"); first {
 		e.Events.State("caller-behind").Stringer("caller", caller).Uint8("usage", level).Send()
 	}
 }
--- a/internal/node/edge/shares_test.go
+++ b/internal/node/edge/shares_test.go
@@ -35,7 +35,7 @@
 		s.opened(flowOf(1, 1))
 		s.charge(now, flowOf(1, 1))
 		s.tick(now, onlyDomain)
-		_, _, first := s.refuse(now, flowOf(1, 1), now)
+		_, _, first := s.refuse(now, flowOf(1, 1), now, true)
 		assert.Assert(t, !first)
 	}
 }
@@ -51,8 +51,8 @@
 		case 0:
 			s.opened(f)
 		case 1:
-			s.refuse(now, f, now.Add(time.Second))
-			s.refuse(now, f, now.Add(time.Second))
+			s.refuse(now, f, now.Add(time.Second), true)
+			s.refuse(now, f, now.Add(time.Second), true)
 		}
 	}
 	s.tick(now, onlyDomain)
@@ -71,39 +71,44 @@
 		return retried.Get() - before
 	}
 	assert.Equal(t, count(now, flowOf(1, 1)), uint64(0))
-	s.refuse(now, flowOf(1, 1), now.Add(time.Second))
+	s.refuse(now, flowOf(1, 1), now.Add(time.Second), true)
 	assert.Equal(t, count(now, flowOf(2, 1)), uint64(0), "another caller")
 	other := flowOf(1, 2)
 	other.Port = 80
 	assert.Equal(t, count(now, other), uint64(0), "another address")
 	assert.Equal(t, count(now, flowOf(1, 3)), uint64(1))
 	assert.Equal(t, count(now, flowOf(1, 4)), uint64(0), "only one flow was refused")
-	s.refuse(now, flowOf(1, 4), now.Add(time.Second))
+	s.refuse(now, flowOf(1, 4), now.Add(time.Second), true)
 	assert.Equal(t, count(now.Add(time.Second), flowOf(1, 5)), uint64(0), "too late")
 }
 
 // Guards against a line for each refusal, and against memory that grows with the number of callers.
 func TestExclusionIsReportedOnce(t *testing.T) {
 	s := newTestShares()
+	for n := range 20 {
+		s.open(now, flowOf(1, n))
+	}
+	_, level, first := s.refuse(now, flowOf(1, 1), now, false)
+	assert.Assert(t, level > 0 && !first, "a refusal for another reason")
 	reported := 0
 	for caller := range 2 * maxBehind {
 		for n := range 20 {
 			s.open(now, flowOf(byte(caller), n))
 		}
 		for n := range 10 {
-			if _, _, first := s.refuse(now, flowOf(byte(caller), n), now.Add(time.Second)); first {
+			if _, _, first := s.refuse(now, flowOf(byte(caller), n), now.Add(time.Second), true); first {
 				reported++
 			}
 		}
 	}
 	assert.Equal(t, reported, maxBehind)
 	s.open(now, flowOf(250, 1))
-	_, level, first := s.refuse(now, flowOf(250, 1), now)
+	_, level, first = s.refuse(now, flowOf(250, 1), now, true)
 	assert.Assert(t, level == 0 && !first, "a caller that uses little")
 	for i := range 2 * maxRefused {
 		f := segs.Flow{Caller: [4]byte{100, 65, byte(i >> 8), byte(i)}}
 		s.open(now, f)
-		s.refuse(now, f, now.Add(time.Second))
+		s.refuse(now, f, now.Add(time.Second), true)
 	}
 	assert.Equal(t, len(s.refused), maxRefused)
 	s.tick(now.Add(2*behindFor), onlyDomain)
