Flows are charged when a server has opened them

A flow was charged when it was placed, and the charge taken back in full when it was refused or given up, after up to 1.4 s of decay at 4 s: each flow that was given up erased up to 0.4 of a request that the caller had got. A lost Opened took the charge back; now it doesn't. An opening packet that nobody opens charges nobody. Entries hold no table of pending flows, and scan none at each tick.

--- a/internal/flow/owner/entry.go
+++ b/internal/flow/owner/entry.go
@@ -46,6 +46,8 @@
 	Owner netip.Addr
 	// Usage is the level of what the caller used when the flow was placed (package usage).
 	Usage uint8
+	// Charged reports whether the caller was charged for the flow.
+	Charged bool
 	// Requests is the number of requests seen on the flow. A request begins with data that acknowledges more than the
 	// data before it, that is, after an answer.
 	Requests int
--- a/internal/load/usage/usage.go
+++ b/internal/load/usage/usage.go
@@ -6,9 +6,9 @@
 // use. An entry sees an equal part of what each caller of its failure domain sends, because routers distribute
 // flows by their hash. Its counts therefore rank the callers of the domain without an exchange between entries.
 //
-// A level is the logarithm of a caller's use per weight. Only what a caller gets is counted: flows that wait
-// or are open, and requests on open flows. The charge for a flow that was not opened is taken back, so that a
-// caller whose flows are refused gets its turn as its level falls, however often it comes again.
+// A level is the logarithm of a caller's use per weight. Only what a caller gets is counted: flows that a server has
+// opened, and requests on them. Flows that wait, or that were refused or given up, are not: a caller that is not
+// served gets its turn as its level falls, however often it comes again.
 //
 // Counts are a sample, and small where a failure domain has many entries. The estimate of a caller's use therefore
 // combines its count with the mean of the callers at the entry: the expectation of a rate of which n events were
@@ -31,8 +31,7 @@
 //	c := usage.New(usage.DefaultLimit)
 //	who := callers.Identify(source)
 //	level := c.Level(now, who, callers.Weight(who))
-//	c.Add(now, who, 1)
-//	c.Add(now, who, -1) // the flow was refused
+//	c.Add(now, who, 1) // a server has opened the flow
 package usage
 
 import (
@@ -96,17 +95,11 @@
 // Len returns the number of callers that are counted.
 func (c *Counter) Len() int { return len(c.heap) }
 
-// Add charges a caller for cost, in requests of average service time. A negative cost takes back an earlier charge.
+// Add charges a caller for cost, in requests of average service time.
 func (c *Counter) Add(now time.Time, caller queue.Caller, cost float64) {
 	growth := c.advance(now)
 	k := c.callers[caller]
 	switch {
-	case cost <= 0:
-		if k != nil {
-			k.upper = max(k.excess, k.upper+cost*growth)
-			heap.Fix(&c.heap, k.index)
-		}
-		return
 	case k == nil && len(c.heap) < c.limit:
 		k = &count{caller: caller}
 		c.callers[caller] = k
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -278,8 +278,8 @@
 	if p.Observe(s) {
 		e.suspect(now, agent)
 	}
-	if p.Requests > max(requests, 1) { // the first request was counted when the flow was placed
-		e.shares.charge(now, s.Flow)
+	if p.Requests > requests {
+		e.chargeRequest(now, p, s.Flow)
 	}
 	switch {
 	case !e.suspects.Failed(agent):
--- a/internal/node/edge/peer.go
+++ b/internal/node/edge/peer.go
@@ -37,8 +37,8 @@
 func (e *Entry) opened(now time.Time, from netip.Addr, m msgs.Opened) {
 	e.chooser.Accepted(from)
 	e.chooser.Report(now, from, m.Load)
-	e.shares.opened(m.Flow)
 	if p := e.flows.Get(m.Flow); p != nil {
+		e.chargeOpened(now, p, m.Flow)
 		p.MarkAccepted(from, m.Seq)
 	}
 }
--- a/internal/node/edge/shares.go
+++ b/internal/node/edge/shares.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"mangowinch/internal/flow/owner"
 	"mangowinch/internal/flow/segs"
 	"mangowinch/internal/load/queue"
 	"mangowinch/internal/load/usage"
@@ -32,9 +33,7 @@
 type shares struct {
 	callers *usage.Callers
 	counter *usage.Counter
-	giveUp  time.Duration           // after which a flow that is not open has been given up by its caller
-	pending map[segs.Flow]time.Time // flows that are charged and not known to be open, by when they were placed
-	refused map[attempt]time.Time   // until when the next flow counts as a retry
+	refused map[attempt]time.Time // until when the next flow counts as a retry
 	behind  map[queue.Caller]time.Time
 	upkept  time.Time // last upkeep
 }
@@ -52,8 +51,6 @@
 	return &shares{
 		callers: c.Shares,
 		counter: usage.New(usage.DefaultLimit),
-		giveUp:  c.Callers.GiveUp,
-		pending: map[segs.Flow]time.Time{},
 		refused: map[attempt]time.Time{},
 		behind:  map[queue.Caller]time.Time{},
 	}
@@ -64,7 +61,7 @@
 	return s.callers.Identify(netip.AddrFrom4(f.Caller))
 }
 
-// open charges the caller of a flow that is being placed, and returns the caller's level before that.
+// open returns the level of the caller of a flow that is being placed.
 func (s *shares) open(now time.Time, f segs.Flow) (level uint8) {
 	if s == nil {
 		return 0
@@ -76,10 +73,6 @@
 	delete(s.refused, tried)
 	level = s.level(now, f)
 	countLevel(level)
-	if _, charged := s.pending[f]; !charged && len(s.pending) < flowLimit {
-		s.pending[f] = now
-		s.counter.Add(now, s.caller(f), 1)
-	}
 	return level
 }
 
@@ -92,29 +85,13 @@
 	return s.counter.Level(now, caller, s.callers.Weight(caller))
 }
 
-// opened records that a server has accepted a flow. The charge for it stays.
-func (s *shares) opened(f segs.Flow) {
-	if s != nil {
-		delete(s.pending, f)
-	}
-}
-
-// charge charges a caller for a further request on an open flow.
+// charge charges a caller for a flow that a server has opened, or for a further request on it.
 func (s *shares) charge(now time.Time, f segs.Flow) {
 	if s != nil {
 		s.counter.Add(now, s.caller(f), 1)
 	}
 }
 
-// takeBack takes back the charge for a flow that no server has opened.
-func (s *shares) takeBack(now time.Time, f segs.Flow) {
-	if _, charged := s.pending[f]; !charged {
-		return
-	}
-	delete(s.pending, f)
-	s.counter.Add(now, s.caller(f), -1)
-}
-
 // refuse records that a flow was refused. A next flow of its caller to the same address until then is a retry. If the
 // servers are busy, refuse returns the caller's level, and reports whether this is its first exclusion because of its
 // use.
@@ -124,7 +101,6 @@
 	}
 	caller = s.caller(f)
 	level = s.level(now, f)
-	s.takeBack(now, f)
 	if len(s.refused) < maxRefused {
 		s.refused[attempt{f.Caller, f.ServiceAddr()}] = until
 	}
@@ -135,17 +111,11 @@
 	return caller, level, true
 }
 
-// tick takes back the charges for flows whose callers have given up. At times it forgets old refusals and sets the
-// part of the callers' flows that this entry sees.
+// tick forgets old refusals and sets the part of the callers' flows that this entry sees.
 func (s *shares) tick(now time.Time, entryShare func() float64) {
 	if s == nil {
 		return
 	}
-	for f, since := range s.pending {
-		if now.Sub(since) > s.giveUp {
-			s.takeBack(now, f)
-		}
-	}
 	if now.Sub(s.upkept) < upkeepInterval {
 		return
 	}
@@ -174,6 +144,24 @@
 	}
 }
 
+// chargeOpened charges the caller of a flow that a server has opened, once.
+func (e *Entry) chargeOpened(now time.Time, p *owner.EntryFlow, f segs.Flow) {
+	if !p.Charged {
+		p.Charged = true
+		e.shares.charge(now, f)
+	}
+}
+
+// chargeRequest charges the caller of an open flow for a request that has begun. The charge for the flow includes the
+// first one.
+func (e *Entry) chargeRequest(now time.Time, p *owner.EntryFlow, f segs.Flow) {
+	if p.Charged && p.Requests > 1 {
+		e.shares.charge(now, f)
+		return
+	}
+	e.chargeOpened(now, p, f) // the message Opened was lost, or another entry received it
+}
+
 // HeaviestCallers returns the callers that use the most at this entry, heaviest first; none if room is not shared
 // between callers.
 func (e *Entry) HeaviestCallers(now time.Time) []usage.Use {
