--- a/internal/flow/owner/entry.go
+++ b/internal/flow/owner/entry.go
@@ -47,11 +47,13 @@
 	Owner netip.Addr
 	// Usage is the level of what the caller used when the flow was placed (package usage).
 	Usage uint8
+	// Charged reports whether the caller was charged for the flow.
+	Charged bool
 	// Requests is the number of requests seen on the flow. A request begins with data that acknowledges more than the
 	// data before it, that is, after an answer.
 	Requests int
 	dataEnd  uint32 // sequence number after the caller's last data
-	dataAck  uint32 // acknowledgement of the caller's last data
+	dataAck  uint32 // highest acknowledgement of the caller's data
 }
 
 // Observe records a caller's packet on the open flow and reports whether it retransmits the data of the
@@ -68,10 +70,13 @@
 	}
 	end := s.Seq + uint32(s.Len)
 	again := end == p.dataEnd
-	if !again && (p.Requests == 0 || s.Ack != p.dataAck) {
-		p.Requests++
+	if p.Requests == 0 || int32(s.Ack-p.dataAck) > 0 {
+		if !again {
+			p.Requests++
+		}
+		p.dataAck = s.Ack
 	}
-	p.dataEnd, p.dataAck = end, s.Ack
+	p.dataEnd = end
 	return again
 }
 
--- a/internal/load/usage/usage.go
+++ b/internal/load/usage/usage.go
@@ -6,16 +6,17 @@
 // use. An entry sees an equal part of what each caller of its failure domain sends, because routers distribute
 // flows by their hash. Its counts therefore rank the callers of the domain without an exchange between entries.
 //
-// A level is the logarithm of a caller's use per weight. Only what a caller gets is counted: flows that wait
-// or are open, and requests on open flows. The charge for a flow that was not opened is taken back, so that a
-// caller whose flows are refused gets its turn as its level falls, however often it comes again.
+// A level is the logarithm of a caller's use per weight. Only what a caller gets is counted: flows that a server has
+// opened, and requests on them. Flows that wait, or that were refused or given up, are not: a caller that is not
+// served gets its turn as its level falls, however often it comes again.
 //
 // Counts are a sample, and small where a failure domain has many entries. The estimate of a caller's use therefore
 // combines its count with the mean of the callers at the entry: the expectation of a rate of which n events were
 // seen, and which was exponentially distributed with that mean before. Callers of a failure domain in a burst are so
 // told from those of others before their own counts show it; within an entry, the order is that of the counts.
-// Levels are a factor of up to two apart, and an estimate below minUse is level 0. Entries of a failure domain with fewer entries see a larger part of each caller,
-// so they scale their counts down (Counter.SetScale): one level means the same use at all entries.
+// Levels are a factor of up to two apart, and an estimate below minUse is level 0. Entries of a failure domain with
+// fewer entries see a larger part of each caller, so they scale their counts down (Counter.SetScale): one level means
+// the same use at all entries.
 //
 // The memory is bounded by the space-saving algorithm (Metwally, Agrawal, El Abbadi: Efficient Computation of
 // Frequent and Top-k Elements in Data Streams, 2005), on exponentially decayed counts. Where the algorithm
@@ -30,8 +31,7 @@
 //	c := usage.New(usage.DefaultLimit)
 //	who := callers.Identify(source)
 //	level := c.Level(now, who, callers.Weight(who))
-//	c.Add(now, who, 1)
-//	c.Add(now, who, -1) // the flow was refused
+//	c.Add(now, who, 1) // a server has opened the flow
 package usage
 
 import (
@@ -95,17 +95,11 @@
 // Len returns the number of callers that are counted.
 func (c *Counter) Len() int { return len(c.heap) }
 
-// Add charges a caller for cost, in requests of average service time. A negative cost takes back an earlier charge.
+// Add charges a caller for cost, in requests of average service time.
 func (c *Counter) Add(now time.Time, caller queue.Caller, cost float64) {
 	growth := c.advance(now)
 	k := c.callers[caller]
 	switch {
-	case cost <= 0:
-		if k != nil {
-			k.upper = max(k.excess, k.upper+cost*growth)
-			heap.Fix(&c.heap, k.index)
-		}
-		return
 	case k == nil && len(c.heap) < c.limit:
 		k = &count{caller: caller}
 		c.callers[caller] = k
@@ -185,8 +179,8 @@
 	return sum / float64(max(seen, 1))
 }
 
-// bounds are the estimates from which a caller has each level above 0. They are a factor of two apart, and from 16 on,
-// where chance moves a count by a quarter, the square root of it. Within a level, whoever opens more flows gets more.
+// bounds are the estimates from which a caller has each level above 0. They are a factor of two apart up to 16, where
+// the standard deviation of a count is a quarter of it, and the square root of two from there on. Within a level, whoever opens more flows gets more.
 var bounds = [MaxLevel]float64{minUse, 8, 16, 23, 32, 45, 64, 91, 128, 181, 256, 362, 512, 724, 1024}
 
 // Use is what one caller uses, as shown to operators.
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -245,7 +245,7 @@
 
 // refuse resets a flow that isn't open. No server has run any of its requests.
 func (e *Entry) refuse(now time.Time, s *segs.Segment, why string) {
-	e.recordRefusal(now, s.Flow)
+	e.recordRefusal(now, s.Flow, why)
 	e.flows.Delete(s.Flow)
 	e.packet = e.Codec.Reset(e.packet[:0], *s)
 	e.Wire.ToCaller(s.Flow.Caller, e.packet)
@@ -312,8 +312,8 @@
 	if p.Observe(s) {
 		e.suspect(now, agent)
 	}
-	if p.Requests > max(requests, 1) { // the first request was counted when the flow was placed
-		e.shares.charge(now, s.Flow)
+	if p.Requests > requests {
+		e.chargeRequest(now, p, s.Flow)
 	}
 	switch {
 	case !e.suspects.Failed(agent):
--- a/internal/node/edge/peer.go
+++ b/internal/node/edge/peer.go
@@ -37,9 +37,9 @@
 func (e *Entry) opened(now time.Time, from netip.Addr, m msgs.Opened) {
 	e.chooser.Accepted(from)
 	e.chooser.Report(now, from, m.Load, m.Estimate)
-	e.shares.opened(m.Flow)
 	e.recordOpened(now, from, &m)
 	if p := e.flows.Get(m.Flow); p != nil {
+		e.chargeOpened(now, p, m.Flow)
 		e.link.Answered(now, p.SentAt(from))
 		p.MarkAccepted(from, m.Seq)
 	}
--- a/internal/node/edge/shares.go
+++ b/internal/node/edge/shares.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"mangowinch/internal/flow/owner"
 	"mangowinch/internal/flow/segs"
 	"mangowinch/internal/load/queue"
 	"mangowinch/internal/load/usage"
@@ -22,8 +23,7 @@
 	// behindFor is how long a caller that was refused because of its use counts as excluded, so that one
 	// line is written for one exclusion.
 	behindFor = 30 * time.Second
-	// upkeepInterval is the time between two removals of what is no longer remembered. Doing it at each tick
-	// would take some percent of a small instance's processor.
+	// upkeepInterval is the time between two scans for what is no longer remembered.
 	upkeepInterval = time.Second
 	// heaviestShown is the number of callers that the status shows.
 	heaviestShown = 10
@@ -33,9 +33,7 @@
 type shares struct {
 	callers *usage.Callers
 	counter *usage.Counter
-	giveUp  time.Duration           // after which a flow that is not open has been given up by its caller
-	pending map[segs.Flow]time.Time // flows that are charged and not known to be open, by when they were placed
-	refused map[attempt]time.Time   // until when the next flow counts as a retry
+	refused map[attempt]time.Time // until when the next flow counts as a retry
 	behind  map[queue.Caller]time.Time
 	upkept  time.Time // last upkeep
 }
@@ -53,18 +51,17 @@
 	return &shares{
 		callers: c.Shares,
 		counter: usage.New(usage.DefaultLimit),
-		giveUp:  c.Callers.GiveUp,
-		pending: map[segs.Flow]time.Time{},
 		refused: map[attempt]time.Time{},
 		behind:  map[queue.Caller]time.Time{},
 	}
 }
 
+// caller returns the caller of a flow.
 func (s *shares) caller(f segs.Flow) queue.Caller {
 	return s.callers.Identify(netip.AddrFrom4(f.Caller))
 }
 
-// open charges the caller of a flow that is being placed, and returns the caller's level before that.
+// open returns the level of the caller of a flow that is being placed.
 func (s *shares) open(now time.Time, f segs.Flow) (level uint8) {
 	if s == nil {
 		return 0
@@ -74,69 +71,51 @@
 		retried.Inc()
 	}
 	delete(s.refused, tried)
-	caller := s.caller(f)
-	level = s.counter.Level(now, caller, s.callers.Weight(caller))
+	level = s.level(now, f)
 	countLevel(level)
-	if _, charged := s.pending[f]; !charged && len(s.pending) < flowLimit {
-		s.pending[f] = now
-		s.counter.Add(now, caller, 1)
-	}
 	return level
 }
 
-// opened notes that a server has accepted a flow. The charge for it stays.
-func (s *shares) opened(f segs.Flow) {
-	if s != nil {
-		delete(s.pending, f)
+// level returns the level of what the caller of a flow uses.
+func (s *shares) level(now time.Time, f segs.Flow) uint8 {
+	if s == nil {
+		return 0
 	}
+	caller := s.caller(f)
+	return s.counter.Level(now, caller, s.callers.Weight(caller))
 }
 
-// charge charges a caller for a further request on an open flow.
+// charge charges a caller for a flow that a server has opened, or for a further request on it.
 func (s *shares) charge(now time.Time, f segs.Flow) {
 	if s != nil {
 		s.counter.Add(now, s.caller(f), 1)
 	}
 }
 
-// takeBack takes back the charge for a flow that no server has opened.
-func (s *shares) takeBack(now time.Time, f segs.Flow) {
-	if _, charged := s.pending[f]; !charged {
-		return
-	}
-	delete(s.pending, f)
-	s.counter.Add(now, s.caller(f), -1)
-}
-
-// refuse notes that a flow was refused. A next flow of its caller to the same address until then is a retry. It
-// reports whether this is the first exclusion of a caller because of its use.
-func (s *shares) refuse(now time.Time, f segs.Flow, until time.Time) (caller queue.Caller, level uint8, first bool) {
+// refuse records that a flow was refused. A next flow of its caller to the same address until then is a retry. If the
+// servers are busy, refuse returns the caller's level, and reports whether this is its first exclusion because of its
+// use.
+func (s *shares) refuse(now time.Time, f segs.Flow, until time.Time, busy bool) (caller queue.Caller, level uint8, first bool) {
 	if s == nil {
 		return queue.Caller{}, 0, false
 	}
 	caller = s.caller(f)
-	level = s.counter.Level(now, caller, s.callers.Weight(caller))
-	s.takeBack(now, f)
+	level = s.level(now, f)
 	if len(s.refused) < maxRefused {
 		s.refused[attempt{f.Caller, f.ServiceAddr()}] = until
 	}
-	if _, known := s.behind[caller]; level == 0 || known || len(s.behind) >= maxBehind {
+	if _, known := s.behind[caller]; !busy || level == 0 || known || len(s.behind) >= maxBehind {
 		return caller, level, false
 	}
 	s.behind[caller] = now
 	return caller, level, true
 }
 
-// tick takes back the charges for flows whose callers have given up. At times it forgets old refusals and sets the
-// part of the callers' flows that this entry sees.
+// tick forgets old refusals and sets the part of the callers' flows that this entry sees.
 func (s *shares) tick(now time.Time, entryShare func() float64) {
 	if s == nil {
 		return
 	}
-	for f, since := range s.pending {
-		if now.Sub(since) > s.giveUp {
-			s.takeBack(now, f)
-		}
-	}
 	if now.Sub(s.upkept) < upkeepInterval {
 		return
 	}
@@ -154,17 +133,35 @@
 	}
 }
 
-// recordRefusal notes that a flow is refused.
-func (e *Entry) recordRefusal(now time.Time, f segs.Flow) {
+// recordRefusal records that a flow is refused.
+func (e *Entry) recordRefusal(now time.Time, f segs.Flow, why string) {
 	retryTime := defaultRetryTime
 	if r := e.Log.View().Route(f.ServiceAddr()); r != nil && r.Timeout > 0 {
 		retryTime = r.Timeout
 	}
-	if caller, level, first := e.shares.refuse(now, f, now.Add(retryTime)); first {
+	if caller, level, first := e.shares.refuse(now, f, now.Add(retryTime), why == "busy"); first {
 		e.Events.State("caller-behind").Stringer("caller", caller).Uint8("usage", level).Send()
 	}
 }
 
+// chargeOpened charges the caller of a flow that a server has opened, once.
+func (e *Entry) chargeOpened(now time.Time, p *owner.EntryFlow, f segs.Flow) {
+	if !p.Charged {
+		p.Charged = true
+		e.shares.charge(now, f)
+	}
+}
+
+// chargeRequest charges the caller of an open flow for a request that has begun. The charge for the flow includes the
+// first one.
+func (e *Entry) chargeRequest(now time.Time, p *owner.EntryFlow, f segs.Flow) {
+	if p.Charged && p.Requests > 1 {
+		e.shares.charge(now, f)
+		return
+	}
+	e.chargeOpened(now, p, f) // the message Opened was lost, or another entry received it
+}
+
 // HeaviestCallers returns the callers that use the most at this entry, heaviest first; none if room is not shared
 // between callers.
 func (e *Entry) HeaviestCallers(now time.Time) []usage.Use {
