A request behind those of callers that gave up begins when it is its turn

Cause: an answer to a request that had not begun advanced nothing. After callers gave up (FIN or RST without an answer) the requests behind theirs never began; while as many as slots stayed in progress, those that came later didn't either, so the server was never measured again, Oldest was 0, and the last estimate went on being reported as new. Change: at each answer the oldest requests in progress, as many as slots, have begun. No counter of requests ahead. The new test fails without the change at the second answer; the tests of before pass unchanged.

--- a/internal/flow/owner/agent.go
+++ b/internal/flow/owner/agent.go
@@ -29,7 +29,6 @@
 	serverOpen   bool
 	Service      time.Duration // time that the server spent on the last request; 0: unknown
 	called       netip.AddrPort
-	ahead        int       // requests that the server ends before it begins with the one in progress
 	beganAt      time.Time // when the server began with the request in progress, or had all its data so far; zero: it waits
 }
 
--- a/internal/flow/owner/owner_test.go
+++ b/internal/flow/owner/owner_test.go
@@ -199,3 +199,36 @@
 	assert.Equal(t, took, 320*time.Millisecond)
 	assert.Equal(t, o.Service, 20*time.Millisecond)
 }
+
+// Guards against a server that is never measured again after its callers have given up: requests that waited behind
+// those of such callers are answered out of turn, and must not keep the ones behind them from their turn.
+func TestServiceTimeIsKnownAgainAfterCallersGaveUp(t *testing.T) {
+	table := NewAgent(100, parts.Off{})
+	table.SetSlots(2)
+	at, port := now, flow.CallerPort
+	var queue []*Flow
+	request := func() {
+		f := flow
+		port++
+		f.CallerPort = port
+		o, s := table.Add(at, f), data(1)
+		s.Flow = f
+		table.FromCaller(at, o, s)
+		queue = append(queue, o)
+	}
+	for range 4 {
+		request()
+	}
+	for _, o := range queue[:2] {
+		table.FromCaller(at, o, &segs.Segment{Flow: flow, Flags: segs.Rst})
+	}
+	queue = queue[2:]
+	for i := range 10 {
+		at = at.Add(20 * time.Millisecond)
+		request()
+		o := queue[0]
+		queue = queue[1:]
+		table.FromServer(at, o, &segs.Segment{Flow: flow, FromServer: true, Flags: segs.Ack, Ack: 101, Len: 200})
+		assert.Equal(t, o.Service > 0, i > 0, "answer %d", i)
+	}
+}
--- a/internal/flow/owner/service.go
+++ b/internal/flow/owner/service.go
@@ -7,21 +7,24 @@
 
 // The time that a server spends on a request begins when a slot is free and the request's data has arrived. The
 // server's queue is not visible, so the agent assumes that it is first come, first served: a request that arrives
-// while all slots are in use begins when as many requests have been answered as were ahead of it. A request that is
-// answered earlier says nothing about the server's speed: it was refused, or the assumption does not hold.
+// while all slots are in use begins at the first answer that leaves fewer requests ahead of it than there are slots. A
+// request that is answered earlier says nothing about the server's speed: it was refused, or the assumption does not
+// hold.
 
 // SetSlots sets the number of requests that the server runs at a time.
 func (t *Agent) SetSlots(slots int) { t.requests.slots = slots }
 
-// queue determines how many requests are ahead of a new one, which is not in the list of active ones yet.
+// queue determines whether the server begins with a new request at once. The request is not in the list of active
+// ones yet.
 func (r *requests) queue(now time.Time, o *Flow) {
-	o.ahead, o.beganAt = 1-max(r.slots, 1), time.Time{}
+	ahead := 0
 	for _, p := range r.active {
 		if p.current() {
-			o.ahead++
+			ahead++
 		}
 	}
-	if o.ahead <= 0 {
+	o.beganAt = time.Time{}
+	if ahead < max(r.slots, 1) {
 		o.beganAt = now
 	}
 }
@@ -39,18 +42,29 @@
 // served returns the time that the server spent on a request that it has just answered, or 0 if it is unknown, and
 // lets the requests behind it advance.
 func (r *requests) served(now time.Time, o *Flow) (spent time.Duration) {
-	if o.beganAt.IsZero() {
-		return 0
+	if !o.beganAt.IsZero() {
+		spent = now.Sub(o.beganAt)
 	}
-	spent = now.Sub(o.beganAt)
+	r.advance(now, o)
+	return spent
+}
+
+// advance lets the server begin with the oldest requests in progress, as many as it has slots, except for one that it
+// has just answered. Requests of callers that gave up do not count: otherwise those behind them would never begin.
+func (r *requests) advance(now time.Time, answered *Flow) {
+	free := max(r.slots, 1)
 	for _, p := range r.active {
-		if w := p.flow; w != o && p.current() && w.beganAt.IsZero() {
-			if w.ahead--; w.ahead <= 0 {
-				w.beganAt = now
-			}
+		if p.flow == answered || !p.current() {
+			continue
+		}
+		if free == 0 {
+			return
+		}
+		free--
+		if p.flow.beganAt.IsZero() {
+			p.flow.beganAt = now
 		}
 	}
-	return spent
 }
 
 // Oldest returns how long the server has spent on the oldest request in progress to a called address, or 0 if there
