The mean service time leaves out estimates that are too old

A server that was very slow when it was last heard of made all others seem fast, so that a queue there cost next to nothing and flows stayed in a full failure domain. Change: the mean is of the estimates that have any weight. The new test fails without it (mean 2.03 s in place of 40 ms). The comment of TestNoServerIsStarvedForEver promised the time between two visits, the test plays the lifetime of an estimate and one visit: the comment now says so, the test asks for the same.

--- a/internal/load/steer/rate.go
+++ b/internal/load/steer/rate.go
@@ -77,11 +77,11 @@
 	return s.rate.service
 }
 
-// meanService returns the mean service time of the candidates that have reported one, or 0 if none has.
-func (c *Chooser) meanService(candidates []Candidate) time.Duration {
+// meanService returns the mean service time of the candidates whose estimates have any weight, or 0 if there are none.
+func (c *Chooser) meanService(now time.Time, candidates []Candidate) time.Duration {
 	sum, known := time.Duration(0), time.Duration(0)
 	for _, k := range candidates {
-		if service := c.service(k); service > 0 {
+		if service := c.service(k); service > 0 && now.Sub(c.states[k.Agent].rate.reportedAt) < estimateLifetime {
 			sum += service
 			known++
 		}
--- a/internal/load/steer/rate_test.go
+++ b/internal/load/steer/rate_test.go
@@ -37,7 +37,7 @@
 	list := candidates(3)
 	c.Report(now, agent(0), msgs.Load{}, estimate(120*time.Millisecond))
 	c.Report(now, agent(1), msgs.Load{}, estimate(40*time.Millisecond))
-	mean := c.meanService(list)
+	mean := c.meanService(now, list)
 	assert.Equal(t, mean, 80*time.Millisecond)
 	assert.Equal(t, c.ratio(now, list[2], mean), 1.0)
 	assert.Equal(t, c.ratio(now, list[0], mean), 1.5)
@@ -45,6 +45,21 @@
 	assert.Equal(t, c.ratio(now.Add(estimateLifetime), list[0], mean), 1.0)
 }
 
+// Guards against a server that was very slow when it was last heard of, and makes the others seem fast ever since, so
+// that flows queue there while servers elsewhere are idle.
+func TestOldEstimateDoesNotChangeTheMean(t *testing.T) {
+	c := New("zg-a", rand.New(rand.NewPCG(1, 2)), parts.Off{})
+	list := candidates(3)
+	list[2].Domain = "zg-b"
+	c.Report(now, agent(0), msgs.Load{}, estimate(6*time.Second))
+	later := now.Add(estimateLifetime)
+	c.Report(later, agent(1), msgs.Load{Busy: 20}, estimate(40*time.Millisecond))
+	c.Report(later, agent(2), msgs.Load{}, estimate(40*time.Millisecond))
+	assert.Equal(t, c.meanService(later, list), 40*time.Millisecond)
+	c.NoReply(later, agent(0))
+	assert.Equal(t, choose(t, c, later, list), agent(2))
+}
+
 // Guards against a cold server that is taken for fast by what was reported before its restart.
 func TestRestartedServerHasNoEstimate(t *testing.T) {
 	c := New("zg-a", rand.New(rand.NewPCG(1, 2)), parts.Off{})
@@ -181,7 +196,7 @@
 }
 
 // Guards against a server that no flow reaches any more: whatever its last report said and however fast the others
-// are, it is chosen again within the time and the number of flows between two visits.
+// are, it is chosen again once its estimate has no weight any more and a visit is due.
 func TestNoServerIsStarvedForEver(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		c := New("zg-a", rand.New(rand.NewPCG(1, 2)), parts.Off{})
--- a/internal/load/steer/steer.go
+++ b/internal/load/steer/steer.go
@@ -105,7 +105,7 @@
 // Choose returns the agent that should receive a new flow, excluding the agents in tried. It reports
 // false if no candidate is left.
 func (c *Chooser) Choose(now time.Time, candidates []Candidate, tried []netip.Addr) (agent netip.Addr, ok bool) {
-	mean := c.meanService(candidates)
+	mean := c.meanService(now, candidates)
 	var best, leastWork option
 	for _, k := range candidates {
 		if slices.Contains(tried, k.Agent) {
