Rates: the gauge is 0 after a new start of the server; comments

mangowinch_service_seconds kept the figure of the run before until the first answer of the next one. referencePart no longer claims a measured average.

--- a/internal/load/share/share.go
+++ b/internal/load/share/share.go
@@ -41,8 +41,8 @@
 // fullUtilization is the utilization, in hundredths of the server's slots, from which a server has no free slot.
 const fullUtilization = 100
 
-// referencePart is the part of a route's target that stands for the service time of a usual server. Service takes a
-// fifth of the target on average.
+// referencePart is the part of a route's target that stands for the service time of a usual server, which agents do
+// not know: a fifth of the target.
 const referencePart = 5
 
 // Server is a server as seen by an agent. The fields after SameDomain are set only for the own server.
--- a/internal/load/speed/speed.go
+++ b/internal/load/speed/speed.go
@@ -6,8 +6,8 @@
 //
 // The meter keeps a moving geometric mean for each called address, because requests to different addresses differ
 // in length, and an overall figure weighted by each address's share of the requests. The geometric mean is hardly
-// moved by the few requests that take many times the usual time. After a pause a sample weighs more, so that a
-// server that is seldom used is soon seen to be well again. A request in progress that already lasts longer than
+// moved by the few requests that take many times the usual time. After a pause a sample weighs more, so that the
+// recovery of a server that is seldom used shows within a few samples. A request in progress that already lasts longer than
 // expected counts as one more sample, so that a sudden slow-down shows before the first answer.
 //
 // The meter does not know the server's queue: the caller passes in the time that the server spent on a request,
@@ -46,7 +46,7 @@
 	// maxAddresses bounds the memory used for called addresses.
 	maxAddresses = 256
 	// DueInterval is the time without samples after which the server is due for a request whatever its speed:
-	// otherwise a server that is avoided could not show that it is well again.
+	// otherwise the recovery of a server that is avoided would not show.
 	DueInterval = time.Second
 )
 
--- a/internal/load/speed/speed_test.go
+++ b/internal/load/speed/speed_test.go
@@ -105,7 +105,7 @@
 	assert.Assert(t, m.Overall(later, oldest) > 2*before)
 }
 
-// A server that is seldom used is seen to be well again after a few answers.
+// The recovery of a server that is seldom used shows after a few answers.
 func TestRecoveryIsSeenByAFewAnswers(t *testing.T) {
 	var m Meter
 	now := start
--- a/internal/node/local/estimate.go
+++ b/internal/node/local/estimate.go
@@ -27,6 +27,12 @@
 	serviceTime.Set(a.overallService(now).Seconds())
 }
 
+// resetService forgets what was measured, at a new start of the server.
+func (a *Agent) resetService() {
+	a.meter.Reset()
+	serviceTime.Set(0)
+}
+
 // service returns the expected time of a request on a flow, or 0 if it is unknown or rates are switched off.
 func (a *Agent) service(now time.Time, f segs.Flow) time.Duration {
 	if a.Off.Rates {
--- a/internal/node/local/local.go
+++ b/internal/node/local/local.go
@@ -263,7 +263,7 @@
 		return
 	}
 	if a.server.id != "" {
-		a.meter.Reset() // another run of the server may have another speed
+		a.resetService() // another run of the server may have another speed
 	}
 	a.server.id, a.server.born, a.server.cold = self.ID, self.Born, coldUnknown
 	a.server.newer = self.Created > a.server.firstRevision && self.Seq <= firstSeq && self.Cold > 0 && !a.wasEvacuated
--- a/internal/node/local/warmup.go
+++ b/internal/node/local/warmup.go
@@ -34,7 +34,7 @@
 		a.warmUp.ExtendCold(now, a.Log.View().WarmUp(a.Service).Time)
 	}
 	if !a.lastDown.IsZero() {
-		a.meter.Reset()
+		a.resetService()
 	}
 	a.lastDown, a.unansweredSince = time.Time{}, time.Time{}
 }
