No offers for slowness

Cause: a server with a free slot whose service time misses the target offered the flow on. Change: package share and the offers are as before the rates; fields, constants, event fields and documentation that only served this are gone, and with them Meter.Service and Meter.Due, which nothing else called. Meter, estimates in messages and placement by entries stay.

--- a/internal/load/parts/parts.go
+++ b/internal/load/parts/parts.go
@@ -31,7 +31,7 @@
 	Breaker  bool // no new flows for a server that aborts requests, and notification of its callers (package trip)
 	Quick    bool // few new flows for a server that answers too fast (package quick)
 	Bulk     bool // queueing of flows that occupy the entry's link for a long time (package bulk)
-	Rates    bool // placement and offers by the measured service time of each server (packages speed, steer and share)
+	Rates    bool // placement by the measured service time of each server (packages speed and steer)
 }
 
 // mechanism is a mechanism with its name in settings and its field of Off.
--- a/internal/load/share/share.go
+++ b/internal/load/share/share.go
@@ -6,14 +6,10 @@
 // four requests queued while another server is idle. The agent knows the exact load of its own server at
 // the moment the flow arrives.
 //
-// A server with a free slot takes the flow, unless the server is so slow that the caller's target would be missed
-// there and not at a server of usual speed. Otherwise the opening packet is offered to another agent, first
+// A server with a free slot takes the flow. Otherwise the opening packet is offered to another agent, first
 // in the same failure domain and then elsewhere, selected at random because no agent has more recent reports
 // than another. After a few visits the least busy of the visited servers takes the flow. This is the power
-// of several random choices (Mitzenmacher, 2001), ended early at the first server with a free slot. A server that is
-// too slow counts as busier by its service time, over a reference that follows from the route's target, because
-// agents do not know each other's service times. Otherwise servers are compared by their requests: weighed by
-// service time, fast servers would collect long queues, which cannot move on when another server becomes free.
+// of several random choices (Mitzenmacher, 2001), ended early at the first server with a free slot.
 //
 // Package share performs no I/O: the caller passes in the source of randomness.
 //
@@ -23,9 +19,7 @@
 package share
 
 import (
-	"math"
 	"net/netip"
-	"time"
 
 	"mangowinch/internal/flow/msgs"
 )
@@ -41,34 +35,11 @@
 // fullUtilization is the utilization, in hundredths of the server's slots, from which a server has no free slot.
 const fullUtilization = 100
 
-// referencePart is the part of a route's target that stands for the service time of a usual server, which agents do
-// not know: a fifth of the target.
-const referencePart = 5
-
-// Server is a server as seen by an agent. The fields after SameDomain are set only for the own server.
+// Server is a server as seen by an agent.
 type Server struct {
 	Agent       netip.Addr
-	SameDomain  bool          // in the failure domain of the own server
-	Utilization uint16        // requests in hundredths of the server's slots
-	Service     time.Duration // expected time of a request of the flow; 0: unknown
-	Target      time.Duration // target latency of the flow's requests; 0: none
-	Age         time.Duration // of the flow
-	Due         bool          // a slow server needs a flow to show whether it is still slow
-}
-
-// slow reports whether a flow misses its target at the server even if a slot is free, but not at a usual server.
-func (s *Server) slow() bool {
-	return s.Target > 0 && s.Age+s.Service > s.Target && s.Age+s.Target/referencePart <= s.Target
-}
-
-// cost returns the utilization as in msgs.Visit. That of a slow server is weighed by its service time, and a request
-// there takes as long with free slots as if the server were just full.
-func (s *Server) cost() uint16 {
-	if !s.slow() {
-		return s.Utilization
-	}
-	busy := float64(max(s.Utilization, fullUtilization))
-	return uint16(min(busy*float64(s.Service)*referencePart/float64(s.Target), math.MaxUint16))
+	Utilization uint16 // as in msgs.Visit; set only for the own server
+	SameDomain  bool   // in the failure domain of the own server
 }
 
 // Choice is the agent that receives the opening packet. If it is another agent, the packet is sent there
@@ -77,19 +48,17 @@
 	Agent   netip.Addr
 	Visited []msgs.Visit
 	Final   bool // the agent takes the flow regardless of its load
-	Slow    bool // the own server has a free slot and is too slow
 }
 
 // Next decides which agent receives an opening packet that has been offered to the visited agents.
 func Next(own Server, visited []msgs.Visit, final bool, others []Server, random func(int) int) Choice {
-	free := own.Utilization < fullUtilization
-	if final || free && (own.Due || !own.slow()) {
+	if final || own.Utilization < fullUtilization {
 		return Choice{Agent: own.Agent}
 	}
-	visited = append(visited, msgs.Visit{Agent: own.Agent, Utilization: own.cost()})
+	visited = append(visited, msgs.Visit{Agent: own.Agent, Utilization: own.Utilization})
 	if len(visited) < maxVisits {
 		if agent, ok := pickUnvisited(visited, others, len(visited) < maxLocalVisits, random); ok {
-			return Choice{Agent: agent, Visited: visited, Slow: free}
+			return Choice{Agent: agent, Visited: visited}
 		}
 	}
 	best := visited[0]
@@ -98,7 +67,7 @@
 			best = v
 		}
 	}
-	return Choice{Agent: best.Agent, Visited: visited, Final: true, Slow: free}
+	return Choice{Agent: best.Agent, Visited: visited, Final: true}
 }
 
 // pickUnvisited picks at random an agent that was not visited. It prefers agents of the own domain if
--- a/internal/load/speed/speed.go
+++ b/internal/load/speed/speed.go
@@ -12,7 +12,7 @@
 //
 // The meter does not know the server's queue: the caller passes in the time that the server spent on a request,
 // without the time for which the request waited for a slot. It does not judge whether an answer is an error
-// (package quick) and does not compare servers (packages steer and share).
+// (package quick) and does not compare servers (package steer).
 //
 // Package speed performs no I/O: the caller passes in the time. A Meter is not safe for concurrent use.
 //
@@ -20,9 +20,7 @@
 //
 //	var m speed.Meter
 //	m.Record(now, called, took)
-//	expected := m.Service(now, called, oldest)
-//	overall := m.Overall(now, oldest)
-//	if m.Due(now) { takeFlowRegardlessOfSpeed() }
+//	expected := m.Overall(now, oldest)
 //	m.Reset() // at a new start of the server
 package speed
 
@@ -45,15 +43,11 @@
 	minShare = shareWeight / 16
 	// maxAddresses bounds the memory used for called addresses.
 	maxAddresses = 256
-	// DueInterval is the time without samples after which the server is due for a request whatever its speed:
-	// otherwise the recovery of a server that is avoided would not show.
-	DueInterval = time.Second
 )
 
 // Meter is the service time of one server. The zero value has no samples.
 type Meter struct {
 	kinds map[netip.AddrPort]*kind
-	last  time.Time // last sample
 }
 
 // kind holds the samples of one called address.
@@ -75,7 +69,7 @@
 	}
 	k.count++
 	k.log += k.weight(now, k.count) * (math.Log(took.Seconds()) - k.log)
-	k.last, m.last = now, now
+	k.last = now
 	for _, o := range m.kinds {
 		o.share *= 1 - shareWeight
 	}
@@ -126,16 +120,6 @@
 	return math.Exp(k.log)
 }
 
-// Service returns the expected time of a request to a called address, or the overall figure for an address without
-// samples, or 0 if there are none. oldest is how long the server has spent on the oldest such request in progress.
-func (m *Meter) Service(now time.Time, called netip.AddrPort, oldest time.Duration) time.Duration {
-	k := m.kinds[called]
-	if k == nil {
-		return m.Overall(now, nil)
-	}
-	return seconds(k.expected(now, oldest))
-}
-
 // Overall returns the expected time of a request to any address, weighted by the shares of the addresses, or 0 if
 // there are no samples. oldest returns how long the server has spent on the oldest request in progress to an
 // address; if it is nil, none is in progress.
@@ -155,9 +139,6 @@
 	return seconds(sum / shares)
 }
 
-// Due reports whether the server has had no sample for DueInterval.
-func (m *Meter) Due(now time.Time) bool { return now.Sub(m.last) >= DueInterval }
-
 // Reset forgets all samples.
 func (m *Meter) Reset() { *m = Meter{} }
 
--- a/internal/node/local/caller.go
+++ b/internal/node/local/caller.go
@@ -71,9 +71,9 @@
 	if a.Off.Offers {
 		m.Final = true
 	}
-	next := share.Next(a.shareOwn(now, s), m.Visited, m.Final, servers, a.Rand.IntN)
+	next := share.Next(share.Server{Agent: a.Self, Utilization: a.utilization(now)}, m.Visited, m.Final, servers, a.Rand.IntN)
 	if next.Agent != a.Self {
-		a.offer(now, m, next, s)
+		a.offer(m, next, s)
 		return
 	}
 	a.enqueue(now, m, s)
@@ -188,7 +188,7 @@
 }
 
 // offer sends an opening packet to another agent.
-func (a *Agent) offer(now time.Time, m msgs.Offer, next share.Choice, s *segs.Segment) {
+func (a *Agent) offer(m msgs.Offer, next share.Choice, s *segs.Segment) {
 	m.Revision = a.Log.Revision()
 	m.Service = a.hash
 	m.Visited = next.Visited
@@ -197,8 +197,7 @@
 	a.Wire.ToPeer(next.Agent, a.buf)
 	offers.Inc()
 	a.Events.Flow(event.Ordinary, "offered", s.Flow).Stringer("agent", next.Agent).Bool("final", next.Final).
-		Int("visited", len(next.Visited)).Uint16("work", next.Visited[len(next.Visited)-1].Utilization).Bool("slow", next.Slow).
-		Dur("service", a.service(now, s.Flow)).Stringer("revision", m.Revision).Send()
+		Int("visited", len(next.Visited)).Uint16("work", next.Visited[len(next.Visited)-1].Utilization).Stringer("revision", m.Revision).Send()
 }
 
 // refusalReason returns why no new flow may go to the server, or 0 if it may.
--- a/internal/node/local/estimate.go
+++ b/internal/node/local/estimate.go
@@ -6,14 +6,13 @@
 
 	"mangowinch/internal/flow/msgs"
 	"mangowinch/internal/flow/segs"
-	"mangowinch/internal/load/share"
 )
 
 // Service time of the server (package speed).
 //
 // Failure: a server is slower than the others of its service, or slows down, and gets as many flows as they do, so
 // that its callers wait several times as long. Guard: the agent measures its server and reports the expected time
-// of a request with the messages that it sends to entries anyway; entries and agents compare expected times. This
+// of a request with the messages that it sends to entries anyway, and entries compare expected times. This
 // is sufficient because the agent sees each request and its answer, and because a report that is lost or old only
 // brings the placement back towards counting requests.
 
@@ -33,15 +32,6 @@
 	serviceTime.Set(0)
 }
 
-// service returns the expected time of a request on a flow, or 0 if it is unknown or rates are switched off.
-func (a *Agent) service(now time.Time, f segs.Flow) time.Duration {
-	if a.Off.Rates {
-		return 0
-	}
-	called := f.ServiceAddr()
-	return a.meter.Service(now, called, a.flows.Oldest(now, called))
-}
-
 // overallService returns the expected time of a request to any address, or 0 if it is unknown.
 func (a *Agent) overallService(now time.Time) time.Duration {
 	return a.meter.Overall(now, func(called netip.AddrPort) time.Duration { return a.flows.Oldest(now, called) })
@@ -68,12 +58,3 @@
 	waits := a.expectedWaits(now)
 	return Expected{Service: a.overallService(now), Waits: waits[:]}
 }
-
-// shareOwn describes the local server for the decision whether it takes a new flow.
-func (a *Agent) shareOwn(now time.Time, s *segs.Segment) share.Server {
-	own := share.Server{Agent: a.Self, Utilization: a.utilization(now), Due: a.meter.Due(now)}
-	if r := a.Log.View().Route(s.Flow.ServiceAddr()); r != nil {
-		own.Service, own.Target, own.Age = a.service(now, s.Flow), r.Target, a.Callers.Age(s.Ack)
-	}
-	return own
-}
