Steer: a probe of a slow server is called so; scores; a test of the due

Chooser.service changed the state: forgetRestarted does that at the begin of a choice, and Service reads. Tests: TestSlowedServerGetsItsDueAndRecovers didn't check the due: named TestSlowedServerGetsFewerFlowsAndRecovers, the same checks.

--- a/internal/load/steer/rate.go
+++ b/internal/load/steer/rate.go
@@ -17,12 +17,12 @@
 	// estimateLifetime is the age at which an estimate has no weight any more and the server counts as one of mean
 	// speed. Servers seldom change their speed, and in a large fleet an entry hears of a server every few seconds.
 	estimateLifetime = 30 * time.Second
-	// VisitInterval is the time between visits: a server that is passed over because it is slow gets a flow when it
-	// has not been heard of for this time, so that its recovery is seen.
-	VisitInterval = 5 * time.Second
-	// choicesPerVisit bounds the visits to one flow in this many, which delays them where an entry has many slow
+	// ProbeInterval is the time between probes: a server that is passed over because it is slow gets a flow when its
+	// agent has sent no report for this time, so that its recovery is seen.
+	ProbeInterval = 5 * time.Second
+	// choicesPerProbe bounds the probes to one flow in this many, which delays them where an entry has many slow
 	// servers and few flows.
-	choicesPerVisit = 32
+	choicesPerProbe = 32
 )
 
 // Reason is why a server was chosen.
@@ -32,14 +32,14 @@
 const (
 	ByWork Reason = "work"  // least expected work
 	ByRate Reason = "rate"  // another server has less work and is expected to answer later
-	Visit  Reason = "visit" // passed over for a while because it is slow
+	Probe  Reason = "probe" // passed over for a while because it is slow
 )
 
 // rate is what an agent has reported about the speed of its server.
 type rate struct {
 	service    time.Duration // time of a request; 0: unknown
 	reportedAt time.Time
-	visitedAt  time.Time
+	probedAt   time.Time
 	cold       bool // the server was cold at the last choice
 }
 
@@ -66,25 +66,26 @@
 	return 0
 }
 
-// service returns the reported service time of a candidate, or 0. What was reported of a server before its start
-// does not count.
-func (c *Chooser) service(k Candidate) time.Duration {
-	s := c.states[k.Agent]
-	if s == nil || c.off.Rates {
-		return 0
-	}
-	if k.Cold && !s.rate.cold {
-		s.rate.service = 0
+// forgetRestarted drops the service times of candidates that have become cold since the last choice: they were
+// reported before the server's start.
+func (c *Chooser) forgetRestarted(candidates []Candidate) {
+	for _, k := range candidates {
+		s := c.states[k.Agent]
+		if s == nil {
+			continue
+		}
+		if k.Cold && !s.rate.cold {
+			s.rate.service = 0
+		}
+		s.rate.cold = k.Cold
 	}
-	s.rate.cold = k.Cold
-	return s.rate.service
 }
 
 // meanService returns the mean service time of the candidates whose estimates have any weight, or 0 if there are none.
 func (c *Chooser) meanService(now time.Time, candidates []Candidate) time.Duration {
 	sum, known := time.Duration(0), time.Duration(0)
 	for _, k := range candidates {
-		if service := c.service(k); service > 0 && now.Sub(c.states[k.Agent].rate.reportedAt) < estimateLifetime {
+		if service := c.Service(k.Agent); service > 0 && now.Sub(c.states[k.Agent].rate.reportedAt) < estimateLifetime {
 			sum += service
 			known++
 		}
@@ -97,7 +98,7 @@
 
 // ratio returns the service time of a candidate over the mean, at least minRatio. The older the report, the closer the ratio is to 1.
 func (c *Chooser) ratio(now time.Time, k Candidate, mean time.Duration) float64 {
-	service := c.service(k)
+	service := c.Service(k.Agent)
 	if service == 0 || mean == 0 {
 		return 1
 	}
@@ -112,37 +113,37 @@
 	return serviceWeight*ratio + min(work, 1) + max(0, work-1)*ratio
 }
 
-// visit returns a server of the own failure domain that is due for a visit, the longest unheard of first. A server
-// elsewhere is visited by the entries there.
-func (c *Chooser) visit(now time.Time, candidates []Candidate, tried []netip.Addr, best option) (agent netip.Addr, due bool) {
-	c.unvisited++
-	if c.unvisited < choicesPerVisit || len(tried) > 0 || best.service == 0 {
+// probe returns a server of the own failure domain that is due for a probe, the one with the oldest report first. A
+// server elsewhere is probed by the entries there.
+func (c *Chooser) probe(now time.Time, candidates []Candidate, tried []netip.Addr, best score) (agent netip.Addr, due bool) {
+	c.sinceProbe++
+	if c.sinceProbe < choicesPerProbe || len(tried) > 0 || best.service == 0 {
 		return agent, false
 	}
-	longest := VisitInterval
+	oldest := ProbeInterval
 	for _, k := range candidates {
-		if unheard := c.unheard(now, k, best); unheard >= longest && k.Agent != best.agent {
-			agent, longest, due = k.Agent, unheard, true
+		if age := c.reportAge(now, k, best); age >= oldest && k.Agent != best.agent {
+			agent, oldest, due = k.Agent, age, true
 		}
 	}
 	if due {
-		c.unvisited, c.reason = 0, Visit
-		c.state(agent).rate.visitedAt = now
+		c.sinceProbe, c.reason = 0, Probe
+		c.state(agent).rate.probedAt = now
 	}
 	return agent, due
 }
 
-// unheard returns for how long a candidate has been passed over without a report or a visit. It returns 0 for one
-// that is not slower than the best, unless that is known from an estimate without weight, and for one that is
-// avoided for other reasons.
-func (c *Chooser) unheard(now time.Time, k Candidate, best option) time.Duration {
+// reportAge returns the time since the last report or probe of a candidate that is passed over because it is slow. It
+// returns 0 for one that is not slower than the best, unless that is known from an estimate without weight, and for
+// one that is avoided for other reasons.
+func (c *Chooser) reportAge(now time.Time, k Candidate, best score) time.Duration {
 	s := c.states[k.Agent]
 	if s == nil || s.rate.service == 0 || c.penalty(now, k) > 0 {
 		return 0
 	}
-	silent := now.Sub(s.rate.reportedAt)
-	if s.rate.service <= best.service && silent < estimateLifetime {
+	age := now.Sub(s.rate.reportedAt)
+	if s.rate.service <= best.service && age < estimateLifetime {
 		return 0
 	}
-	return min(silent, now.Sub(s.rate.visitedAt))
+	return min(age, now.Sub(s.rate.probedAt))
 }
--- a/internal/load/steer/rate_test.go
+++ b/internal/load/steer/rate_test.go
@@ -154,10 +154,10 @@
 	return float64(own) / float64(total)
 }
 
-// A server that slows to a third gets far fewer flows within a second, but some, and has its old share within two visits
-// after its recovery.
-func TestSlowedServerGetsItsDueAndRecovers(t *testing.T) {
-	f := newFleet(5, parts.Off{}, []float64{1, 1, 1, 1, 1, 1, 1, 1, 1, 1})
+// A server that slows to a third gets far fewer flows within a second, but some, and has its old share within two probe
+// intervals after its recovery.
+func TestSlowedServerGetsFewerFlowsAndRecovers(t *testing.T) {
+	f := newFleet(5, parts.Off{}, tenEqual())
 	rate := f.rate(0.6)
 	f.run(2*time.Second, rate)
 	before := f.share(0, 3*time.Second, rate)
@@ -165,13 +165,33 @@
 	f.run(time.Second, rate)
 	slow := f.share(0, 3*time.Second, rate)
 	f.servers[0].speed = 1
-	f.run(2*VisitInterval, rate)
+	f.run(2*ProbeInterval, rate)
 	after := f.share(0, 3*time.Second, rate)
 	t.Logf("share %.3f, slowed %.3f, recovered %.3f", before, slow, after)
 	assert.Assert(t, slow > 0 && slow < 0.6*before)
 	assert.Assert(t, after > 0.8*before)
 }
 
+// Guards against a slow server that is avoided while the others queue: at 95% of the capacity, a server at a third of the
+// speed of the others gets at least half of its part of the capacity, and no more than the whole of it.
+func TestSlowedServerIsUsedNearCapacity(t *testing.T) {
+	const seeds = 4
+	part, due := 0.0, 0.0
+	for seed := range uint64(seeds) {
+		f := newFleet(seed, parts.Off{}, tenEqual())
+		f.servers[0].speed = 1.0 / 3
+		due = f.servers[0].speed / (f.servers[0].speed + 9)
+		rate := f.rate(0.95)
+		f.run(2*time.Second, rate)
+		part += f.share(0, 10*time.Second, rate) / seeds
+	}
+	t.Logf("share %.4f of the flows, %.4f of the capacity", part, due)
+	assert.Assert(t, part >= due/2 && part <= due)
+}
+
+// tenEqual returns the speeds of ten servers that are equally fast.
+func tenEqual() []float64 { return []float64{1, 1, 1, 1, 1, 1, 1, 1, 1, 1} }
+
 // Guards against flows that swing between servers because all entries act on the same old reports: with reports of up
 // to 5 s of which a fifth is lost, no server gets more than twice as large a part of the flows in any second as it
 // does without rates.
@@ -217,7 +237,7 @@
 }
 
 // Guards against a server that no flow reaches any more: whatever its last report said and however fast the others
-// are, it is chosen again once its estimate has no weight any more and a visit is due.
+// are, it is chosen again once its estimate has no weight any more and a probe is due.
 func TestNoServerIsStarvedForEver(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		c := New("zg-a", rand.New(rand.NewPCG(1, 2)), parts.Off{})
@@ -225,7 +245,7 @@
 		slow := time.Duration(rapid.Int64Range(int64(time.Millisecond), int64(5*time.Second)).Draw(t, "slow"))
 		c.Report(now, agent(0), msgs.Load{Busy: rapid.Uint16Range(0, 100).Draw(t, "busy")}, estimate(slow))
 		at, got := now, map[netip.Addr]int{}
-		for at.Before(now.Add(estimateLifetime + VisitInterval)) {
+		for at.Before(now.Add(estimateLifetime + ProbeInterval)) {
 			at = at.Add(50 * time.Millisecond)
 			for i := 1; i < 4; i++ {
 				service := time.Duration(rapid.Int64Range(int64(time.Millisecond), int64(time.Second)).Draw(t, "service"))
--- a/internal/load/steer/steer.go
+++ b/internal/load/steer/steer.go
@@ -87,14 +87,14 @@
 
 // Chooser selects servers for new flows from the loads that agents report.
 type Chooser struct {
-	domain    string
-	off       parts.Off
-	random    *rand.Rand
-	states    map[netip.Addr]*state
-	avgBusy   float64 // average number of requests in progress over all reports
-	avgFlows  float64 // average number of open flows over all reports
-	reason    Reason  // of the last choice
-	unvisited int     // choices since the last visit
+	domain     string
+	off        parts.Off
+	random     *rand.Rand
+	states     map[netip.Addr]*state
+	avgBusy    float64 // average number of requests in progress over all reports
+	avgFlows   float64 // average number of open flows over all reports
+	reason     Reason  // of the last choice
+	sinceProbe int     // choices since the last probe
 }
 
 // New returns a Chooser for an entry in the given failure domain.
@@ -105,18 +105,19 @@
 // Choose returns the agent that should receive a new flow, excluding the agents in tried. It reports
 // false if no candidate is left.
 func (c *Chooser) Choose(now time.Time, candidates []Candidate, tried []netip.Addr) (agent netip.Addr, ok bool) {
+	c.forgetRestarted(candidates)
 	mean := c.meanService(now, candidates)
-	var best, leastWork option
+	var best, leastWork score
 	for _, k := range candidates {
 		if slices.Contains(tried, k.Agent) {
 			continue
 		}
-		o := c.option(now, k, mean)
-		if !ok || o.time < best.time {
-			best = o
+		s := c.score(now, k, mean)
+		if !ok || s.cost < best.cost {
+			best = s
 		}
-		if !ok || o.work < leastWork.work {
-			leastWork = o
+		if !ok || s.work < leastWork.work {
+			leastWork = s
 		}
 		ok = true
 	}
@@ -124,8 +125,8 @@
 	if best.agent != leastWork.agent {
 		c.reason = ByRate
 	}
-	if v, due := c.visit(now, candidates, tried, best); due {
-		return v, true
+	if slow, due := c.probe(now, candidates, tried, best); due {
+		return slow, true
 	}
 	return best.agent, ok
 }
@@ -137,27 +138,27 @@
 	penaltyDraining = 1e5
 )
 
-// option is what the chooser expects of a candidate.
-type option struct {
+// score ranks a candidate for a new flow. Lower is better.
+type score struct {
 	agent   netip.Addr
 	service time.Duration // as last reported; 0: unknown
 	work    float64       // per slot, with penalties
-	time    float64       // cost by expected time, with penalties
+	cost    float64       // by expectedTime, with penalties
 }
 
-// option returns what is expected of a candidate among candidates with the given mean service time.
-func (c *Chooser) option(now time.Time, k Candidate, mean time.Duration) option {
+// score returns the score of a candidate among candidates with the given mean service time.
+func (c *Chooser) score(now time.Time, k Candidate, mean time.Duration) score {
 	slots := float64(max(k.Slots, 1))
-	work, service := c.work(now, k), c.service(k)
+	work, service := c.work(now, k), c.Service(k.Agent)
 	if k.Cold && !c.off.Cold && service == 0 {
 		work = (work + 1) * coldFactor
 	}
 	penalty := c.penalty(now, k)
-	return option{
+	return score{
 		agent:   k.Agent,
 		service: service,
 		work:    (work + penalty) / slots,
-		time:    expectedTime(work/slots, c.ratio(now, k, mean)) + penalty/slots,
+		cost:    expectedTime(work/slots, c.ratio(now, k, mean)) + penalty/slots,
 	}
 }
 
