Speed: samples are forgotten after 30 s without another

Cause: Opened carries the agent's estimate and makes it young at entries, so a server that was slow minutes ago, and served nothing since, counted as slow with full weight. Change: an address without a sample for sampleLifetime, which is the lifetime of an estimate at entries, has no part in the estimate, unless a request in progress takes longer than expected; the next answer counts as after a start. With no address left the agent reports 0: unknown, a server of mean speed. TestOldSamplesAreForgotten fails without either half.

--- a/internal/load/speed/speed.go
+++ b/internal/load/speed/speed.go
@@ -8,7 +8,8 @@
 // in length, and an overall figure weighted by each address's share of the requests. The geometric mean is hardly
 // moved by the few requests that take many times the usual time. After a pause a sample weighs more, so that the
 // recovery of a server that is seldom used shows within a few samples. A request in progress that already lasts longer than
-// expected counts as one more sample, so that a sudden slow-down shows before the first answer.
+// expected counts as one more sample, so that a sudden slow-down shows before the first answer. The samples of an
+// address are forgotten when no other one has come for half a minute.
 //
 // The meter does not know the server's queue: the caller passes in the time that the server spent on a request,
 // without the time for which the request waited for a slot. It does not judge whether an answer is an error
@@ -41,6 +42,9 @@
 	shareWeight = 1.0 / 256
 	// minShare is the share below which an address is forgotten when another one needs its place.
 	minShare = shareWeight / 16
+	// sampleLifetime is the time without samples after which those before are forgotten: the server may have any speed
+	// by then. Reports to entries carry the estimate again and again, so its age does not show there.
+	sampleLifetime = 30 * time.Second
 	// maxAddresses bounds the memory used for called addresses.
 	maxAddresses = 256
 )
@@ -67,6 +71,9 @@
 	if k == nil {
 		return
 	}
+	if k.old(now) {
+		k.count = 0
+	}
 	k.count++
 	k.log += k.weight(now, k.count) * (math.Log(took.Seconds()) - k.log)
 	k.last = now
@@ -111,17 +118,23 @@
 	return max(w, 1/float64(count))
 }
 
+// old reports whether the last sample is too old to say anything about the server.
+func (k *kind) old(now time.Time) bool { return now.Sub(k.last) >= sampleLifetime }
+
+// exceeded reports whether a request that has lasted for a time takes longer than expected.
+func (k *kind) exceeded(lasted time.Duration) bool { return lasted.Seconds() > math.Exp(k.log) }
+
 // expected returns the expected time of a request in seconds. oldest is how long the server has spent on the oldest
 // request in progress.
 func (k *kind) expected(now time.Time, oldest time.Duration) float64 {
-	if lasted := math.Log(max(oldest, 1).Seconds()); lasted > k.log {
-		return math.Exp(k.log + k.weight(now, k.count+1)*(lasted-k.log))
+	if !k.exceeded(oldest) {
+		return math.Exp(k.log)
 	}
-	return math.Exp(k.log)
+	return math.Exp(k.log + k.weight(now, k.count+1)*(math.Log(oldest.Seconds())-k.log))
 }
 
 // Overall returns the expected time of a request to any address, weighted by the shares of the addresses, or 0 if
-// there are no samples. oldest returns how long the server has spent on the oldest request in progress to an
+// it is unknown: there are no samples, or none for sampleLifetime and no request that takes longer. oldest returns how long the server has spent on the oldest request in progress to an
 // address; if it is nil, none is in progress.
 func (m *Meter) Overall(now time.Time, oldest func(called netip.AddrPort) time.Duration) time.Duration {
 	sum, shares := 0.0, 0.0
@@ -130,6 +143,9 @@
 		if oldest != nil {
 			lasted = oldest(a)
 		}
+		if k.old(now) && !k.exceeded(lasted) {
+			continue
+		}
 		sum += k.share * k.expected(now, lasted)
 		shares += k.share
 	}
--- a/internal/load/speed/speed_test.go
+++ b/internal/load/speed/speed_test.go
@@ -123,6 +123,25 @@
 	assert.Assert(t, m.Overall(now, nil) < usual*13/10)
 }
 
+// Guards against an agent that reports what it measured minutes ago as if it were new. A request in progress that takes
+// longer than expected still says that the server is slow, and the first answer afterwards counts as after a start.
+func TestOldSamplesAreForgotten(t *testing.T) {
+	var m Meter
+	for i := range 100 {
+		m.Record(start.Add(time.Duration(i-99)*interval), called, 8*usual)
+	}
+	before := m.Overall(start.Add(sampleLifetime-1), nil)
+	assert.Assert(t, before > 7*usual)
+	later := start.Add(sampleLifetime)
+	assert.Equal(t, m.Overall(later, nil), time.Duration(0))
+	assert.Equal(t, m.Overall(later, inProgress(usual)), time.Duration(0))
+	assert.Assert(t, m.Overall(later, inProgress(sampleLifetime)) > before)
+	m.Record(later, another, 3*usual)
+	assert.Assert(t, m.Overall(later, nil).Round(time.Microsecond) == 3*usual, "only the address with a sample counts")
+	m.Record(later, called, usual)
+	assert.Assert(t, m.Overall(later, nil) < usual*11/10, "the samples before have no weight")
+}
+
 // The overall figure weighs addresses by their requests.
 func TestOverallIsWeightedByShare(t *testing.T) {
 	var m Meter
