--- a/internal/load/steer/rate_test.go
+++ b/internal/load/steer/rate_test.go
@@ -141,12 +141,12 @@
 	}
 }
 
-// share returns the part of the flows that a server gets in the next d.
-func (f *fleet) share(server int, d time.Duration, rate float64) float64 {
+// firstShare returns the part of the flows that the first server gets in the next d.
+func (f *fleet) firstShare(d time.Duration, rate float64) float64 {
 	total, own := 0, 0
 	f.arrivals = func(s int) {
 		total++
-		if s == server {
+		if s == 0 {
 			own++
 		}
 	}
@@ -160,13 +160,13 @@
 	f := newFleet(5, parts.Off{}, tenEqual())
 	rate := f.rate(0.6)
 	f.run(2*time.Second, rate)
-	before := f.share(0, 3*time.Second, rate)
+	before := f.firstShare(3*time.Second, rate)
 	f.servers[0].speed = 1.0 / 3
 	f.run(time.Second, rate)
-	slow := f.share(0, 3*time.Second, rate)
+	slow := f.firstShare(3*time.Second, rate)
 	f.servers[0].speed = 1
 	f.run(2*ProbeInterval, rate)
-	after := f.share(0, 3*time.Second, rate)
+	after := f.firstShare(3*time.Second, rate)
 	t.Logf("share %.3f, slowed %.3f, recovered %.3f", before, slow, after)
 	assert.Assert(t, slow > 0 && slow < 0.6*before)
 	assert.Assert(t, after > 0.8*before)
@@ -183,7 +183,7 @@
 		due = f.servers[0].speed / (f.servers[0].speed + 9)
 		rate := f.rate(0.95)
 		f.run(2*time.Second, rate)
-		part += f.share(0, 10*time.Second, rate) / seeds
+		part += f.firstShare(10*time.Second, rate) / seeds
 	}
 	t.Logf("share %.4f of the flows, %.4f of the capacity", part, due)
 	assert.Assert(t, part >= due/2 && part <= due)
