--- a/internal/load/steer/rate_test.go
+++ b/internal/load/steer/rate_test.go
@@ -37,7 +37,7 @@
 	list := candidates(3)
 	c.Report(now, agent(0), msgs.Load{}, estimate(120*time.Millisecond))
 	c.Report(now, agent(1), msgs.Load{}, estimate(40*time.Millisecond))
-	mean := c.meanService(list)
+	mean := c.meanService(now, list)
 	assert.Equal(t, mean, 80*time.Millisecond)
 	assert.Equal(t, c.ratio(now, list[2], mean), 1.0)
 	assert.Equal(t, c.ratio(now, list[0], mean), 1.5)
@@ -45,6 +45,42 @@
 	assert.Equal(t, c.ratio(now.Add(estimateLifetime), list[0], mean), 1.0)
 }
 
+// Guards against a server that was very slow when it was last heard of, and makes the others seem fast ever since, so
+// that flows queue there while servers elsewhere are idle.
+func TestOldEstimateDoesNotChangeTheMean(t *testing.T) {
+	c := New("zg-a", rand.New(rand.NewPCG(1, 2)), parts.Off{})
+	list := candidates(3)
+	list[2].Domain = "zg-b"
+	c.Report(now, agent(0), msgs.Load{}, estimate(6*time.Second))
+	later := now.Add(estimateLifetime)
+	c.Report(later, agent(1), msgs.Load{Busy: 20}, estimate(40*time.Millisecond))
+	c.Report(later, agent(2), msgs.Load{}, estimate(40*time.Millisecond))
+	assert.Equal(t, c.meanService(later, list), 40*time.Millisecond)
+	c.NoReply(later, agent(0))
+	assert.Equal(t, choose(t, c, later, list), agent(2))
+}
+
+// Guards against a server that reports next to no service time, because it fails its requests at once, and gets all flows
+// while the others are full; and against one slow server that makes all the others seem so fast that their queues cost
+// nothing, so that no flow leaves a full failure domain.
+func TestQueueCostsSomethingWhateverIsReported(t *testing.T) {
+	c := New("zg-a", rand.New(rand.NewPCG(1, 2)), parts.Off{})
+	list := candidates(5)
+	c.Report(now, agent(0), msgs.Load{Busy: 40}, estimate(100*time.Microsecond))
+	for i := 1; i < 5; i++ {
+		c.Report(now, agent(i), msgs.Load{Busy: 8}, estimate(40*time.Millisecond))
+	}
+	assert.Assert(t, choose(t, c, now, list) != agent(0))
+
+	list[4].Domain = "zg-b"
+	c.Report(now, agent(0), msgs.Load{}, estimate(6*time.Second))
+	for i := 1; i < 4; i++ {
+		c.Report(now, agent(i), msgs.Load{Busy: 40}, estimate(40*time.Millisecond))
+	}
+	c.Report(now, agent(4), msgs.Load{}, estimate(40*time.Millisecond))
+	assert.Equal(t, choose(t, c, now, list), agent(4))
+}
+
 // Guards against a cold server that is taken for fast by what was reported before its restart.
 func TestRestartedServerHasNoEstimate(t *testing.T) {
 	c := New("zg-a", rand.New(rand.NewPCG(1, 2)), parts.Off{})
@@ -105,12 +141,12 @@
 	}
 }
 
-// share returns the part of the flows that a server gets in the next d.
-func (f *fleet) share(server int, d time.Duration, rate float64) float64 {
+// firstShare returns the part of the flows that the first server gets in the next d.
+func (f *fleet) firstShare(d time.Duration, rate float64) float64 {
 	total, own := 0, 0
 	f.arrivals = func(s int) {
 		total++
-		if s == server {
+		if s == 0 {
 			own++
 		}
 	}
@@ -118,24 +154,44 @@
 	return float64(own) / float64(total)
 }
 
-// A server that slows to a third has its new share of the flows within a second, and its old one within two visits
-// after it is well again.
-func TestSlowedServerGetsItsDueAndRecovers(t *testing.T) {
-	f := newFleet(5, parts.Off{}, []float64{1, 1, 1, 1, 1, 1, 1, 1, 1, 1})
+// A server that slows to a third gets far fewer flows within a second, but some, and has its old share within two probe
+// intervals after its recovery.
+func TestSlowedServerGetsFewerFlowsAndRecovers(t *testing.T) {
+	f := newFleet(5, parts.Off{}, tenEqual())
 	rate := f.rate(0.6)
 	f.run(2*time.Second, rate)
-	before := f.share(0, 3*time.Second, rate)
+	before := f.firstShare(3*time.Second, rate)
 	f.servers[0].speed = 1.0 / 3
 	f.run(time.Second, rate)
-	slow := f.share(0, 3*time.Second, rate)
+	slow := f.firstShare(3*time.Second, rate)
 	f.servers[0].speed = 1
-	f.run(2*VisitInterval, rate)
-	after := f.share(0, 3*time.Second, rate)
+	f.run(2*ProbeInterval, rate)
+	after := f.firstShare(3*time.Second, rate)
 	t.Logf("share %.3f, slowed %.3f, recovered %.3f", before, slow, after)
-	assert.Assert(t, slow < 0.6*before)
+	assert.Assert(t, slow > 0 && slow < 0.6*before)
 	assert.Assert(t, after > 0.8*before)
 }
 
+// Guards against a slow server that is avoided while the others queue: at 95% of the capacity, a server at a third of the
+// speed of the others gets at least half of its part of the capacity, and no more than the whole of it.
+func TestSlowedServerIsUsedNearCapacity(t *testing.T) {
+	const seeds = 4
+	part, due := 0.0, 0.0
+	for seed := range uint64(seeds) {
+		f := newFleet(seed, parts.Off{}, tenEqual())
+		f.servers[0].speed = 1.0 / 3
+		due = f.servers[0].speed / (f.servers[0].speed + 9)
+		rate := f.rate(0.95)
+		f.run(2*time.Second, rate)
+		part += f.firstShare(10*time.Second, rate) / seeds
+	}
+	t.Logf("share %.4f of the flows, %.4f of the capacity", part, due)
+	assert.Assert(t, part >= due/2 && part <= due)
+}
+
+// tenEqual returns the speeds of ten servers that are equally fast.
+func tenEqual() []float64 { return []float64{1, 1, 1, 1, 1, 1, 1, 1, 1, 1} }
+
 // Guards against flows that swing between servers because all entries act on the same old reports: with reports of up
 // to 5 s of which a fifth is lost, no server gets more than twice as large a part of the flows in any second as it
 // does without rates.
@@ -181,7 +237,7 @@
 }
 
 // Guards against a server that no flow reaches any more: whatever its last report said and however fast the others
-// are, it is chosen again within the time and the number of flows between two visits.
+// are, it is chosen again once its estimate has no weight any more and a probe is due.
 func TestNoServerIsStarvedForEver(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		c := New("zg-a", rand.New(rand.NewPCG(1, 2)), parts.Off{})
@@ -189,7 +245,7 @@
 		slow := time.Duration(rapid.Int64Range(int64(time.Millisecond), int64(5*time.Second)).Draw(t, "slow"))
 		c.Report(now, agent(0), msgs.Load{Busy: rapid.Uint16Range(0, 100).Draw(t, "busy")}, estimate(slow))
 		at, got := now, map[netip.Addr]int{}
-		for at.Before(now.Add(estimateLifetime + VisitInterval)) {
+		for at.Before(now.Add(estimateLifetime + ProbeInterval)) {
 			at = at.Add(50 * time.Millisecond)
 			for i := 1; i < 4; i++ {
 				service := time.Duration(rapid.Int64Range(int64(time.Millisecond), int64(time.Second)).Draw(t, "service"))
