Test of full servers: each step can fail

Cause: the test of the breaker of a full server passed up to its last step also if full servers were judged (its fast answers alternate with slow ones, whose weight decays), and the last step also if they were learned.

Change: the same answers must open the breaker if the server had free slots; what is learned is compared itself; a failure after a full period must open the breaker with the third answer. Both fail if full servers are judged.

--- a/internal/load/quick/quick_test.go
+++ b/internal/load/quick/quick_test.go
@@ -103,12 +103,34 @@
 func TestBreakerStaysClosedForFullServer(t *testing.T) {
 	s := newServer(1)
 	s.run(20*time.Second, lookups, 47*time.Millisecond, 0)
-	for range 200 {
-		s.now = s.now.Add(25 * time.Millisecond)
-		s.breaker.RecordAnswer(s.now, lookups, s.good(150*time.Millisecond), false)
-		s.breaker.RecordAnswer(s.now, lookups, time.Millisecond, false)
+	learned := *s.breaker.kinds[lookups]
+	full := func(free bool) (changed bool) {
+		for range 200 {
+			s.now = s.now.Add(25 * time.Millisecond)
+			changed = s.breaker.RecordAnswer(s.now, lookups, s.good(150*time.Millisecond), free) || changed
+			changed = s.breaker.RecordAnswer(s.now, lookups, time.Millisecond, free) || changed
+			changed = s.breaker.RecordAnswer(s.now, lookups, time.Millisecond, free) || changed
+		}
+		return changed
+	}
+	assert.Assert(t, !full(false))
+	assert.Equal(t, *s.breaker.kinds[lookups], learned, "what is not judged is not learned")
+	assert.Assert(t, full(true), "the same answers of a server with free slots open the breaker")
+}
+
+// Guards against a server that fails at once and is not noticed because it refused requests while it was full: the
+// breaker must open after as few answers as if it had never been full.
+func TestFailureIsNoticedAfterFullPeriod(t *testing.T) {
+	for seed := range uint64(20) {
+		s := newServer(seed)
+		s.run(20*time.Second, lookups, 47*time.Millisecond, 0)
+		for range 1000 {
+			s.breaker.RecordAnswer(s.now, lookups, time.Millisecond, false)
+		}
+		for range 3 {
+			assert.Assert(t, !s.breaker.Open())
+			s.breaker.RecordAnswer(s.now, lookups, 4*time.Millisecond, true)
+		}
+		assert.Assert(t, s.breaker.Open(), "seed %d", seed)
 	}
-	assert.Assert(t, !s.breaker.Open())
-	s.run(time.Second, lookups, 47*time.Millisecond, 1)
-	assert.Assert(t, s.breaker.Open(), "what was not judged must not be learned")
 }
