Service time without the server's queue and its refusals

Cause: the floor's interval came from the average answer time. It includes the time in the server's own queue, so under overload the floor shrank, and refusals within a millisecond, so a full server gave the floor more than its part.

Change: the service time is the average of requests that came while a slot was free. Overdue requests keep the old one.

--- a/internal/flow/owner/owner_test.go
+++ b/internal/flow/owner/owner_test.go
@@ -171,3 +171,19 @@
 		assert.Equal(t, o.Ahead, port, "a retransmission is no new request")
 	}
 }
+
+// Guards against a service time that falls when a full server refuses requests at once, or rises with their time in
+// the server's queue.
+func TestServiceTimeIgnoresRequestsThatFoundNoFreeSlot(t *testing.T) {
+	table := NewAgent(10, parts.Off{})
+	assert.Equal(t, table.ServiceTime(), time.Duration(0))
+	table.AddService(20 * time.Millisecond)
+	for port := range 3 {
+		o := table.Add(now, segs.Flow{CallerPort: uint16(port)})
+		table.FromCaller(now, o, data(1))
+		table.FromServer(now.Add(time.Millisecond), o, data(1))
+	}
+	assert.Equal(t, table.ServiceTime(), 20*time.Millisecond)
+	table.AddService(20*time.Millisecond + averageWindow*time.Microsecond)
+	assert.Equal(t, table.ServiceTime(), 20*time.Millisecond+time.Microsecond)
+}
--- a/internal/flow/owner/requests.go
+++ b/internal/flow/owner/requests.go
@@ -43,11 +43,12 @@
 // soon becomes overdue; if it counted as in progress until its flow ends, it would keep new flows away from
 // an idle server for seconds.
 type requests struct {
-	off       parts.Off
-	unused    []pending     // flows that may not have had their first request yet
-	active    []pending     // flows with a request in progress
-	avgAnswer time.Duration // average time of an answer
-	avgDelay  time.Duration // average time from a flow's acceptance to its first request
+	off        parts.Off
+	unused     []pending     // flows that may not have had their first request yet
+	active     []pending     // flows with a request in progress
+	avgAnswer  time.Duration // average time of an answer, including the time that a request waits in the server
+	avgService time.Duration // average time of an answer that a request got without waiting
+	avgDelay   time.Duration // average time from a flow's acceptance to its first request
 }
 
 func (r *requests) opened(now time.Time, o *Flow) { r.unused = append(r.unused, pending{o, now}) }
@@ -62,6 +63,16 @@
 	r.avgAnswer += (took - r.avgAnswer) / averageWindow
 }
 
+// AddService records the time of a request that came while the server had a free slot. Other requests wait in the
+// server first, or are refused at once if it is full.
+func (t *Agent) AddService(took time.Duration) {
+	if t.requests.avgService == 0 {
+		t.requests.avgService = took
+		return
+	}
+	t.requests.avgService += (took - t.requests.avgService) / averageWindow
+}
+
 // addDelay records the time from a flow's acceptance to its first request.
 func (r *requests) addDelay(delay time.Duration) {
 	if r.avgDelay == 0 {
@@ -86,8 +97,8 @@
 	return now.Sub(p.flow.acceptedAt) < max(minRequestDelay, requestDelayFactor*delay)
 }
 
-// AnswerTime returns the average time from a request's arrival to its answer, or 0 if it is unknown.
-func (t *Agent) AnswerTime() time.Duration { return t.requests.avgAnswer }
+// ServiceTime returns the average time the server takes for a request in a slot, or 0 if it is unknown.
+func (t *Agent) ServiceTime() time.Duration { return t.requests.avgService }
 
 // overdueAge returns the age from which a request is overdue.
 func (r *requests) overdueAge() time.Duration { return max(minOverdueAge, overdueFactor*r.avgAnswer) }
--- a/internal/node/local/breaker.go
+++ b/internal/node/local/breaker.go
@@ -57,10 +57,14 @@
 	a.pendingResets = a.pendingResets[n:]
 }
 
-// checkResponseTime records how long an answer on a flow took. A server that answers far too fast fails its requests
-// (package quick) and gets few new flows; its open flows continue, as some of its answers may be valid.
+// checkResponseTime records how long an answer on a flow took, and judges it if a slot was free when the request
+// came. A server that answers far too fast fails its requests (package quick) and gets few new flows; its open
+// flows continue, as some of its answers may be valid.
 func (a *Agent) checkResponseTime(now time.Time, f segs.Flow, o *owner.Flow, elapsed time.Duration) {
 	free := o.Ahead < a.slots()
+	if free {
+		a.flows.AddService(elapsed)
+	}
 	if a.Off.Quick || !a.quick.RecordAnswer(now, f.ServiceAddr(), elapsed, free) {
 		return
 	}
--- a/internal/node/local/waits.go
+++ b/internal/node/local/waits.go
@@ -14,7 +14,7 @@
 		Expected: a.flows.Expected(now),
 		Slots:    a.slots(),
 		Lowest:   a.Log.View().LowestPriority,
-		Service:  a.flows.AnswerTime(),
+		Service:  a.flows.ServiceTime(),
 	}
 	if a.Off.Waiting {
 		s.Expected = 0
