A flow that a server has accepted isn't refused as busy

Cause: an entry reset a flow that an agent returned as busy also if a copy of the opening packet had gone to another agent whose server had opened it.

--- a/internal/flow/owner/entry.go
+++ b/internal/flow/owner/entry.go
@@ -17,6 +17,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"mangowinch/internal/flow/segs"
@@ -108,6 +109,11 @@
 	p.Candidates = append(p.Candidates, Candidate{Agent: agent, Seq: seq, Accepted: true})
 }
 
+// Accepted reports whether a server has accepted the flow.
+func (p *EntryFlow) Accepted() bool {
+	return p.Owner.IsValid() || slices.ContainsFunc(p.Candidates, func(c Candidate) bool { return c.Accepted })
+}
+
 // MarkReturned records that an agent has returned the opening packet. If that agent had announced that the
 // flow waits there, no agent has the flow any more. With the outdated claim, the flow would not be placed
 // elsewhere, and its caller would wait until it gives up.
--- a/internal/node/edge/peer.go
+++ b/internal/node/edge/peer.go
@@ -62,6 +62,10 @@
 		}
 	}
 	if m.Reason == msgs.ReasonBusy {
+		if p.Accepted() {
+			p.Remove(from)
+			return // a copy of the opening packet went to another agent, whose server has accepted the flow
+		}
 		e.refuse(now, &s, "busy") // the request was offered to several agents, and none can serve it in time
 		return
 	}
