Flows are returned when their service no longer fits before the timeout

Cause: a flow expired in silence with its route's timeout. And a pause of the process counted as waiting in full, so that after 5 s the estimate for the second flow was 5 s.

Change: a waiting flow is returned as busy when the timeout less the service time is over. The service time is bounded by what the route's target leaves for it, since a server's average extends over all routes. The pace counts at most its window. Tests fail without each change.

--- a/internal/load/hold/hold.go
+++ b/internal/load/hold/hold.go
@@ -10,13 +10,16 @@
 // answered in time come first, by priority and, within a priority, newest first: under overload this
 // order meets the most deadlines, and callers whose answers are late in any case lose nothing more. Late
 // flows follow, by priority and then oldest first, because the oldest caller is the next to give up. Flows
-// whose callers seem to have left come last (sign.go). A flow waits no longer than its caller does. If more
-// flows wait than can be served in that time, the last in order is refused at once.
+// whose callers seem to have left come last (sign.go). A flow waits no longer than its caller does: until the
+// caller gives up the opening, or the route's timeout is over. If not even the service fits before the timeout,
+// the flow is returned while its caller still waits. If more flows wait than can be served, the last in order
+// is refused at once.
 //
 // The queue estimates how long a new flow of each priority would wait (pace.go), but refuses none for it: a
 // refused caller comes back at once, looks like a new one and uses up its tries against the same load.
 //
-// Each priority whose flows wait gets a part of the openings, so that none is kept out for ever.
+// Each priority whose flows wait gets a part of the server's capacity, so that none is kept out for ever. These
+// openings go to a server whose slots are all in use, but not to one that is full (urgentPerSlot).
 //
 // The queue doesn't order requests on open flows, and doesn't know how long other agents' queues are.
 //
@@ -28,6 +31,7 @@
 //	if last := q.Add(now, &hold.QueuedFlow{Flow: f, FirstSent: now}, limit); last != nil { refuse(last) }
 //	if w := q.Next(now, server); w != nil { open(w) }
 //	for _, w := range q.Expire(now) { count(w) }
+//	for _, w := range q.TooLate(now, service) { refuse(w) }
 package hold
 
 import (
@@ -59,7 +63,7 @@
 // openBy returns the age at which a flow must have been opened for the request to be answered in time.
 func (w *QueuedFlow) openBy() time.Duration { return w.Target * onTimePercent / 100 }
 
-// rank says how much a flow's caller still gets from an answer.
+// rank is how much a flow's caller still gets from an answer.
 type rank uint8
 
 const (
@@ -88,7 +92,6 @@
 		return wRank < vRank
 	case w.Priority != v.Priority:
 		return w.Priority < v.Priority
-	// An order between callers belongs here.
 	case wRank == inTime:
 		return w.FirstSent.After(v.FirstSent)
 	default:
@@ -247,15 +250,35 @@
 }
 
 // Expire removes and returns the flows whose callers have given up.
-func (q *Queue) Expire(now time.Time) (expired []*QueuedFlow) {
+func (q *Queue) Expire(now time.Time) []*QueuedFlow {
+	return q.take(func(w *QueuedFlow) bool { return now.Sub(w.FirstSent) > q.patience(w) })
+}
+
+// TooLate removes and returns the flows whose requests would not be answered before their timeout if they were
+// opened now. service is the time the server takes for a request, or 0 if it is unknown; then there are none.
+func (q *Queue) TooLate(now time.Time, service time.Duration) []*QueuedFlow {
+	return q.take(func(w *QueuedFlow) bool {
+		needed := w.serviceTime(service)
+		return w.Timeout > 0 && needed > 0 && now.Sub(w.FirstSent) > w.Timeout-needed
+	})
+}
+
+// serviceTime returns the time that a flow's request is expected to take. The average of a server extends over
+// all its routes; requests of a route with a short target take no longer than what that target leaves for them.
+func (w *QueuedFlow) serviceTime(average time.Duration) time.Duration {
+	return min(average, w.Target-w.openBy())
+}
+
+// take removes and returns the flows that match selects.
+func (q *Queue) take(match func(*QueuedFlow) bool) (taken []*QueuedFlow) {
 	q.waiting = slices.DeleteFunc(q.waiting, func(w *QueuedFlow) bool {
-		over := now.Sub(w.FirstSent) > q.patience(w)
-		if over {
-			expired = append(expired, w)
+		matches := match(w)
+		if matches {
+			taken = append(taken, w)
 		}
-		return over
+		return matches
 	})
-	return expired
+	return taken
 }
 
 // Clear removes and returns all flows.
--- a/internal/load/hold/hold_test.go
+++ b/internal/load/hold/hold_test.go
@@ -138,3 +138,33 @@
 	assert.Assert(t, got[2] > 150*time.Millisecond && got[2] < 300*time.Millisecond, "%v for the fifth of one each 50 ms", got[2])
 	assert.Equal(t, got[1], service/2, "nobody waits")
 }
+
+// Guards against callers that are not told that their request can't be answered before its timeout, and against
+// flows returned although they can.
+func TestFlowIsReturnedWhenItsServiceNoLongerFits(t *testing.T) {
+	for _, c := range []struct{ average, needed time.Duration }{
+		{20 * time.Millisecond, 20 * time.Millisecond},
+		{10 * time.Second, target * (100 - onTimePercent) / 100}, // of a server that also gets long requests
+	} {
+		q := New(callers, parts.Off{})
+		w := waiting(1, 2, 0)
+		w.Timeout = time.Second
+		q.Add(now, w, 10)
+		q.Add(now, waiting(2, 2, 0), 10) // without a timeout
+		last := now.Add(w.Timeout - c.needed)
+		assert.Equal(t, len(q.TooLate(last, c.average)), 0)
+		assert.Equal(t, len(q.TooLate(last.Add(time.Millisecond), 0)), 0, "service time unknown")
+		late := q.TooLate(last.Add(time.Millisecond), c.average)
+		assert.Assert(t, len(late) == 1 && late[0] == w)
+		assert.Equal(t, q.Len(), 1)
+	}
+}
+
+// Guards against estimates that count a pause of the process, in which nothing could be opened, as waiting.
+func TestWaitsAfterPause(t *testing.T) {
+	q := New(segs.CallerTiming{GiveUp: time.Minute}, parts.Off{})
+	busy := Server{Expected: 6, Slots: 2, Lowest: 2, Service: 20 * time.Millisecond}
+	q.Add(now, &QueuedFlow{Flow: flow(1), Priority: 2, FirstSent: now, Target: time.Minute}, 10)
+	got := q.Waits(now.Add(5*time.Second), busy)[2]
+	assert.Assert(t, got <= 2*paceWindow, "%v for the second flow", got)
+}
--- a/internal/load/hold/pace.go
+++ b/internal/load/hold/pace.go
@@ -34,7 +34,7 @@
 	p.waited = time.Duration(float64(p.waited) * kept)
 	p.opened *= kept
 	if waiting {
-		p.waited += elapsed
+		p.waited += time.Duration(float64(paceWindow) * (1 - kept)) // at most the window, also after a pause of the process
 	}
 	p.updated = now
 }
--- a/internal/node/local/waits.go
+++ b/internal/node/local/waits.go
@@ -32,11 +32,16 @@
 	return a.expectedWaits(now)[min(max(priority, 0), msgs.NumWaits-1)]
 }
 
-// expireWaiting drops the waiting flows whose callers no longer wait. Nobody would hear a refusal.
+// expireWaiting returns the waiting flows that can't be answered before their timeout, and drops those whose callers
+// no longer wait and would not receive a refusal.
 func (a *Agent) expireWaiting(now time.Time) {
 	for _, w := range a.waiting.Expire(now) {
 		countUnserved("expired")
 		a.Events.Flow(event.Failure, "gave-up", w.Flow).Int("priority", w.Priority).Int("waiting", a.waiting.Len()).
 			Stringer("revision", a.Log.Revision()).Send()
 	}
+	for _, w := range a.waiting.TooLate(now, a.flows.ServiceTime()) {
+		countUnserved("late")
+		a.returnWaitingFlow(now, w, msgs.ReasonBusy)
+	}
 }
