--- a/internal/load/hold/hold.go
+++ b/internal/load/hold/hold.go
@@ -127,7 +127,7 @@
 }
 
 // Add adds a flow to the queue. If the queue then holds more than limit flows, Add removes and returns
-// the last in order, which may be w itself.
+// the last in order, which may be w itself, but keeps one flow of each priority.
 func (q *Queue) Add(now time.Time, w *QueuedFlow, limit int) (last *QueuedFlow) {
 	q.advance(now)
 	i := paceIndex(w.Priority)
@@ -138,12 +138,25 @@
 	if len(q.waiting) <= limit {
 		return nil
 	}
-	for _, v := range q.waiting {
-		if last == nil || q.before(last, v, now) {
-			last = v
+	last = q.last(now, limit)
+	q.remove(last)
+	return last
+}
+
+// last returns the last flow in order. The first flow of each priority is kept for the priority's floor, as long as
+// the limit has room for one of each.
+func (q *Queue) last(now time.Time, limit int) (last *QueuedFlow) {
+	var kept [msgs.NumWaits]*QueuedFlow
+	if !q.off.Floor && limit >= len(kept) {
+		for i := range kept {
+			kept[i] = q.first(now, func(w *QueuedFlow) bool { return paceIndex(w.Priority) == i })
+		}
+	}
+	for _, w := range q.waiting {
+		if w != kept[paceIndex(w.Priority)] && (last == nil || q.before(last, w, now)) {
+			last = w
 		}
 	}
-	q.remove(last)
 	return last
 }
 
--- a/internal/load/hold/load_test.go
+++ b/internal/load/hold/load_test.go
@@ -61,6 +61,7 @@
 	ports   uint16
 	callers uint16
 	got     [3]got
+	opened  [3]int // flows of each priority that servers received while the load lasted
 }
 
 // runLoad plays a demand of the given multiple of the capacity.
@@ -163,6 +164,9 @@
 
 func (p *play) open(s *server, a *try) {
 	s.reserved++
+	if p.Elapsed() < loadTime {
+		p.opened[a.priority]++
+	}
 	p.After(2*trip, func() {
 		if a.left {
 			p.After(4*trip, func() { s.reserved--; p.admit(s) })
@@ -205,14 +209,13 @@
 
 // Guards against a lowest priority that gets nothing as long as higher ones ask for all that servers can do.
 func TestLowestPriorityKeepsItsFloor(t *testing.T) {
-	served := func(off parts.Off) float64 {
-		g := runLoad(5, off, 1).got[2]
-		return float64(g.inTime+g.late) / (capacity * loadTime.Seconds())
-	}
-	with, without := served(parts.Off{}), served(parts.Off{Floor: true})
-	t.Logf("%.3f of the capacity, without a floor %.3f", with, without)
-	assert.Assert(t, with > 0.8/floorPart)
-	assert.Assert(t, without < 0.2/floorPart)
+	const interval = floorPart * service / slots
+	floor := float64(servers * (loadTime / interval))
+	with, without := runLoad(5, parts.Off{}, 1), runLoad(5, parts.Off{Floor: true}, 1)
+	t.Logf("opened %d for a floor of %.0f, answered %+v; without a floor %d, %+v", with.opened[2], floor, with.got[2], without.opened[2], without.got[2])
+	assert.Assert(t, float64(with.opened[2]) > 0.9*floor)
+	assert.Assert(t, float64(with.opened[2]) < 1.1*floor, "higher priorities lose more than the floor")
+	assert.Assert(t, float64(without.opened[2]) < 0.2*floor)
 }
 
 // Guards against opening flows whose callers have left before those of callers that still wait.
