Suspect silent agents also when the link may explain it

Cause: an entry that asks only agents of its own failure domain sees no later answer once the domain has failed, so every missing answer counted as late behind the link, also on an idle link: copies went to the same agent, which was neither avoided nor suspected. Change: a silent agent is always suspected (package doubt already tells a late link from a lost agent). The link explains a missing answer only if flows that can fill it have used it, only for the first copy, and never of an agent that is found lost. Test: a failed domain, idle link as without pace, full link agents found lost as without it; it fails on the code before. The test of late answers has an upload under way now, since without one the link isn't late. Left: with an upload under way the first copy goes to the dead agent, six of six aren't opened until the agents are found lost, three without pace.

--- a/internal/load/pace/link.go
+++ b/internal/load/pace/link.go
@@ -39,6 +39,9 @@
 	minWitnesses = 3
 	// witnessTime is how much earlier than the packet in question their packets may have been sent.
 	witnessTime = 100 * time.Millisecond
+	// maxLate is how late an answer may be because of the link. It lies between a caller's first copy of an
+	// opening packet, after maxAge, and the second one, which goes to another agent.
+	maxLate = 2 * maxAge
 	// maxSent bounds the opening packets that are remembered.
 	maxSent = 64
 )
@@ -152,10 +155,11 @@
 }
 
 // Late reports whether the missing answer of an agent to an opening packet that was sent at a time is
-// explained by the link: opening packets that were sent to several other agents about then or later are
-// unanswered too, and none that was sent later has been answered.
+// explained by the link: flows that can fill it used it, opening packets that were sent to several other agents
+// about then or later are unanswered too, and none that was sent later has been answered. On a link without
+// such flows, several silent agents have failed together.
 func (l *Link) Late(now time.Time, agent netip.Addr, sentAt time.Time) bool {
-	if sentAt.IsZero() || l.answeredTo.After(sentAt) {
+	if sentAt.IsZero() || now.Sub(sentAt) > maxLate || l.answeredTo.After(sentAt) || sentAt.Sub(l.busyAt) > maxAge {
 		return false
 	}
 	witnesses := map[netip.Addr]bool{}
--- a/internal/load/pace/link_test.go
+++ b/internal/load/pace/link_test.go
@@ -90,6 +90,7 @@
 func TestLateIsWhatIsLateForAll(t *testing.T) {
 	const repeated = 200 * time.Millisecond
 	sendTo := func(l *Link, n int) {
+		l.MarkBusy(start)
 		for i := range n {
 			l.Sent(start.Add(time.Duration(i)*10*time.Millisecond), agentOf(i))
 		}
@@ -101,11 +102,18 @@
 	l = NewLink(linkRate)
 	sendTo(l, 1+minWitnesses)
 	assert.Assert(t, l.Late(start.Add(repeated), agentOf(0), start))
+	assert.Assert(t, !l.Late(start.Add(3*repeated), agentOf(0), start), "the caller's last copy is due")
 
 	l.Answered(start.Add(repeated), start.Add(20*time.Millisecond))
 	assert.Assert(t, !l.Late(start.Add(repeated), agentOf(0), start), "a later packet was answered")
 
 	l = NewLink(linkRate)
+	sendTo(l, 1+minWitnesses)
+	l.busyAt = start.Add(-time.Second)
+	assert.Assert(t, !l.Late(start.Add(repeated), agentOf(0), start), "nothing fills the link")
+
+	l = NewLink(linkRate)
+	l.MarkBusy(start)
 	for range minWitnesses + 1 {
 		l.Sent(start, agentOf(0))
 	}
--- a/internal/node/edge/pace.go
+++ b/internal/node/edge/pace.go
@@ -86,7 +86,7 @@
 // own link. The agent gets the copy of the packet then: the packet itself may still be queued in front of the
 // link, and a second agent would open the flow a second time.
 func (e *Entry) isLateBehindLink(now time.Time, last *owner.Candidate, s *segs.Segment) bool {
-	if e.Off.Pace || e.Rate == 0 || !e.link.Late(now, last.Agent, last.SentAt) {
+	if e.Off.Pace || e.Rate == 0 || e.suspects.Failed(last.Agent) || !e.link.Late(now, last.Agent, last.SentAt) {
 		return false
 	}
 	linkLate.Inc()
--- a/internal/node/edge/place.go
+++ b/internal/node/edge/place.go
@@ -37,17 +37,17 @@
 }
 
 // retryElsewhere reports whether a retransmitted opening packet goes to an agent other than the last one,
-// because the last one has not answered. The agent that did not answer gets no new flows for a while, unless
-// the entry's own link explains why its answer is missing.
+// because the last one has not answered. The agent that did not answer is probed, and gets no new flows for
+// a while unless the entry's own link explains why its answer is missing.
 func (e *Entry) retryElsewhere(now time.Time, p *owner.EntryFlow, last *owner.Candidate, s *segs.Segment) bool {
 	if last.Accepted || p.Claimed {
 		return false // the answer to the caller was lost or is still in transit
 	}
+	e.suspect(now, last.Agent)
 	if e.isLateBehindLink(now, last, s) {
 		return false
 	}
 	e.chooser.NoReply(now, last.Agent)
-	e.suspect(now, last.Agent)
 	unanswered.Inc()
 	e.Events.Flow(event.Failure, "unanswered", s.Flow).Stringer("agent", last.Agent).Uint32("copy", s.Ack).Send()
 	return p.Attempts < maxAttempts
