Let one upload begin on a free link, and let the rate return without answers

Cause: CanEnd refused each flow to an address whose learned length takes longer than its route's timeout, also on a free link. Only flows that run correct the length, so one very long flow, or one learned on a squeezed link, had its address refused for ever. And a learned rate stayed low as long as long flows ran beside fewer than three answers a second. Change: while no long flow is under way or waits, one may begin. Without enough answers the rate rises by 1% an interval.

--- a/internal/load/bulk/bulk.go
+++ b/internal/load/bulk/bulk.go
@@ -114,9 +114,13 @@
 func (g *Gate) SetCarried(rate float64) { g.carried = min(rate, g.rate) }
 
 // CanEnd reports whether a flow that starts as soon as possible can end within the time that its caller
-// still waits.
+// still waits. It is also true while no long flow is under way: only flows that run correct what is known about
+// their length, and without them an address with one very long flow would be refused for ever.
 func (g *Gate) CanEnd(f segs.Flow, left time.Duration) bool {
-	return !g.isLong(f) || g.expectedWait(f)+g.duration(f) <= left
+	if !g.isLong(f) || len(g.waiting) == 0 && g.activeLong() == 0 {
+		return true
+	}
+	return g.expectedWait(f)+g.duration(f) <= left
 }
 
 // duration estimates how long a flow takes beside the others under way at the same time.
--- a/internal/load/pace/link.go
+++ b/internal/load/pace/link.go
@@ -21,8 +21,8 @@
 	// adds.
 	gain    = 0.25
 	maxRise = 0.05
-	// idleRise is the part that it adds while no flow can fill the link, so that the rate learned from a link that
-	// was narrow for some time is forgotten within a minute.
+	// idleRise is the part that it adds without enough answers, so that the rate learned from a link that was
+	// narrow for some time is forgotten: within a minute while no flow can fill the link.
 	idleRise = 0.01
 	// busyTime is how long after a packet of such flows an answer still tells about them.
 	busyTime = 50 * time.Millisecond
@@ -141,8 +141,10 @@
 		l.excess = l.least - slices.Min(l.bases)
 		change := gain * (1 - float64(l.excess)/float64(targetDelay))
 		l.scale(min(max(change, -gain), maxRise))
-	case !busy:
-		l.excess = 0
+	default: // too few answers, so nothing shows that the link is still narrow
+		if !busy {
+			l.excess = 0
+		}
 		l.scale(idleRise)
 	}
 	l.adjustedAt, l.samples, l.least = now, 0, 0
--- a/internal/load/pace/link_test.go
+++ b/internal/load/pace/link_test.go
@@ -63,6 +63,19 @@
 	assert.Equal(t, w.link.Rate(), linkRate)
 }
 
+// Guards against a rate that stays low for as long as uploads run, because too few flows are opened beside them.
+func TestRateReturnsWithoutAnswers(t *testing.T) {
+	w := &world{link: NewLink(linkRate), now: start}
+	w.run(time.Second, linkRate, true)
+	w.run(5*time.Second, 0.3*linkRate, true)
+	assert.Assert(t, w.link.Rate() < 0.5*linkRate)
+	for end := w.now.Add(5 * time.Minute); w.now.Before(end); w.now = w.now.Add(20 * time.Millisecond) {
+		w.link.MarkBusy(w.now)
+		w.link.Adjust(w.now)
+	}
+	assert.Equal(t, w.link.Rate(), linkRate)
+}
+
 // Whatever the answers, the rate stays within its bounds and returns to the stated one.
 func TestRateIsBounded(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
