--- a/internal/node/edge/counts.go
+++ b/internal/node/edge/counts.go
@@ -12,7 +12,7 @@
 	linkWaits   = metrics.NewCounter(`mangowinch_link_waits_total`)
 	unanswered  = metrics.NewCounter(`mangowinch_flows_unanswered_total`)
 	linkLate    = metrics.NewCounter(`mangowinch_link_late_total`)
-	paced       = metrics.NewCounter(`mangowinch_paced_packets_total`)
+	pacedCount  = metrics.NewCounter(`mangowinch_paced_packets_total`)
 	pacedBytes  = metrics.NewCounter(`mangowinch_paced_bytes_total`)
 	paceWaits   = metrics.NewSummary(`mangowinch_pace_wait_seconds`)
 )
--- a/internal/node/edge/pace.go
+++ b/internal/node/edge/pace.go
@@ -23,7 +23,7 @@
 
 // enqueue queues a packet and sends what the link has room for.
 func (e *Entry) enqueue(now time.Time, f segs.Flow, datagram []byte) {
-	paced.Inc()
+	pacedCount.Inc()
 	pacedBytes.Add(len(datagram))
 	e.queue.Push(now, f, datagram)
 	e.sendQueued(now)
