Learn the link's rate only from delay that is the link's

Cause: the base delay was one least over all agents. Answers that all take 20 ms longer for another reason, such as agents of another failure domain or slow servers, took the rate to 1/16 for a minute while uploads ran.

Change: a base for each failure domain of the answering agents; the first answer of a new one counts as late as the others were. If the delay stays while the rate falls to a quarter, almost nothing is sent until a shorter queue would show in the answers; if the delay stays, it becomes the base and the stated rate holds again.

Tests: each of the three new ones fails without its part of the change. In TestRateFollowsASqueezedLink only the calls changed (domain, SendRate).

--- a/internal/load/pace/link.go
+++ b/internal/load/pace/link.go
@@ -28,10 +28,16 @@
 	busyTime = 50 * time.Millisecond
 	// minRatePart is the least part of the stated rate to which the learned one falls.
 	minRatePart = 1.0 / 16
-	// basePeriod and basePeriods give the time over which the least delay is remembered. It is forgotten
-	// because the paths between instances change.
-	basePeriod  = 10 * time.Second
-	basePeriods = 6
+	// trialPart is the part of the rate at which a delay began that, when it is reached without the delay
+	// having become shorter, starts a trial. trialRatePart is the part of the stated rate that is sent
+	// meanwhile: so little that the queue in front of the link becomes shorter if it carries minRatePart.
+	trialPart     = 0.25
+	trialRatePart = minRatePart / 4
+	// settleDelays is how many times the delay a trial lasts at least: once until packets from before it are
+	// answered, and once for the queue in front of the link to become shorter.
+	settleDelays = 2
+	// shorterPart is the part of a delay below which it has become shorter.
+	shorterPart = 0.75
 	// answerTime is how long an agent takes to answer an opening packet at most, on a free link.
 	answerTime = 50 * time.Millisecond
 	// minWitnesses is the number of other agents whose answers must be missing too before an answer counts
@@ -48,20 +54,25 @@
 
 // Link observes the link of one entry by the answers of agents to opening packets. It learns the rate that
 // the link carries from their delay, as LEDBAT (RFC 6817) does: if answers take longer than the least time
-// known while flows that can fill it use it, the link is narrower than stated. The rate returns to the stated one
-// when the delay is gone. The zero value is not usable.
+// known of their origin while flows that can fill it use it, the link is narrower than stated. The rate returns
+// to the stated one when the delay is gone.
+//
+// Answers may take longer for another reason, such as slow servers. If the delay stays while the rate falls,
+// almost nothing is sent for a moment, as a trial. If the delay stays then too, it is not the link's: it becomes
+// the base with which further answers are compared, and the stated rate holds again. The zero value is not
+// usable.
 type Link struct {
 	stated     float64 // bytes per second
 	rate       float64
-	bases      []time.Duration // least delays of the latest periods, the current one last
-	baseAt     time.Time       // when the current period began
-	least      time.Duration   // least delay of the current interval
-	samples    int             // in the current interval
-	busyAt     time.Time       // when flows that can fill the link last used it
-	excess     time.Duration   // delay in the last interval with enough answers
+	origins    map[string]*origin // by failure domain
+	busyAt     time.Time          // when flows that can fill the link last used it
+	excess     time.Duration      // delay in the last interval with enough answers
 	adjustedAt time.Time
-	sent       []sentPacket // the latest opening packets, oldest first
-	answeredTo time.Time    // when the latest opening packet that has been answered was sent
+	fallFrom   float64       // rate at which the delay last was short or became shorter
+	fallDelay  time.Duration // longest delay since
+	trialAt    time.Time     // when the trial under way began; zero: none is
+	sent       []sentPacket  // the latest opening packets, oldest first
+	answeredTo time.Time     // when the latest opening packet that has been answered was sent
 }
 
 // sentPacket is an opening packet that was sent to an agent.
@@ -72,11 +83,21 @@
 }
 
 // NewLink returns the observer of a link with the stated rate in bytes per second.
-func NewLink(rate float64) *Link { return &Link{stated: rate, rate: rate} }
+func NewLink(rate float64) *Link {
+	return &Link{stated: rate, rate: rate, fallFrom: rate, origins: map[string]*origin{}}
+}
 
 // Rate returns the learned rate in bytes per second.
 func (l *Link) Rate() float64 { return l.rate }
 
+// SendRate returns the rate in bytes per second at which to send for now. It differs from Rate in a trial.
+func (l *Link) SendRate() float64 {
+	if l.trialAt.IsZero() {
+		return l.rate
+	}
+	return trialRatePart * l.stated
+}
+
 // Delay returns by how much answers took longer than the least time known when this was last measured.
 func (l *Link) Delay() time.Duration { return l.excess }
 
@@ -88,8 +109,8 @@
 	l.sent = append(l.sent, sentPacket{at: now, agent: agent})
 }
 
-// Answered records the answer to an opening packet that was sent at a time.
-func (l *Link) Answered(now, sentAt time.Time) {
+// Answered records the answer of an agent in a failure domain to an opening packet that was sent at a time.
+func (l *Link) Answered(now time.Time, domain string, sentAt time.Time) {
 	if sentAt.IsZero() || now.Before(sentAt) {
 		return
 	}
@@ -100,28 +121,14 @@
 		l.sent[i].answered = l.sent[i].answered || l.sent[i].at.Equal(sentAt)
 	}
 	d := now.Sub(sentAt)
-	l.learnBase(now, d)
-	if now.Sub(l.busyAt) > busyTime {
-		return // says nothing about the link while long flows use it
-	}
-	if l.samples == 0 || d < l.least {
-		l.least = d
-	}
-	l.samples++
-}
-
-// learnBase learns the least delay.
-func (l *Link) learnBase(now time.Time, d time.Duration) {
-	if len(l.bases) == 0 || now.Sub(l.baseAt) >= basePeriod {
-		l.bases = append(l.bases, d)
-		l.baseAt = now
-		if len(l.bases) > basePeriods {
-			l.bases = slices.Delete(l.bases, 0, 1)
-		}
+	o := l.originOf(now, domain, d)
+	if o == nil {
 		return
 	}
-	last := len(l.bases) - 1
-	l.bases[last] = min(l.bases[last], d)
+	o.learnBase(now, d)
+	if now.Sub(l.busyAt) <= busyTime { // others say nothing about the link while long flows use it
+		o.sample(d)
+	}
 }
 
 // MarkBusy records that flows use the link that can fill it.
@@ -132,23 +139,68 @@
 	if now.Sub(l.adjustedAt) < adjustInterval {
 		return false
 	}
-	before, busy := l.rate, now.Sub(l.busyAt) <= adjustInterval
-	if busy && l.samples < minSamples && now.Sub(l.adjustedAt) < maxInterval {
+	before, busy := l.SendRate(), now.Sub(l.busyAt) <= adjustInterval
+	if busy && l.countSamples() < minSamples && now.Sub(l.adjustedAt) < maxInterval {
 		return false
 	}
+	l.adjustedAt = now
+	samples, excess := l.takeSamples()
 	switch {
-	case l.samples >= minSamples:
-		l.excess = l.least - slices.Min(l.bases)
-		change := gain * (1 - float64(l.excess)/float64(targetDelay))
-		l.scale(min(max(change, -gain), maxRise))
+	case samples >= minSamples:
+		l.excess = excess
+		l.follow(now)
 	default: // too few answers, so nothing shows that the link is still narrow
+		l.endTrial()
 		if !busy {
 			l.excess = 0
 		}
 		l.scale(idleRise)
 	}
-	l.adjustedAt, l.samples, l.least = now, 0, 0
-	return l.rate != before
+	return l.SendRate() != before
+}
+
+// follow adjusts the rate by the delay.
+func (l *Link) follow(now time.Time) {
+	l.fallDelay = max(l.fallDelay, l.excess)
+	if !l.trialAt.IsZero() && now.Sub(l.trialAt) < adjustInterval+settleDelays*l.fallDelay {
+		return // it doesn't show in the answers yet
+	}
+	stays := l.observeFall()
+	tried := l.endTrial()
+	switch {
+	case stays && tried:
+		l.rebase()
+	case stays && l.rate <= max(trialPart*l.fallFrom, minRatePart*l.stated):
+		l.trialAt = now
+	default:
+		change := gain * (1 - float64(l.excess)/float64(targetDelay))
+		l.scale(min(max(change, -gain), maxRise))
+	}
+}
+
+// observeFall reports whether the delay stays although the rate falls.
+func (l *Link) observeFall() (stays bool) {
+	if l.excess > targetDelay && float64(l.excess) >= shorterPart*float64(l.fallDelay) {
+		return true
+	}
+	l.fallFrom, l.fallDelay = l.rate, l.excess
+	return false
+}
+
+// endTrial ends a trial and reports whether one was under way.
+func (l *Link) endTrial() (tried bool) {
+	tried = !l.trialAt.IsZero()
+	l.trialAt = time.Time{}
+	return tried
+}
+
+// rebase takes the present delay as one that is not the link's.
+func (l *Link) rebase() {
+	for _, o := range l.origins {
+		o.shift(l.excess)
+	}
+	l.excess, l.fallDelay = 0, 0
+	l.rate, l.fallFrom = l.stated, l.stated
 }
 
 // scale changes the rate by a part of it.
--- a/internal/load/pace/link_test.go
+++ b/internal/load/pace/link_test.go
@@ -18,6 +18,10 @@
 	link  *Link
 	now   time.Time
 	queue float64 // bytes in front of the link
+
+	origin string        // of the answers
+	slow   time.Duration // by which they take longer for other reasons
+	least  float64       // least rate since the test reset it
 }
 
 // run sends at the learned rate for a time over a link that carries the given rate.
@@ -25,12 +29,49 @@
 	for end := w.now.Add(d); w.now.Before(end); w.now = w.now.Add(10 * time.Millisecond) {
 		if busy {
 			w.link.MarkBusy(w.now)
-			w.queue += w.link.Rate() * ratePercent / 100 * 0.01
+			w.queue += w.link.SendRate() * ratePercent / 100 * 0.01
 		}
 		w.queue = min(max(0, w.queue-carried*0.01), 2*16*1300) // two windows of callers
-		rtt := freeRTT + time.Duration(w.queue/carried*float64(time.Second))
-		w.link.Answered(w.now, w.now.Add(-rtt))
+		rtt := freeRTT + w.slow + time.Duration(w.queue/carried*float64(time.Second))
+		w.link.Answered(w.now, w.origin, w.now.Add(-rtt))
 		w.link.Adjust(w.now)
+		w.least = min(w.least, w.link.SendRate())
+	}
+}
+
+// Guards against a rate that falls because the agents that answer are farther away than those before.
+func TestAnswersOfAnotherDomainKeepTheRate(t *testing.T) {
+	w := &world{link: NewLink(linkRate), now: start, origin: "near"}
+	w.run(5*time.Second, linkRate, true)
+	w.origin, w.slow, w.least = "far", 20*time.Millisecond, linkRate
+	w.run(10*time.Second, linkRate, true)
+	assert.Equal(t, w.least, linkRate)
+	w.run(3*time.Second, 0.3*linkRate, true)
+	assert.Assert(t, w.link.Rate() <= 1.3*0.3*linkRate, "a squeezed link is still found: %.2f", w.link.Rate()/linkRate)
+}
+
+// Guards against a squeeze that stays hidden because agents of another domain begin to answer meanwhile.
+func TestAnswersOfAnotherDomainKeepTheDelay(t *testing.T) {
+	w := &world{link: NewLink(linkRate), now: start, origin: "near"}
+	w.run(5*time.Second, linkRate, true)
+	w.run(500*time.Millisecond, 0.3*linkRate, true)
+	w.origin = "far"
+	w.run(3*time.Second, 0.3*linkRate, true)
+	assert.Assert(t, w.link.Rate() <= 1.3*0.3*linkRate, "rate %.2f", w.link.Rate()/linkRate)
+}
+
+// Guards against a rate that stays low because all servers have become slow to accept.
+func TestDelayThatIsNotTheLinksKeepsTheRate(t *testing.T) {
+	for _, slow := range []time.Duration{15 * time.Millisecond, 20 * time.Millisecond, 200 * time.Millisecond} {
+		w := &world{link: NewLink(linkRate), now: start}
+		w.run(5*time.Second, linkRate, true)
+		w.slow = slow
+		w.run(4*time.Second, linkRate, true)
+		w.least = linkRate
+		w.run(time.Minute, linkRate, true)
+		assert.Equal(t, w.least, linkRate, "%v", slow)
+		w.run(3*time.Second, 0.3*linkRate, true)
+		assert.Assert(t, w.link.Rate() <= 1.3*0.3*linkRate, "%v: a squeezed link is still found: %.2f", slow, w.link.Rate()/linkRate)
 	}
 }
 
@@ -56,7 +97,7 @@
 	w := &world{link: NewLink(linkRate), now: start}
 	w.run(time.Second, linkRate, false)
 	for range 100 {
-		w.link.Answered(w.now, w.now.Add(-time.Second))
+		w.link.Answered(w.now, w.origin, w.now.Add(-time.Second))
 		w.now = w.now.Add(20 * time.Millisecond)
 		w.link.Adjust(w.now)
 	}
@@ -86,7 +127,7 @@
 			if rapid.Bool().Draw(t, "busy") {
 				l.MarkBusy(now)
 			}
-			l.Answered(now, now.Add(-time.Duration(rapid.IntRange(-5, 3000).Draw(t, "rtt"))*time.Millisecond))
+			l.Answered(now, rapid.SampledFrom([]string{"a", "b"}).Draw(t, "origin"), now.Add(-time.Duration(rapid.IntRange(-5, 3000).Draw(t, "rtt"))*time.Millisecond))
 			l.Adjust(now)
 			assert.Assert(t, l.Rate() >= minRatePart*linkRate && l.Rate() <= linkRate)
 		}
@@ -117,7 +158,7 @@
 	assert.Assert(t, l.Late(start.Add(repeated), agentOf(0), start))
 	assert.Assert(t, !l.Late(start.Add(3*repeated), agentOf(0), start), "the caller's last copy is due")
 
-	l.Answered(start.Add(repeated), start.Add(20*time.Millisecond))
+	l.Answered(start.Add(repeated), "", start.Add(20*time.Millisecond))
 	assert.Assert(t, !l.Late(start.Add(repeated), agentOf(0), start), "a later packet was answered")
 
 	l = NewLink(linkRate)
--- a/internal/load/pace/sim_test.go
+++ b/internal/load/pace/sim_test.go
@@ -222,7 +222,7 @@
 		p.transmit(&p.out, shortBytes+64, func() {
 			p.shortWaits = append(p.shortWaits, p.now.Sub(arrived))
 			if p.link != nil {
-				p.schedule(p.now.Add(baseRTT), func() { p.link.Answered(p.now, arrived) })
+				p.schedule(p.now.Add(baseRTT), func() { p.link.Answered(p.now, "", arrived) })
 			}
 		})
 	})
@@ -237,7 +237,7 @@
 		p.link.MarkBusy(p.now)
 	}
 	if p.link.Adjust(p.now) {
-		p.queue.SetRate(p.link.Rate())
+		p.queue.SetRate(p.link.SendRate())
 		p.gate.SetCarried(p.link.Rate())
 	}
 }
--- a/internal/node/edge/pace.go
+++ b/internal/node/edge/pace.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -82,6 +83,12 @@
 	}
 }
 
+// linkAnswered records an agent's answer to the opening packet of a flow.
+func (e *Entry) linkAnswered(now time.Time, agent netip.Addr, p *owner.EntryFlow) {
+	server, _ := e.Log.View().Server(agent)
+	e.link.Answered(now, server.Domain, p.SentAt(agent))
+}
+
 // isLateBehindLink reports whether an agent's answer to an opening packet is missing because of the entry's
 // own link. The agent gets the copy of the packet then: the packet itself may still be queued in front of the
 // link, and a second agent would open the flow a second time.
@@ -117,7 +124,7 @@
 		return
 	}
 	if e.link.Adjust(now) {
-		e.queue.SetRate(e.link.Rate())
+		e.queue.SetRate(e.link.SendRate())
 		e.bulk.SetCarried(e.link.Rate())
 	}
 	learnedRate.Set(e.link.Rate())
--- a/internal/node/edge/peer.go
+++ b/internal/node/edge/peer.go
@@ -38,7 +38,7 @@
 	e.chooser.Accepted(from)
 	e.chooser.Report(now, from, m.Load)
 	if p := e.flows.Get(m.Flow); p != nil {
-		e.link.Answered(now, p.SentAt(from))
+		e.linkAnswered(now, from, p)
 		p.MarkAccepted(from, m.Seq)
 	}
 }
@@ -62,7 +62,7 @@
 			return
 		}
 	}
-	e.link.Answered(now, p.SentAt(from))
+	e.linkAnswered(now, from, p)
 	if m.Reason == msgs.ReasonBusy {
 		e.refuse(now, &s, "busy") // the request was offered to several agents, and none can serve it in time
 		return
@@ -101,7 +101,7 @@
 		return
 	}
 	if !p.Claimed && p.Ack == 0 {
-		e.link.Answered(now, p.SentAt(from)) // the flow waits at the agent
+		e.linkAnswered(now, from, p) // the flow waits at the agent
 	}
 	p.Claimed = true
 	if m.Open {
