Let resets of callers pass the queue before the link

Cause: a reset that was queued behind data of its flow could be dropped as link-full or link-late. Nobody repeats it. Data of the aborted flow was still sent.

Change: the flow's queued packets are dropped (reason link-aborted) and the reset is forwarded at once.

Tests: TestResetPassesQueuedData fails without it.

--- a/internal/load/pace/pace.go
+++ b/internal/load/pace/pace.go
@@ -13,6 +13,7 @@
 //   - A packet that has waited until its sender retransmits it is dropped, since the copy is queued behind
 //     it. The queue holds no more bytes than the link sends in that time. When it is full, the last packet
 //     of the caller with the most queued bytes is dropped.
+//   - Packets of a flow that its caller has reset are dropped.
 //
 // Which flows are long is decided by package bulk. Link observes whether the link carries what is stated.
 // The package delays only packets that pass the entry towards servers, and performs no I/O: the caller
@@ -22,6 +23,7 @@
 //
 //	q := pace.New(rate)
 //	q.Charge(now, bytes) // short traffic
+//	q.Discard(flow) // after a reset
 //	if long || q.Holds(flow) { q.Push(now, flow, packet) }
 //	for p, ok := q.Next(now); ok; p, ok = q.Next(now) { forward(p.Data) }
 //	wait, ok := q.Ready(now) // when to call Next again
@@ -65,8 +67,9 @@
 
 // Drops counts the packets that a Queue has dropped since it was last asked.
 type Drops struct {
-	Full int // no room in the queue
-	Late int // the sender has retransmitted the packet
+	Full    int // no room in the queue
+	Late    int // the sender has retransmitted the packet
+	Aborted int // the caller has reset the flow
 }
 
 // Queue holds the packets of long flows before the link of one entry.
@@ -213,6 +216,21 @@
 	q.tidy(c, at, p.Flow)
 }
 
+// Discard drops the queued packets of a flow that its caller has reset.
+func (q *Queue) Discard(f segs.Flow) {
+	l := q.flows[f]
+	if l == nil {
+		return
+	}
+	c := q.byAddr[f.Caller]
+	for _, p := range l.packets {
+		q.add(c, -1, -p.size())
+	}
+	q.drops.Aborted += len(l.packets)
+	l.packets = nil
+	q.tidy(c, slices.Index(c.flows, l), f)
+}
+
 // tidy removes a flow and its caller if they have no packets left.
 func (q *Queue) tidy(c *caller, at int, f segs.Flow) {
 	if len(c.flows[at].packets) > 0 {
--- a/internal/load/pace/pace_test.go
+++ b/internal/load/pace/pace_test.go
@@ -42,7 +42,7 @@
 		for range rapid.IntRange(1, 300).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 20_000).Draw(t, "us")) * time.Microsecond)
 			f := flowOf(rapid.IntRange(0, 3).Draw(t, "caller"), rapid.IntRange(0, 2).Draw(t, "port"))
-			switch rapid.IntRange(0, 3).Draw(t, "op") {
+			switch rapid.IntRange(0, 4).Draw(t, "op") {
 			case 0:
 				q.Charge(now, rapid.IntRange(0, 1300).Draw(t, "short"))
 			case 1, 2:
@@ -59,9 +59,12 @@
 					lastSent[p.Flow] = number
 					sent++
 				}
+			case 4:
+				q.Discard(f)
+				assert.Assert(t, !q.Holds(f))
 			}
 			d := q.TakeDrops()
-			dropped += d.Full + d.Late
+			dropped += d.Full + d.Late + d.Aborted
 			assert.Equal(t, total, sent+dropped+q.Len())
 			assert.Assert(t, q.Bytes() <= int(rate*maxAge.Seconds()))
 			if _, ok := q.Ready(now); ok != (q.Len() > 0) {
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -199,7 +199,10 @@
 		e.open(now, v, route, &s, datagram)
 		return
 	}
-	paced := e.isPaced(s.Flow)
+	if s.Has(segs.Rst) {
+		e.discardAborted(s.Flow)
+	}
+	paced := e.isPaced(s.Flow) && !s.Has(segs.Rst)
 	e.trackBulk(now, &s, len(datagram))
 	if paced {
 		e.enqueue(now, s.Flow, datagram)
--- a/internal/node/edge/pace.go
+++ b/internal/node/edge/pace.go
@@ -37,6 +37,16 @@
 	}
 }
 
+// discardAborted drops the queued packets of a flow that its caller has reset. The reset, which no caller
+// repeats, passes at once, so that it isn't dropped and nothing is sent for the flow any more. The server
+// receives it after a gap: it ends the flow, since the gap is no longer than its window, or asks the caller
+// about it and is told again (RFC 5961). One that ignores it ends the flow by its idle time, as it does after a
+// reset that the network has lost.
+func (e *Entry) discardAborted(f segs.Flow) {
+	e.queue.Discard(f)
+	e.countPaceDrops()
+}
+
 // Queued returns a channel that receives a value after packets have been queued.
 func (e *Entry) Queued() <-chan struct{} { return e.queued }
 
@@ -81,6 +91,9 @@
 	for range d.Late {
 		countDropped("link-late")
 	}
+	for range d.Aborted {
+		countDropped("link-aborted")
+	}
 }
 
 // linkAnswered records an agent's answer to the opening packet of a flow.
--- a/internal/node/edge/pace_test.go
+++ b/internal/node/edge/pace_test.go
@@ -15,13 +15,20 @@
 	"mangowinch/internal/oper/event"
 )
 
+// resetByte, as the second byte of a packet, marks a reset.
+const resetByte = 0xff
+
 // portCodec decodes a packet by its first byte, the caller's port.
 type portCodec struct{ stubCodec }
 
 func (c portCodec) Decode(b []byte, _ segs.End) (segs.Segment, error) {
 	f := c.flow
 	f.CallerPort = uint16(b[0])
-	return segs.Segment{Flow: f, Flags: segs.Ack, Ack: 1001, Len: len(b)}, nil
+	s := segs.Segment{Flow: f, Flags: segs.Ack, Ack: 1001, Len: len(b)}
+	if len(b) > 1 && b[1] == resetByte {
+		s.Flags, s.Len = segs.Rst, 0
+	}
+	return s, nil
 }
 
 // recordingWire records the packets that are forwarded.
@@ -38,28 +45,34 @@
 }
 func (*recordingWire) ToCaller([4]byte, []byte) {}
 
-// Guards against a short request that waits behind an upload, and against packets of an upload that overtake
-// each other, get lost or stay in the queue.
-func TestShortFlowPassesAnUpload(t *testing.T) {
-	const upload, short, number = 1, 2, 70
+// newPacedEntry returns an entry with a link of 10 Mbit/s that knows the agent of the flows of these ports.
+func newPacedEntry(t *testing.T, now time.Time, ports ...uint16) (e *Entry, wire *recordingWire) {
 	flow := segs.Flow{Caller: [4]byte{100, 64, 0, 7}, Service: [4]byte{198, 18, 0, 1}, Port: 443}
-	now := time.Unix(1_700_000_000, 0)
 	log := belief.New()
 	log.Apply(now, belief.Change{To: 5, Full: true, Items: []belief.Item{{Key: "c", Revision: 1, Config: &belief.Config{
 		Version: 1, Routes: []belief.Route{{Called: flow.ServiceAddr(), Shares: []belief.Share{{Service: "s", Weight: 1}}}},
 	}}}})
 	events := event.New(io.Discard, "entry", "e1")
-	defer events.Close()
-	wire := &recordingWire{}
-	e := New(Config{
+	t.Cleanup(events.Close)
+	wire = &recordingWire{}
+	e = New(Config{
 		Log: log, Control: stubCodec{}, Codec: portCodec{stubCodec{flow}}, Wire: wire, Events: events,
 		Rand: rand.New(rand.NewPCG(1, 2)), Rate: 10e6 / 8,
 	})
-	for _, port := range []uint16{upload, short} {
+	for _, port := range ports {
 		f := flow
 		f.CallerPort = port
 		e.recordOwner(now, netip.MustParseAddr("10.0.1.1"), msgs.Owner{Flow: f})
 	}
+	return e, wire
+}
+
+// Guards against a short request that waits behind an upload, and against packets of an upload that overtake
+// each other, get lost or stay in the queue.
+func TestShortFlowPassesAnUpload(t *testing.T) {
+	const upload, short, number = 1, 2, 70
+	now := time.Unix(1_700_000_000, 0)
+	e, wire := newPacedEntry(t, now, upload, short)
 	packet := make([]byte, 1200)
 	for i := range byte(number) {
 		packet[0], packet[1] = upload, i
@@ -85,3 +98,24 @@
 		assert.Equal(t, n, byte(i))
 	}
 }
+
+// Guards against a reset that is dropped behind data or waits there, and against data of an aborted flow that is
+// still sent.
+func TestResetPassesQueuedData(t *testing.T) {
+	const upload, number = 1, 120
+	now := time.Unix(1_700_000_000, 0)
+	e, wire := newPacedEntry(t, now, upload)
+	packet := make([]byte, 1200)
+	for i := range byte(number) {
+		packet[0], packet[1] = upload, i
+		e.FromCaller(now, packet)
+	}
+	sent := len(wire.packets)
+	assert.Assert(t, sent < number, "data is queued")
+	e.FromCaller(now, []byte{upload, resetByte})
+	assert.Equal(t, len(wire.packets), sent+1)
+	assert.DeepEqual(t, wire.packets[sent], []byte{upload, resetByte})
+	_, ok := e.SendQueued(now.Add(100 * time.Millisecond))
+	assert.Assert(t, !ok, "nothing is left")
+	assert.Equal(t, len(wire.packets), sent+1)
+}
