Decide once, with hysteresis, whether the link is narrow

Cause: bulk and edge each had a narrowPart of one meaning. That of bulk had no hysteresis: near it, flows of more than a window were long and not long in turn.

Change: pace.Link holds the state (below 0.7 of the stated rate, until over 0.95), bulk.Gate and the lines take it from there.

Tests: TestNarrowLinkStaysNarrow; calls of SetCarried in the others.

--- a/internal/load/bulk/bulk.go
+++ b/internal/load/bulk/bulk.go
@@ -51,8 +51,6 @@
 	pacedQueueTime = 35 * time.Millisecond
 	// longFlowTime is the time on the configured link above which a flow is long and may be delayed.
 	longFlowTime = maxQueueTime / 2
-	// narrowPart is the part of the configured rate below which the link counts as narrower than configured.
-	narrowPart = 0.7
 	// idleTimeout is how long a flow under way may send nothing. A lost packet is retransmitted after 200 ms.
 	idleTimeout = 300 * time.Millisecond
 	// learnWindow is the number of flows over which the bytes per flow are averaged.
@@ -76,6 +74,7 @@
 type Gate struct {
 	rate     float64 // bytes per second; 0 if not configured
 	carried  float64 // bytes per second that the link is known to carry
+	narrow   bool    // the link counts as narrower than configured
 	maxWait  time.Duration
 	queue    time.Duration              // longest queue that the windows of flows under way may create
 	avgBytes map[netip.AddrPort]float64 // average bytes sent by a flow to an address
@@ -110,8 +109,9 @@
 	return g
 }
 
-// SetCarried sets the rate that the link carries, if that is below the configured one.
-func (g *Gate) SetCarried(rate float64) { g.carried = min(rate, g.rate) }
+// SetCarried sets the rate that the link carries, if that is below the configured one, and whether the link
+// counts as narrower than configured.
+func (g *Gate) SetCarried(rate float64, narrow bool) { g.carried, g.narrow = min(rate, g.rate), narrow }
 
 // CanEnd reports whether a flow that starts as soon as possible can end within the time that its caller
 // still waits. It is also true while no long flow is under way: only flows that run correct what is known about
@@ -159,7 +159,7 @@
 // longBytes returns the number of bytes above which a flow is long. On a link that is narrower than configured,
 // each flow that fills a window is.
 func (g *Gate) longBytes() float64 {
-	if g.carried < narrowPart*g.rate {
+	if g.narrow {
 		return callerWindow
 	}
 	return longFlowTime.Seconds() * g.rate
--- a/internal/load/bulk/bulk_test.go
+++ b/internal/load/bulk/bulk_test.go
@@ -32,9 +32,9 @@
 	g.Admit(now, uploadFlow(2), 0, nil)
 	assert.Assert(t, g.CanEnd(f, 260*time.Millisecond))
 	assert.Assert(t, !g.CanEnd(f, 190*time.Millisecond), "another upload takes half of the link")
-	g.SetCarried(linkRate / 4)
+	g.SetCarried(linkRate/4, true)
 	assert.Assert(t, !g.CanEnd(f, 390*time.Millisecond), "the link carries a quarter")
-	g.SetCarried(10 * linkRate)
+	g.SetCarried(10*linkRate, false)
 	assert.Assert(t, !g.CanEnd(f, 190*time.Millisecond), "no link carries more than is configured")
 }
 
@@ -76,8 +76,8 @@
 	learnUploads(g, 80_000)
 	assert.Assert(t, !g.Long(uploadFlow(1)))
 	assert.Assert(t, g.FillsWindow(uploadFlow(1)))
-	g.SetCarried(2 * linkRate)
+	g.SetCarried(2*linkRate, true)
 	assert.Assert(t, g.Long(uploadFlow(1)))
-	g.SetCarried(20 * linkRate)
+	g.SetCarried(20*linkRate, false)
 	assert.Assert(t, !g.Long(uploadFlow(1)))
 }
--- a/internal/load/pace/link.go
+++ b/internal/load/pace/link.go
@@ -38,6 +38,9 @@
 	settleDelays = 2
 	// shorterPart is the part of a delay below which it has become shorter.
 	shorterPart = 0.75
+	// narrowPart and statedPart are the parts of the stated rate below and above which the link counts as
+	// narrower than stated, and as carrying what is stated.
+	narrowPart, statedPart = 0.7, 0.95
 	// answerTime is how long an agent takes to answer an opening packet at most, on a free link.
 	answerTime = 50 * time.Millisecond
 	// minWitnesses is the number of other agents whose answers must be missing too before an answer counts
@@ -64,6 +67,7 @@
 type Link struct {
 	stated     float64 // bytes per second
 	rate       float64
+	narrow     bool
 	origins    map[string]*origin // by failure domain
 	busyAt     time.Time          // when flows that can fill the link last used it
 	excess     time.Duration      // delay in the last interval with enough answers
@@ -90,6 +94,9 @@
 // Rate returns the learned rate in bytes per second.
 func (l *Link) Rate() float64 { return l.rate }
 
+// Narrow reports whether the link counts as narrower than stated.
+func (l *Link) Narrow() bool { return l.narrow }
+
 // SendRate returns the rate in bytes per second at which to send for now. It differs from Rate in a trial.
 func (l *Link) SendRate() float64 {
 	if l.trialAt.IsZero() {
@@ -200,12 +207,19 @@
 		o.shift(l.excess)
 	}
 	l.excess, l.fallDelay = 0, 0
-	l.rate, l.fallFrom = l.stated, l.stated
+	l.setRate(l.stated)
+	l.fallFrom = l.stated
 }
 
 // scale changes the rate by a part of it.
 func (l *Link) scale(change float64) {
-	l.rate = min(max(l.rate*(1+change), minRatePart*l.stated), l.stated)
+	l.setRate(min(max(l.rate*(1+change), minRatePart*l.stated), l.stated))
+}
+
+// setRate sets the rate.
+func (l *Link) setRate(rate float64) {
+	l.rate = rate
+	l.narrow = rate < narrowPart*l.stated || l.narrow && rate < statedPart*l.stated
 }
 
 // Late reports whether the missing answer of an agent to an opening packet that was sent at a time is
--- a/internal/load/pace/link_test.go
+++ b/internal/load/pace/link_test.go
@@ -139,6 +139,18 @@
 	})
 }
 
+// Guards against a link that counts as narrow and as wide in turn, since its rate stays near one bound.
+func TestNarrowLinkStaysNarrow(t *testing.T) {
+	l := NewLink(linkRate)
+	for _, c := range []struct {
+		part   float64
+		narrow bool
+	}{{0.8, false}, {0.71, false}, {0.69, true}, {0.71, true}, {0.69, true}, {0.94, true}, {0.96, false}, {0.71, false}} {
+		l.setRate(c.part * linkRate)
+		assert.Equal(t, l.Narrow(), c.narrow, "%.2f", c.part)
+	}
+}
+
 // Guards against an agent that is avoided because its answer is late behind the entry's own link, and against a
 // silent agent that is taken for one whose answer is late.
 func TestLateIsWhatIsLateForAll(t *testing.T) {
--- a/internal/load/pace/sim_test.go
+++ b/internal/load/pace/sim_test.go
@@ -238,7 +238,7 @@
 	}
 	if p.link.Adjust(p.now) {
 		p.queue.SetRate(p.link.SendRate())
-		p.gate.SetCarried(p.link.Rate())
+		p.gate.SetCarried(p.link.Rate(), p.link.Narrow())
 	}
 }
 
--- a/internal/node/edge/pace.go
+++ b/internal/node/edge/pace.go
@@ -120,13 +120,8 @@
 	at     time.Time
 }
 
-const (
-	// narrowPart and statedPart are the parts of the stated rate below and above which the link is reported
-	// as narrower than stated, and as carrying what is stated.
-	narrowPart, statedPart = 0.7, 0.95
-	// rateReportInterval is the shortest time between two such reports.
-	rateReportInterval = time.Second
-)
+// rateReportInterval is the shortest time between two such reports.
+const rateReportInterval = time.Second
 
 // learnedRate is the rate in bytes per second that the entry's link carries.
 var learnedRate = metrics.NewGauge(`mangowinch_link_rate_bytes`, nil)
@@ -138,7 +133,7 @@
 	}
 	if e.link.Adjust(now) {
 		e.queue.SetRate(e.link.SendRate())
-		e.bulk.SetCarried(e.link.Rate())
+		e.bulk.SetCarried(e.link.Rate(), e.link.Narrow())
 	}
 	learnedRate.Set(e.link.Rate())
 	e.reportRate(now)
@@ -146,8 +141,7 @@
 
 // reportRate logs when the link turns out to be narrower than stated, and when it is no longer.
 func (e *Entry) reportRate(now time.Time) {
-	part := e.link.Rate() / e.Rate
-	narrow := part < narrowPart || e.narrow.narrow && part < statedPart
+	narrow := e.link.Narrow()
 	if narrow == e.narrow.narrow || now.Sub(e.narrow.at) < rateReportInterval {
 		return
 	}
