Count the link time of other uploads once when asking whether one can end

Cause: CanEnd waited for half of each upload under way and then took the upload's own time once more for each beside it: three average lengths with two under way, though the link carries it and what is ahead in two.

Change: what is ahead, and the flow itself. The aim behind pacedQueueTime is stated. It stays a time: two windows are what it gives at 10 Mbit/s, but four at 20 and 21 at 100, where two would leave the link idle for most of a round trip of 5 ms.

--- a/internal/load/bulk/bulk.go
+++ b/internal/load/bulk/bulk.go
@@ -47,7 +47,9 @@
 	// unless a single window creates a longer one.
 	maxQueueTime = 50 * time.Millisecond
 	// pacedQueueTime is the same for a link before which the entry queues the packets of long flows. The
-	// windows wait in the entry and keep the link busy, so fewer flows suffice, and each ends sooner.
+	// windows wait in the entry and keep the link busy, so fewer flows suffice, and each ends sooner: two at
+	// 10 Mbit/s. It is a time and no number of windows, since a faster link must be kept busy by more of them
+	// for as long as their acknowledgements take.
 	pacedQueueTime = 35 * time.Millisecond
 	// longFlowTime is the time on the configured link above which a flow is long and may be delayed.
 	longFlowTime = maxQueueTime / 2
@@ -114,19 +116,15 @@
 func (g *Gate) SetCarried(rate float64, narrow bool) { g.carried, g.narrow = min(rate, g.rate), narrow }
 
 // CanEnd reports whether a flow that starts as soon as possible can end within the time that its caller
-// still waits. It is also true while no long flow is under way: only flows that run correct what is known about
-// their length, and without them an address with one very long flow would be refused for ever.
+// still waits: whether the link carries it and what is ahead of it until then. Flows that take turns with it
+// delay it no further, since what they send meanwhile is either ahead of it or sent after its end. It is also
+// true while no long flow is under way: only flows that run correct what is known about their length, and without
+// them an address with one very long flow would be refused for ever.
 func (g *Gate) CanEnd(f segs.Flow, left time.Duration) bool {
 	if !g.isLong(f) || len(g.waiting) == 0 && g.activeLong() == 0 {
 		return true
 	}
-	return g.expectedWait(f)+g.duration(f) <= left
-}
-
-// duration estimates how long a flow takes beside the others under way at the same time.
-func (g *Gate) duration(f segs.Flow) time.Duration {
-	beside := min(g.activeLong(), g.limit()-1)
-	return g.timeFor(float64(1+max(0, beside)) * g.avgBytes[f.ServiceAddr()])
+	return g.expectedWait(f)+g.timeFor(g.avgBytes[f.ServiceAddr()]) <= left
 }
 
 // timeFor returns the time in which the link carries a number of bytes.
