--- a/internal/node/edge/pace_test.go
+++ b/internal/node/edge/pace_test.go
@@ -11,6 +11,8 @@
 
 	"mangowinch/internal/ctrl/belief"
 	"mangowinch/internal/flow/msgs"
+	"mangowinch/internal/flow/order"
+	"mangowinch/internal/flow/owner"
 	"mangowinch/internal/flow/segs"
 	"mangowinch/internal/oper/event"
 )
@@ -119,3 +121,26 @@
 	assert.Assert(t, !ok, "nothing is left")
 	assert.Equal(t, len(wire.packets), sent+1)
 }
+
+// Guards against a rate that falls because agents of another failure domain answer, which take longer.
+func TestAnswersAreComparedWithinADomain(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	e, _ := newPacedEntry(t, now)
+	near, far := netip.MustParseAddr("10.0.1.1"), netip.MustParseAddr("10.0.2.1")
+	for i, a := range []netip.Addr{near, far} {
+		e.Log.Apply(now, belief.Change{From: order.Revision(5 + i), To: order.Revision(6 + i), Items: []belief.Item{{
+			Key: a.String(), Revision: order.Revision(6 + i), Server: &belief.Server{ID: a.String(), Service: "s", Addr: netip.AddrPortFrom(a, 80), Domain: a.String()},
+		}}})
+	}
+	answer := func(agent netip.Addr, rtt time.Duration) {
+		for end := now.Add(5 * time.Second); now.Before(end); now = now.Add(20 * time.Millisecond) {
+			e.link.MarkBusy(now)
+			p := &owner.EntryFlow{Candidates: []owner.Candidate{{Agent: agent, SentAt: now.Add(-rtt)}}}
+			e.linkAnswered(now, agent, p)
+			e.Tick(now)
+			assert.Equal(t, e.link.SendRate(), e.Rate)
+		}
+	}
+	answer(near, 2*time.Millisecond)
+	answer(far, 22*time.Millisecond)
+}
