--- a/internal/load/bulk/bulk.go
+++ b/internal/load/bulk/bulk.go
@@ -47,12 +47,12 @@
 	// unless a single window creates a longer one.
 	maxQueueTime = 50 * time.Millisecond
 	// pacedQueueTime is the same for a link before which the entry queues the packets of long flows. The
-	// windows wait in the entry and keep the link busy, so fewer flows suffice, and each ends sooner.
+	// windows wait in the entry and keep the link busy, so fewer flows suffice, and each ends sooner: two at
+	// 10 Mbit/s. It is a time and no number of windows, since a faster link must be kept busy by more of them
+	// for as long as their acknowledgements take.
 	pacedQueueTime = 35 * time.Millisecond
 	// longFlowTime is the time on the configured link above which a flow is long and may be delayed.
 	longFlowTime = maxQueueTime / 2
-	// narrowPart is the part of the configured rate below which the link counts as narrower than configured.
-	narrowPart = 0.7
 	// idleTimeout is how long a flow under way may send nothing. A lost packet is retransmitted after 200 ms.
 	idleTimeout = 300 * time.Millisecond
 	// learnWindow is the number of flows over which the bytes per flow are averaged.
@@ -76,6 +76,7 @@
 type Gate struct {
 	rate     float64 // bytes per second; 0 if not configured
 	carried  float64 // bytes per second that the link is known to carry
+	narrow   bool    // the link counts as narrower than configured
 	maxWait  time.Duration
 	queue    time.Duration              // longest queue that the windows of flows under way may create
 	avgBytes map[netip.AddrPort]float64 // average bytes sent by a flow to an address
@@ -110,19 +111,20 @@
 	return g
 }
 
-// SetCarried sets the rate that the link carries, if that is below the configured one.
-func (g *Gate) SetCarried(rate float64) { g.carried = min(rate, g.rate) }
+// SetCarried sets the rate that the link carries, if that is below the configured one, and whether the link
+// counts as narrower than configured.
+func (g *Gate) SetCarried(rate float64, narrow bool) { g.carried, g.narrow = min(rate, g.rate), narrow }
 
 // CanEnd reports whether a flow that starts as soon as possible can end within the time that its caller
-// still waits.
+// still waits: whether the link carries it and what is ahead of it until then. Flows that take turns with it
+// delay it no further, since what they send meanwhile is either ahead of it or sent after its end. It is also
+// true while no long flow is under way: only flows that run correct what is known about their length, and without
+// them an address with one very long flow would be refused for ever.
 func (g *Gate) CanEnd(f segs.Flow, left time.Duration) bool {
-	return !g.isLong(f) || g.expectedWait(f)+g.duration(f) <= left
-}
-
-// duration estimates how long a flow takes beside the others under way at the same time.
-func (g *Gate) duration(f segs.Flow) time.Duration {
-	beside := min(g.activeLong(), g.limit()-1)
-	return g.timeFor(float64(1+max(0, beside)) * g.avgBytes[f.ServiceAddr()])
+	if !g.isLong(f) || len(g.waiting) == 0 && g.activeLong() == 0 {
+		return true
+	}
+	return g.expectedWait(f)+g.timeFor(g.avgBytes[f.ServiceAddr()]) <= left
 }
 
 // timeFor returns the time in which the link carries a number of bytes.
@@ -155,7 +157,7 @@
 // longBytes returns the number of bytes above which a flow is long. On a link that is narrower than configured,
 // each flow that fills a window is.
 func (g *Gate) longBytes() float64 {
-	if g.carried < narrowPart*g.rate {
+	if g.narrow {
 		return callerWindow
 	}
 	return longFlowTime.Seconds() * g.rate
--- a/internal/load/pace/link.go
+++ b/internal/load/pace/link.go
@@ -21,17 +21,26 @@
 	// adds.
 	gain    = 0.25
 	maxRise = 0.05
-	// idleRise is the part that it adds while no flow can fill the link, so that the rate learned from a link that
-	// was narrow for some time is forgotten within a minute.
+	// idleRise is the part that it adds without enough answers, so that the rate learned from a link that was
+	// narrow for some time is forgotten: within a minute while no flow can fill the link.
 	idleRise = 0.01
 	// busyTime is how long after a packet of such flows an answer still tells about them.
 	busyTime = 50 * time.Millisecond
 	// minRatePart is the least part of the stated rate to which the learned one falls.
 	minRatePart = 1.0 / 16
-	// basePeriod and basePeriods give the time over which the least delay is remembered. It is forgotten
-	// because the paths between instances change.
-	basePeriod  = 10 * time.Second
-	basePeriods = 6
+	// trialPart is the part of the rate at which a delay began that, when it is reached without the delay
+	// having become shorter, starts a trial. trialRatePart is the part of the stated rate that is sent
+	// meanwhile: so little that the queue in front of the link becomes shorter if it carries minRatePart.
+	trialPart     = 0.25
+	trialRatePart = minRatePart / 4
+	// settleDelays is how many times the delay a trial lasts at least: once until packets from before it are
+	// answered, and once for the queue in front of the link to become shorter.
+	settleDelays = 2
+	// shorterPart is the part of a delay below which it has become shorter.
+	shorterPart = 0.75
+	// narrowPart and statedPart are the parts of the stated rate below and above which the link counts as
+	// narrower than stated, and as carrying what is stated.
+	narrowPart, statedPart = 0.7, 0.95
 	// answerTime is how long an agent takes to answer an opening packet at most, on a free link.
 	answerTime = 50 * time.Millisecond
 	// minWitnesses is the number of other agents whose answers must be missing too before an answer counts
@@ -39,26 +48,35 @@
 	minWitnesses = 3
 	// witnessTime is how much earlier than the packet in question their packets may have been sent.
 	witnessTime = 100 * time.Millisecond
+	// maxLate is how late an answer may be because of the link. It lies between a caller's first copy of an
+	// opening packet, after maxAge, and the second one, which goes to another agent.
+	maxLate = 2 * maxAge
 	// maxSent bounds the opening packets that are remembered.
 	maxSent = 64
 )
 
 // Link observes the link of one entry by the answers of agents to opening packets. It learns the rate that
 // the link carries from their delay, as LEDBAT (RFC 6817) does: if answers take longer than the least time
-// known while flows that can fill it use it, the link is narrower than stated. The rate returns to the stated one
-// when the delay is gone. The zero value is not usable.
+// known of their origin while flows that can fill it use it, the link is narrower than stated. The rate returns
+// to the stated one when the delay is gone.
+//
+// Answers may take longer for another reason, such as slow servers. If the delay stays while the rate falls,
+// almost nothing is sent for a moment, as a trial. If the delay stays then too, it is not the link's: it becomes
+// the base with which further answers are compared, and the stated rate holds again. The zero value is not
+// usable.
 type Link struct {
 	stated     float64 // bytes per second
 	rate       float64
-	bases      []time.Duration // least delays of the latest periods, the current one last
-	baseAt     time.Time       // when the current period began
-	least      time.Duration   // least delay of the current interval
-	samples    int             // in the current interval
-	busyAt     time.Time       // when flows that can fill the link last used it
-	excess     time.Duration   // delay in the last interval with enough answers
+	narrow     bool
+	origins    map[string]*origin // by failure domain
+	busyAt     time.Time          // when flows that can fill the link last used it
+	excess     time.Duration      // delay in the last interval with enough answers
 	adjustedAt time.Time
-	sent       []sentPacket // the latest opening packets, oldest first
-	answeredTo time.Time    // when the latest opening packet that has been answered was sent
+	fallFrom   float64       // rate at which the delay last was short or became shorter
+	fallDelay  time.Duration // longest delay since
+	trialAt    time.Time     // when the trial under way began; zero: none is
+	sent       []sentPacket  // the latest opening packets, oldest first
+	answeredTo time.Time     // when the latest opening packet that has been answered was sent
 }
 
 // sentPacket is an opening packet that was sent to an agent.
@@ -69,11 +87,24 @@
 }
 
 // NewLink returns the observer of a link with the stated rate in bytes per second.
-func NewLink(rate float64) *Link { return &Link{stated: rate, rate: rate} }
+func NewLink(rate float64) *Link {
+	return &Link{stated: rate, rate: rate, fallFrom: rate, origins: map[string]*origin{}}
+}
 
 // Rate returns the learned rate in bytes per second.
 func (l *Link) Rate() float64 { return l.rate }
 
+// Narrow reports whether the link counts as narrower than stated.
+func (l *Link) Narrow() bool { return l.narrow }
+
+// SendRate returns the rate in bytes per second at which to send for now. It differs from Rate in a trial.
+func (l *Link) SendRate() float64 {
+	if l.trialAt.IsZero() {
+		return l.rate
+	}
+	return trialRatePart * l.stated
+}
+
 // Delay returns by how much answers took longer than the least time known when this was last measured.
 func (l *Link) Delay() time.Duration { return l.excess }
 
@@ -85,8 +116,8 @@
 	l.sent = append(l.sent, sentPacket{at: now, agent: agent})
 }
 
-// Answered records the answer to an opening packet that was sent at a time.
-func (l *Link) Answered(now, sentAt time.Time) {
+// Answered records the answer of an agent in a failure domain to an opening packet that was sent at a time.
+func (l *Link) Answered(now time.Time, domain string, sentAt time.Time) {
 	if sentAt.IsZero() || now.Before(sentAt) {
 		return
 	}
@@ -97,28 +128,14 @@
 		l.sent[i].answered = l.sent[i].answered || l.sent[i].at.Equal(sentAt)
 	}
 	d := now.Sub(sentAt)
-	l.learnBase(now, d)
-	if now.Sub(l.busyAt) > busyTime {
-		return // says nothing about the link while long flows use it
-	}
-	if l.samples == 0 || d < l.least {
-		l.least = d
-	}
-	l.samples++
-}
-
-// learnBase learns the least delay.
-func (l *Link) learnBase(now time.Time, d time.Duration) {
-	if len(l.bases) == 0 || now.Sub(l.baseAt) >= basePeriod {
-		l.bases = append(l.bases, d)
-		l.baseAt = now
-		if len(l.bases) > basePeriods {
-			l.bases = slices.Delete(l.bases, 0, 1)
-		}
+	o := l.originOf(now, domain, d)
+	if o == nil {
 		return
 	}
-	last := len(l.bases) - 1
-	l.bases[last] = min(l.bases[last], d)
+	o.learnBase(now, d)
+	if now.Sub(l.busyAt) <= busyTime { // others say nothing about the link while long flows use it
+		o.sample(d)
+	}
 }
 
 // MarkBusy records that flows use the link that can fill it.
@@ -129,33 +146,88 @@
 	if now.Sub(l.adjustedAt) < adjustInterval {
 		return false
 	}
-	before, busy := l.rate, now.Sub(l.busyAt) <= adjustInterval
-	if busy && l.samples < minSamples && now.Sub(l.adjustedAt) < maxInterval {
+	before, busy := l.SendRate(), now.Sub(l.busyAt) <= adjustInterval
+	if busy && l.countSamples() < minSamples && now.Sub(l.adjustedAt) < maxInterval {
 		return false
 	}
+	l.adjustedAt = now
+	samples, excess := l.takeSamples()
 	switch {
-	case l.samples >= minSamples:
-		l.excess = l.least - slices.Min(l.bases)
+	case samples >= minSamples:
+		l.excess = excess
+		l.follow(now)
+	default: // too few answers, so nothing shows that the link is still narrow
+		l.endTrial()
+		if !busy {
+			l.excess = 0
+		}
+		l.scale(idleRise)
+	}
+	return l.SendRate() != before
+}
+
+// follow adjusts the rate by the delay.
+func (l *Link) follow(now time.Time) {
+	l.fallDelay = max(l.fallDelay, l.excess)
+	if !l.trialAt.IsZero() && now.Sub(l.trialAt) < adjustInterval+settleDelays*l.fallDelay {
+		return // it doesn't show in the answers yet
+	}
+	stays := l.observeFall()
+	tried := l.endTrial()
+	switch {
+	case stays && tried:
+		l.rebase()
+	case stays && l.rate <= max(trialPart*l.fallFrom, minRatePart*l.stated):
+		l.trialAt = now
+	default:
 		change := gain * (1 - float64(l.excess)/float64(targetDelay))
 		l.scale(min(max(change, -gain), maxRise))
-	case !busy:
-		l.excess = 0
-		l.scale(idleRise)
 	}
-	l.adjustedAt, l.samples, l.least = now, 0, 0
-	return l.rate != before
+}
+
+// observeFall reports whether the delay stays although the rate falls.
+func (l *Link) observeFall() (stays bool) {
+	if l.excess > targetDelay && float64(l.excess) >= shorterPart*float64(l.fallDelay) {
+		return true
+	}
+	l.fallFrom, l.fallDelay = l.rate, l.excess
+	return false
+}
+
+// endTrial ends a trial and reports whether one was under way.
+func (l *Link) endTrial() (tried bool) {
+	tried = !l.trialAt.IsZero()
+	l.trialAt = time.Time{}
+	return tried
+}
+
+// rebase takes the present delay as one that is not the link's.
+func (l *Link) rebase() {
+	for _, o := range l.origins {
+		o.shift(l.excess)
+	}
+	l.excess, l.fallDelay = 0, 0
+	l.setRate(l.stated)
+	l.fallFrom = l.stated
 }
 
 // scale changes the rate by a part of it.
 func (l *Link) scale(change float64) {
-	l.rate = min(max(l.rate*(1+change), minRatePart*l.stated), l.stated)
+	l.setRate(min(max(l.rate*(1+change), minRatePart*l.stated), l.stated))
+}
+
+// setRate sets the rate.
+func (l *Link) setRate(rate float64) {
+	l.rate = rate
+	l.narrow = rate < narrowPart*l.stated || l.narrow && rate < statedPart*l.stated
 }
 
 // Late reports whether the missing answer of an agent to an opening packet that was sent at a time is
-// explained by the link: opening packets that were sent to several other agents about then or later are
-// unanswered too, and none that was sent later has been answered.
+// explained by the link: flows that can fill it used it, opening packets that were sent to several other agents
+// about then or later are unanswered too, and none that was sent later has been answered. On a link without
+// such flows, several silent agents have failed together.
 func (l *Link) Late(now time.Time, agent netip.Addr, sentAt time.Time) bool {
-	if sentAt.IsZero() || l.answeredTo.After(sentAt) {
+	if sentAt.IsZero() || now.Sub(sentAt) > maxLate || l.answeredTo.After(sentAt) || sentAt.Sub(l.busyAt) > maxAge {
 		return false
 	}
 	witnesses := map[netip.Addr]bool{}
--- a/internal/node/edge/pace.go
+++ b/internal/node/edge/pace.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -23,7 +24,7 @@
 
 // enqueue queues a packet and sends what the link has room for.
 func (e *Entry) enqueue(now time.Time, f segs.Flow, datagram []byte) {
-	paced.Inc()
+	pacedCount.Inc()
 	pacedBytes.Add(len(datagram))
 	e.queue.Push(now, f, datagram)
 	e.sendQueued(now)
@@ -36,6 +37,16 @@
 	}
 }
 
+// discardAborted drops the queued packets of a flow that its caller has reset. The reset, which no caller
+// repeats, passes at once, so that it isn't dropped and nothing is sent for the flow any more. The server
+// receives it after a gap: it ends the flow, since the gap is no longer than its window, or asks the caller
+// about it and is told again (RFC 5961). One that ignores it ends the flow by its idle time, as it does after a
+// reset that the network has lost.
+func (e *Entry) discardAborted(f segs.Flow) {
+	e.queue.Discard(f)
+	e.countPaceDrops()
+}
+
 // Queued returns a channel that receives a value after packets have been queued.
 func (e *Entry) Queued() <-chan struct{} { return e.queued }
 
@@ -80,13 +91,22 @@
 	for range d.Late {
 		countDropped("link-late")
 	}
+	for range d.Aborted {
+		countDropped("link-aborted")
+	}
+}
+
+// linkAnswered records an agent's answer to the opening packet of a flow.
+func (e *Entry) linkAnswered(now time.Time, agent netip.Addr, p *owner.EntryFlow) {
+	server, _ := e.Log.View().Server(agent)
+	e.link.Answered(now, server.Domain, p.SentAt(agent))
 }
 
 // isLateBehindLink reports whether an agent's answer to an opening packet is missing because of the entry's
 // own link. The agent gets the copy of the packet then: the packet itself may still be queued in front of the
 // link, and a second agent would open the flow a second time.
 func (e *Entry) isLateBehindLink(now time.Time, last *owner.Candidate, s *segs.Segment) bool {
-	if e.Off.Pace || e.Rate == 0 || !e.link.Late(now, last.Agent, last.SentAt) {
+	if e.Off.Pace || e.Rate == 0 || e.suspects.Failed(last.Agent) || !e.link.Late(now, last.Agent, last.SentAt) {
 		return false
 	}
 	linkLate.Inc()
@@ -100,13 +120,8 @@
 	at     time.Time
 }
 
-const (
-	// narrowPart and statedPart are the parts of the stated rate below and above which the link is reported
-	// as narrower than stated, and as carrying what is stated.
-	narrowPart, statedPart = 0.7, 0.95
-	// rateReportInterval is the shortest time between two such reports.
-	rateReportInterval = time.Second
-)
+// rateReportInterval is the shortest time between two such reports.
+const rateReportInterval = time.Second
 
 // learnedRate is the rate in bytes per second that the entry's link carries.
 var learnedRate = metrics.NewGauge(`mangowinch_link_rate_bytes`, nil)
@@ -117,8 +132,8 @@
 		return
 	}
 	if e.link.Adjust(now) {
-		e.queue.SetRate(e.link.Rate())
-		e.bulk.SetCarried(e.link.Rate())
+		e.queue.SetRate(e.link.SendRate())
+		e.bulk.SetCarried(e.link.Rate(), e.link.Narrow())
 	}
 	learnedRate.Set(e.link.Rate())
 	e.reportRate(now)
@@ -126,8 +141,7 @@
 
 // reportRate logs when the link turns out to be narrower than stated, and when it is no longer.
 func (e *Entry) reportRate(now time.Time) {
-	part := e.link.Rate() / e.Rate
-	narrow := part < narrowPart || e.narrow.narrow && part < statedPart
+	narrow := e.link.Narrow()
 	if narrow == e.narrow.narrow || now.Sub(e.narrow.at) < rateReportInterval {
 		return
 	}
--- a/internal/node/edge/peer.go
+++ b/internal/node/edge/peer.go
@@ -40,7 +40,7 @@
 	e.recordOpened(now, from, &m)
 	if p := e.flows.Get(m.Flow); p != nil {
 		e.chargeOpened(now, p, m.Flow)
-		e.link.Answered(now, p.SentAt(from))
+		e.linkAnswered(now, from, p)
 		p.MarkAccepted(from, m.Seq)
 	}
 }
@@ -65,7 +65,7 @@
 		}
 	}
 	if !p.Claimed {
-		e.link.Answered(now, p.SentAt(from)) // else the flow has waited at the agent
+		e.linkAnswered(now, from, p) // else the flow has waited at the agent
 	}
 	if m.Reason == msgs.ReasonBusy {
 		if p.Accepted() {
@@ -125,7 +125,7 @@
 		return
 	}
 	if !p.Claimed && p.Ack == 0 {
-		e.link.Answered(now, p.SentAt(from)) // the flow waits at the agent
+		e.linkAnswered(now, from, p) // the flow waits at the agent
 	}
 	e.chooser.Expect(now, from, m.Estimate)
 	p.Claimed = true
