Split new flows over failure domains by capacity and use

What the callers of a failure domain ask for and what its servers can do was computed nowhere: entries charged a fixed surcharge for the way to another failure domain. Package spill estimates both from the loads and estimates that agents report, and package steer draws the failure domain of each flow by it. The mechanism is called domains.

--- a/internal/load/parts/parts.go
+++ b/internal/load/parts/parts.go
@@ -33,6 +33,7 @@
 	Bulk     bool // queueing of flows that occupy the entry's link for a long time (package bulk)
 	Pace     bool // packets of such flows go out at the rate of the link, after everything else (package pace)
 	Rates    bool // placement and offers by the measured service time of each server (packages speed, steer and share)
+	Domains  bool // part of the flows that stays in the failure domain by what its servers can do (package spill)
 }
 
 // mechanism is a mechanism with its name in settings and its field of Off.
@@ -58,6 +59,7 @@
 	{"bulk", func(o *Off) *bool { return &o.Bulk }},
 	{"pace", func(o *Off) *bool { return &o.Pace }},
 	{"rates", func(o *Off) *bool { return &o.Rates }},
+	{"domains", func(o *Off) *bool { return &o.Domains }},
 }
 
 // Names returns the names of all mechanisms.
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -92,6 +92,7 @@
 	queue       *pace.Queue // packets of long flows
 	link        *pace.Link  // what the link carries
 	narrow      rateReport
+	splits      map[string]*splitReport   // by service
 	reach       *detect.Detector          // of all agents together: detects that this entry is cut off
 	suspects    *doubt.Monitor            // agents that have left a packet unanswered
 	toReset     []segs.Flow               // flows of failed agents, whose callers are still to be notified
@@ -118,6 +119,7 @@
 		chooser:     steer.New(c.Domain, c.Rand, c.Off),
 		reach:       detect.New(reachBounds),
 		bulk:        newGate(&c),
+		splits:      map[string]*splitReport{},
 		queue:       pace.New(c.Rate),
 		link:        pace.NewLink(c.Rate),
 		queued:      make(chan struct{}, 1),
@@ -150,6 +152,7 @@
 	e.placeWaiting(now)
 	e.sendQueued(now)
 	e.adjustRate(now)
+	e.reportSplits(now)
 	e.checkReach(now)
 	e.checkSuspects(now)
 	e.resetFailedFlows(now)
