--- a/internal/load/spill/spill.go
+++ b/internal/load/spill/spill.go
@@ -95,7 +95,7 @@
 	waiting float64 // moving average of the requests beyond
 	service time.Duration
 	at      time.Time // of the last report
-	meanAt  time.Time // time of the reports, averaged like busy
+	meanAt  time.Time // time of the reports, averaged like running
 }
 
 // Split holds the parts of a service's new flows that go to each failure domain.
--- a/internal/load/steer/domain_test.go
+++ b/internal/load/steer/domain_test.go
@@ -11,6 +11,7 @@
 	"mangowinch/internal/flow/msgs"
 	"mangowinch/internal/load/parts"
 	"mangowinch/internal/load/share"
+	"mangowinch/internal/load/spill"
 )
 
 // regions plays the callers, entries and servers of four failure domains, with agents that offer flows.
@@ -200,3 +201,22 @@
 	assert.Assert(t, lost < 0.05)
 	assert.Assert(t, r.missed() < 0.06)
 }
+
+// Guards against a split where it is switched off, and against one before anything is known: the choice is that of the
+// surcharge.
+func TestSplitNeedsReportsOfTwoDomains(t *testing.T) {
+	for _, off := range []parts.Off{{}, {Domains: true}} {
+		c := New("zg-a", rand.New(rand.NewPCG(1, 2)), off)
+		list := candidates(2)
+		list[1].Domain = "zg-b"
+		choose(t, c, now, list)
+		c.Report(now, agent(0), msgs.Load{Busy: 1}, msgs.Estimate{})
+		choose(t, c, now.Add(spill.Interval), list)
+		assert.Assert(t, c.Split("") == nil)
+		c.Report(now, agent(1), msgs.Load{Busy: 1}, msgs.Estimate{})
+		choose(t, c, now.Add(2*spill.Interval), list)
+		assert.Equal(t, c.Split("") == nil, off.Domains)
+		c.Retain(nil)
+		assert.Assert(t, c.Split("") == nil)
+	}
+}
--- a/internal/node/edge/domains.go
+++ b/internal/node/edge/domains.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -58,13 +59,19 @@
 
 // setGauges sets the metrics of a service, and removes those of failure domains of which nothing is known any more.
 func (r *splitReport) setGauges(service string, p *spill.Split) {
-	for _, name := range r.gauges {
-		metrics.UnregisterMetric(name)
+	before := r.gauges
+	r.gauges = nil
+	if p != nil {
+		r.addGauges(service, p)
 	}
-	r.gauges = r.gauges[:0]
-	if p == nil {
-		return
+	for _, name := range before {
+		if !slices.Contains(r.gauges, name) {
+			metrics.UnregisterMetric(name)
+		}
 	}
+}
+
+func (r *splitReport) addGauges(service string, p *spill.Split) {
 	r.setGauge(fmt.Sprintf(`mangowinch_local_part{service=%q}`, service), p.Local())
 	for _, d := range p.Domains() {
 		if d.Known {
