A copy of a placed flow isn't refused with its route

The refusal looked at the route only.

Ruled out: refusals of what an agent has returned, which go on, and of flows that were never placed.

Change: an entry that has placed the flow drops the copy.

--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -213,7 +213,7 @@
 	v := e.Log.View()
 	route := v.Route(s.Flow.ServiceAddr())
 	if route == nil {
-		e.unrouted(now, v, &s)
+		e.unroutedFromCaller(now, v, &s)
 		return
 	}
 	if s.Opening() {
@@ -237,6 +237,16 @@
 	e.forward(now, v, &s, datagram)
 }
 
+// unroutedFromCaller handles a caller's packet to an address that no route has. A copy of an opening packet that
+// this entry has placed is dropped: the route was removed meanwhile, and a server may have opened the flow.
+func (e *Entry) unroutedFromCaller(now time.Time, v *belief.View, s *segs.Segment) {
+	if p := e.flows.Get(s.Flow); s.Opening() && p != nil && p.Last() != nil {
+		countDropped("unrouted")
+		return
+	}
+	e.unrouted(now, v, s)
+}
+
 // unrouted handles a packet to an address that no route has. A new flow is refused at once if the view is
 // recent enough to be sure that no route exists. An entry whose view may be outdated drops the packet: by
 // the time of the caller's next retransmission it may have the route.
