--- a/internal/load/steer/steer.go
+++ b/internal/load/steer/steer.go
@@ -58,9 +58,9 @@
 	// flowWorkWindow is the number of reports over which the work per flow is averaged, which spans
 	// several seconds.
 	flowWorkWindow = 256
-	// crossDomainWork is the extra work, in slots, charged to a server in another failure domain while the parts of
-	// the failure domains are unknown. Traffic
-	// between domains is expensive, and the agent of a busy server offers the flow to other agents by itself.
+	// crossDomainWork is the extra work, in slots, charged to a server in another failure domain unless the split
+	// has drawn that one. Traffic between domains is expensive, and the agent of a busy server offers the flow to
+	// other agents by itself.
 	crossDomainWork = 8
 	// coldFactor multiplies the work of a server that has just started, whose requests take 1.6 times as
 	// long, until its agent has measured it.
