Draw a failure domain without a new list for each flow

Whether a failure domain has capacity to spare was determined for each candidate, and a list of all candidates allocated for each flow. The choices are the same.

--- a/internal/load/steer/domain.go
+++ b/internal/load/steer/domain.go
@@ -45,13 +45,7 @@
 	if !ok {
 		return candidates
 	}
-	var list []Candidate
-	for _, k := range candidates {
-		wanted := k.Domain == domain || domain == c.domain && p.Spare(now, k.Domain)
-		if wanted && !slices.Contains(tried, k.Agent) && c.avoidance(now, k) == 0 {
-			list = append(list, k)
-		}
-	}
+	list := c.within(now, candidates, tried, c.open(now, p, domain))
 	if len(list) == 0 {
 		return candidates
 	}
@@ -59,6 +53,32 @@
 	return list
 }
 
+// open returns the failure domains whose servers are candidates if the split has drawn the given one.
+func (c *Chooser) open(now time.Time, p *spill.Split, drawn string) []string {
+	domains := []string{drawn}
+	if drawn != c.domain {
+		return domains
+	}
+	for _, d := range p.Domains() {
+		if d.Name != drawn && p.Spare(now, d.Name) {
+			domains = append(domains, d.Name)
+		}
+	}
+	return domains
+}
+
+// within returns the candidates of the failure domains that have not been tried and need not come last. The result
+// is valid until the next call.
+func (c *Chooser) within(now time.Time, candidates []Candidate, tried []netip.Addr, domains []string) []Candidate {
+	c.list = c.list[:0]
+	for _, k := range candidates {
+		if slices.Contains(domains, k.Domain) && !slices.Contains(tried, k.Agent) && c.avoidance(now, k) == 0 {
+			c.list = append(c.list, k)
+		}
+	}
+	return c.list
+}
+
 func (c *Chooser) split(service string) *spill.Split {
 	p := c.splits[service]
 	if p == nil {
--- a/internal/load/steer/steer.go
+++ b/internal/load/steer/steer.go
@@ -101,6 +101,7 @@
 	unvisited int                     // choices since the last visit
 	splits    map[string]*spill.Split // by service
 	drawn     bool                    // the failure domain of the choice was drawn
+	list      []Candidate             // reused by within
 }
 
 // New returns a Chooser for an entry in the given failure domain.
