Bound the requests that one report counts as waiting

One report of 65535 requests made a failure domain of ten servers with full slots count as full for more than three seconds, and half of its flows left (TestFalseReportIsForgotten without the bound: use 4.7, local part 0.51).

--- a/internal/load/spill/estimate.go
+++ b/internal/load/spill/estimate.go
@@ -37,7 +37,7 @@
 	}
 	others := max(float64(busy)-1, 0)
 	running := min(others, float64(r.slots))
-	waiting := others - running
+	waiting := min(others-running, maxUse*float64(r.slots))
 	if now.Sub(r.at) >= ReportLifetime {
 		r.running, r.waiting, r.meanAt = running, waiting, now
 	}
--- a/internal/load/spill/spill.go
+++ b/internal/load/spill/spill.go
@@ -63,7 +63,8 @@
 	settleAges = 3
 	// minSettle is the shortest time of a correction: a flow's requests follow its opening.
 	minSettle = time.Second
-	// maxUse bounds the use by which one step is determined: a queue does not tell how much too much is asked for.
+	// maxUse bounds the use by which one step is determined, and the requests per slot that count as waiting in one
+	// report: a queue does not tell how much too much is asked for, and one server does not stand for the others.
 	maxUse = 3
 	// reportWeight is the weight of a report in a server's averages. A single one says little: the requests of a
 	// server at a steady load vary by as much as their mean.
--- a/internal/load/spill/spill_test.go
+++ b/internal/load/spill/spill_test.go
@@ -107,6 +107,17 @@
 	assert.Assert(t, s.Local() > 0.98)
 }
 
+// Guards against a false report by which a failure domain counts as full for many reports to come.
+func TestFalseReportIsForgotten(t *testing.T) {
+	s, list := New(name(0)), servers(0, 1, 2, 3)
+	s.Step(start, list)
+	use := map[int]float64{0: 1, 1: 0.25, 2: 0.25, 3: 0.25}
+	at := hear(s, start, 3*time.Second, use, list)
+	s.Report(at, agent(0), math.MaxUint16, service)
+	hear(s, at, 3*time.Second, use, list)
+	assert.Assert(t, s.own().Use < LocalUse*(1+DeadZone), "%v", s.Domains())
+}
+
 // Whatever is reported and whichever servers there are, the parts sum to one, a failure domain without servers has
 // none, and flows are drawn from all that have one.
 func TestPartsAreSound(t *testing.T) {
