End a crossing of nearly nothing only on its way back

A first step away from all local is below a thousandth of the flows if the reports are old or little capacity is to spare, and was undone at each step, so that no flow ever left. Found by reading; TestUnevenDemand has the same figures before and after.

--- a/internal/load/spill/spill.go
+++ b/internal/load/spill/spill.go
@@ -242,14 +242,15 @@
 		}
 		d.Part += gain * (target - d.Part)
 	}
-	s.normalize()
+	s.normalize(local)
 }
 
 // minPart is the part of the remote flows below which they are not worth a share of their own.
 const minPart = 1e-3
 
-// normalize makes the parts sum to one and ends a crossing of nearly nothing.
-func (s *Split) normalize() {
+// normalize makes the parts sum to one, and ends a crossing of nearly nothing if all flows are to be local. A first step
+// away may be as small.
+func (s *Split) normalize(local float64) {
 	sum := 0.0
 	for _, d := range s.domains {
 		sum += d.Part
@@ -258,7 +259,7 @@
 		s.domains[i].Part /= sum
 	}
 	own := s.own()
-	if own == nil || own.Part < 1-minPart {
+	if own == nil || local < 1 || own.Part < 1-minPart {
 		return
 	}
 	for i := range s.domains {
