Hold the tests of the split to its aims

TestUnevenDemand also requires fewer missed targets than with the surcharge where the demand exceeds the capacity, and no more flows that cross.

--- a/internal/load/steer/domain_test.go
+++ b/internal/load/steer/domain_test.go
@@ -137,8 +137,9 @@
 	r.play(5*time.Second, [numDomains]float64{hot, others, others, others})
 }
 
-// One failure domain's callers ask for up to three times what its servers can do. No more flows miss the target than
-// with the surcharge, and with only local servers, up to the scatter between runs.
+// One failure domain's callers ask for up to three times what its servers can do. No more flows miss the target, and no
+// more cross, than with the surcharge; where all together have the capacity, no more miss it than with only local servers.
+// Where they have not, fewer miss it than with the surcharge. All up to the scatter between runs.
 func TestUnevenDemand(t *testing.T) {
 	const scatter = 0.02
 	variants := []struct {
@@ -158,7 +159,10 @@
 		}
 		t.Logf("demand %.1f, others %.1f: missed %.3f, crossing %.3f", c.hot, c.others, missed, crossing)
 		assert.Assert(t, missed[0] <= missed[1]+scatter)
-		if (c.hot+3*c.others)/numDomains < 1 {
+		assert.Assert(t, crossing[0] <= crossing[1]+scatter)
+		if (c.hot+3*c.others)/numDomains > 1 {
+			assert.Assert(t, missed[0] < missed[1]-scatter)
+		} else {
 			assert.Assert(t, missed[0] <= missed[2]+scatter)
 		}
 	}
@@ -182,11 +186,16 @@
 	}
 }
 
-// Guards against flows for a failure domain that has lost all servers, and against a crowd when they return cold.
+// Guards against flows for a failure domain that has lost all servers, and against too many when they return cold: no
+// more miss the target than before, up to the scatter between runs. The other servers have the capacity.
 func TestLostDomainReturnsCold(t *testing.T) {
+	const scatter = 0.02
 	r := newRegions(1, parts.Off{})
 	even := [numDomains]float64{0.5, 0.5, 0.5, 0.5}
 	r.play(2*time.Second, even)
+	r.fresh()
+	r.play(3*time.Second, even)
+	before := r.missed()
 	r.gone[0] = true
 	r.fresh()
 	r.play(3*time.Second, even)
@@ -197,9 +206,9 @@
 	r.gone[0] = false
 	r.fresh()
 	r.play(3*time.Second, even)
-	t.Logf("missed %.3f without the failure domain, %.3f after its return", lost, r.missed())
-	assert.Assert(t, lost < 0.05)
-	assert.Assert(t, r.missed() < 0.06)
+	t.Logf("missed %.3f before, %.3f without the failure domain, %.3f after its return", before, lost, r.missed())
+	assert.Assert(t, lost <= before+scatter)
+	assert.Assert(t, r.missed() <= before+scatter)
 }
 
 // Guards against a split where it is switched off, and against one before anything is known: the choice is that of the
