Take back demand over failure domains

Cause: the part was to replace the fixed surcharge by a split computed from capacity and offered load.

--- a/internal/load/parts/parts.go
+++ b/internal/load/parts/parts.go
@@ -37,7 +37,6 @@
 	Rates    bool // placement by the measured service time of each server (packages speed and steer)
 	Shares   bool // flows of callers that use less come first (package usage)
 	Level    bool // refusal at the entry while a service is overloaded (package level)
-	Domains  bool // part of the flows that stays in the failure domain by what its servers can do (package spill)
 }
 
 // mechanism is a mechanism with its name in settings and its field of Off.
@@ -67,7 +66,6 @@
 	{"rates", func(o *Off) *bool { return &o.Rates }},
 	{"shares", func(o *Off) *bool { return &o.Shares }},
 	{"level", func(o *Off) *bool { return &o.Level }},
-	{"domains", func(o *Off) *bool { return &o.Domains }},
 }
 
 // Names returns the names of all mechanisms.
--- a/internal/load/steer/steer.go
+++ b/internal/load/steer/steer.go
@@ -9,10 +9,9 @@
 // Among the servers that may take flows, the chooser picks the one that is expected to answer first: by its
 // expected work per slot and the service time that its agent reports, over the mean of the candidates.
 // Expected work is the load last reported by the server's agent, the flows the server holds, and the flows
-// this entry has placed there since that report. Which failure domain's servers are candidates is drawn by the parts
-// that package spill determines. While those are unknown, all servers are candidates, and one in another failure
-// domain is charged a fixed extra amount, so that equally loaded servers are used locally. Servers that refused an
-// opening packet, did not answer one, or are draining come last, in that order, and are used only if there is no other.
+// this entry has placed there since that report. A server in another failure domain is charged a fixed
+// extra amount, so that equally loaded servers are used locally. Servers that refused an opening packet,
+// did not answer one, or are draining come last, in that order, and are used only if there is no other.
 //
 // Package steer performs no I/O: the caller passes in the time and the source of randomness. A Chooser is
 // not safe for concurrent use.
@@ -35,13 +34,11 @@
 
 	"mangowinch/internal/flow/msgs"
 	"mangowinch/internal/load/parts"
-	"mangowinch/internal/load/spill"
 )
 
 // Candidate is a server to which a route may send flows.
 type Candidate struct {
 	Agent    netip.Addr
-	Service  string // the same for all candidates of a choice
 	Domain   string
 	Slots    int
 	Draining bool
@@ -58,9 +55,8 @@
 	// flowWorkWindow is the number of reports over which the work per flow is averaged, which spans
 	// several seconds.
 	flowWorkWindow = 256
-	// crossDomainWork is the extra work, in slots, charged to a server in another failure domain unless the split
-	// has drawn that one. Traffic between domains is expensive, and the agent of a busy server offers the flow to
-	// other agents by itself.
+	// crossDomainWork is the extra work, in slots, charged to a server in another failure domain. Traffic
+	// between domains is expensive, and the agent of a busy server offers the flow to other agents by itself.
 	crossDomainWork = 8
 	// coldFactor multiplies the work of a server that has just started, whose requests take 1.6 times as
 	// long, until its agent has measured it.
@@ -95,18 +91,15 @@
 	off        parts.Off
 	random     *rand.Rand
 	states     map[netip.Addr]*state
-	avgBusy    float64                 // average number of requests in progress over all reports
-	avgFlows   float64                 // average number of open flows over all reports
-	reason     Reason                  // of the last choice
-	sinceProbe int                     // choices since the last probe
-	splits     map[string]*spill.Split // by service
-	drawn      bool                    // the failure domain of the choice was drawn
-	list       []Candidate             // reused by within
+	avgBusy    float64 // average number of requests in progress over all reports
+	avgFlows   float64 // average number of open flows over all reports
+	reason     Reason  // of the last choice
+	sinceProbe int     // choices since the last probe
 }
 
 // New returns a Chooser for an entry in the given failure domain.
 func New(domain string, random *rand.Rand, off parts.Off) *Chooser {
-	return &Chooser{domain: domain, random: random, off: off, states: map[netip.Addr]*state{}, splits: map[string]*spill.Split{}, avgBusy: initialFlowWork, avgFlows: 1}
+	return &Chooser{domain: domain, random: random, off: off, states: map[netip.Addr]*state{}, avgBusy: initialFlowWork, avgFlows: 1}
 }
 
 // Choose returns the agent that should receive a new flow, excluding the agents in tried. It reports
@@ -114,7 +107,6 @@
 func (c *Chooser) Choose(now time.Time, candidates []Candidate, tried []netip.Addr) (agent netip.Addr, ok bool) {
 	c.forgetRestarted(candidates)
 	mean := c.meanService(now, candidates)
-	candidates = c.drawDomain(now, candidates, tried)
 	var best, leastWork score
 	for _, k := range candidates {
 		if slices.Contains(tried, k.Agent) {
@@ -185,16 +177,7 @@
 }
 
 // penalty returns the work, in slots, that a candidate is charged for its failure domain and its state.
-func (c *Chooser) penalty(now time.Time, k Candidate) float64 {
-	w := c.avoidance(now, k)
-	if k.Domain != c.domain && !c.off.Distance && !c.drawn {
-		w += crossDomainWork
-	}
-	return w
-}
-
-// avoidance returns the work, in slots, that a candidate is charged for its state.
-func (c *Chooser) avoidance(now time.Time, k Candidate) (w float64) {
+func (c *Chooser) penalty(now time.Time, k Candidate) (w float64) {
 	slots := float64(max(k.Slots, 1))
 	if s := c.states[k.Agent]; s != nil && !c.off.Avoid {
 		if now.Before(s.refusedUntil) {
@@ -204,6 +187,9 @@
 			w += penaltyNoReply * slots
 		}
 	}
+	if k.Domain != c.domain && !c.off.Distance {
+		w += crossDomainWork
+	}
 	if k.Failed {
 		w += penaltyNoReply * slots
 	}
@@ -232,9 +218,6 @@
 // speed is unknown: its agent has measured nothing since a restart, or measures nothing.
 func (c *Chooser) Report(now time.Time, agent netip.Addr, l msgs.Load, e msgs.Estimate) {
 	c.state(agent).rate.record(now, e)
-	for _, p := range c.splits {
-		p.Report(now, agent, l.Busy, e.ServiceTime())
-	}
 	c.ReportLoad(now, agent, l)
 }
 
@@ -273,5 +256,4 @@
 			delete(c.states, a)
 		}
 	}
-	c.retainSplits(agents)
 }
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -103,7 +103,6 @@
 	roomAt      time.Time                 // when the metrics of room were updated
 	roomSums    []room.Sum                // as in these metrics
 	levels      []level.Level             // below full admission at the last tick
-	splits      map[string]*splitReport   // by service
 	reach       *detect.Detector          // of all agents together: detects that this entry is cut off
 	suspects    *doubt.Monitor            // agents that have left a packet unanswered
 	toReset     []segs.Flow               // flows of failed agents, whose callers are still to be notified
@@ -130,7 +129,6 @@
 		chooser:     steer.New(c.Domain, c.Rand, c.Off),
 		reach:       detect.New(reachBounds),
 		bulk:        newGate(&c),
-		splits:      map[string]*splitReport{},
 		queue:       pace.New(c.Rate),
 		link:        pace.NewLink(c.Rate),
 		queued:      make(chan struct{}, 1),
@@ -169,7 +167,6 @@
 	e.adjustRate(now)
 	e.reportLevels(now)
 	e.updateRoom(now)
-	e.reportSplits(now)
 	e.checkReach(now)
 	e.checkSuspects(now)
 	e.resetFailedFlows(now)
--- a/internal/node/edge/place.go
+++ b/internal/node/edge/place.go
@@ -119,7 +119,6 @@
 		}
 		list = append(list, steer.Candidate{
 			Agent:    s.Addr.Addr(),
-			Service:  s.Service,
 			Domain:   s.Domain,
 			Slots:    s.Slots,
 			Draining: s.State == belief.Draining || e.Control.Leaving(s.Addr.Addr()),
