--- a/internal/node/edge/counts.go
+++ b/internal/node/edge/counts.go
@@ -50,7 +50,7 @@
 	metrics.GetOrCreateCounter(`mangowinch_flows_reset_total{reason="` + reason + `"}`).Inc()
 }
 
-// setLevel sets the part of a service's new flows that the entry admits, in percent.
+// setLevel sets the metric of the part of a service's new flows that the entry admits.
 func setLevel(service string, priority, percent int) {
 	name := fmt.Sprintf(`mangowinch_level_percent{service=%q,priority="%d"}`, service, priority)
 	metrics.GetOrCreateGauge(name, nil).Set(float64(percent))
--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -71,7 +71,7 @@
 	Rand             *rand.Rand     // used with the entry's lock held
 	Off              parts.Off      // parts that are switched off
 	Rate             float64        // of the entry's link in bytes per second, as the operator states it; 0: not stated
-	Shares           *usage.Callers // between whom room is shared; nil: between no callers
+	Shares           *usage.Callers // callers between whom room is shared; nil: none
 }
 
 const (
@@ -94,15 +94,15 @@
 	flows       *owner.Entry
 	chooser     *steer.Chooser
 	bulk        *bulk.Gate
-	queue       *pace.Queue // packets of long flows
-	link        *pace.Link  // what the link carries
-	narrow      rateReport
-	shares      *shares // nil: room is not shared between callers
+	queue       *pace.Queue // packets of long flows that wait for the link
+	link        *pace.Link  // learns what the link carries
+	rateReport  rateReport  // as last logged
+	shares      *shares     // nil: room is not shared between callers
 	level       *level.Gate
 	room        *room.Meter
-	roomAt      time.Time                 // when the metrics of room were updated
-	roomSums    []room.Sum                // as in these metrics
-	levels      []level.Level             // below full admission at the last tick
+	roomAt      time.Time                 // last update of room's metrics
+	roomSums    []room.Sum                // as in room's metrics
+	levels      []level.Level             // those below 100% at the last tick
 	reach       *detect.Detector          // of all agents together: detects that this entry is cut off
 	suspects    *doubt.Monitor            // agents that have left a packet unanswered
 	toReset     []segs.Flow               // flows of failed agents, whose callers are still to be notified
--- a/internal/node/edge/level.go
+++ b/internal/node/edge/level.go
@@ -45,7 +45,7 @@
 	return s.State != belief.Unknown && s.State != belief.Draining && !e.evacuated(v, s.Domain)
 }
 
-// retainReports drops the reports of agents whose servers take no new flows.
+// retainReports keeps only the reports of agents whose servers take new flows.
 func (e *Entry) retainReports(v *belief.View) {
 	e.level.Retain(func(service string, agent netip.Addr) bool {
 		s, ok := v.Server(agent)
@@ -53,9 +53,9 @@
 	})
 }
 
-// levelKey returns the service of an agent, and the priority of the route of a flow. It returns false if the
-// flow says nothing about the level: the route has no timeout, or the server takes no new flows, so that it is
-// not counted among the servers of its service.
+// levelKey returns the service of an agent and the priority of a flow's route, which together select the level. It
+// returns false if the flow has no level: the route has no timeout, or the server takes no new flows and isn't
+// counted among the servers of its service.
 func (e *Entry) levelKey(agent netip.Addr, f segs.Flow) (service string, priority int, ok bool) {
 	v := e.Log.View()
 	s, known := v.Server(agent)
@@ -66,7 +66,8 @@
 	return s.Service, route.Priority, true
 }
 
-// recordOpened records that an agent's server has opened a flow, and what the agent sent with it.
+// recordOpened records that an agent's server has opened a flow, and the agent's report, for the level and for
+// operators.
 func (e *Entry) recordOpened(now time.Time, agent netip.Addr, m *msgs.Opened) {
 	e.countOpened(now, agent, m)
 	if service, priority, ok := e.levelKey(agent, m.Flow); ok {
@@ -89,7 +90,7 @@
 	}
 }
 
-// reportLevels logs services that have begun or ended to refuse flows, and updates the levels' metrics.
+// reportLevels logs the beginning and the end of refusals for a service, and updates the levels' metrics.
 func (e *Entry) reportLevels(now time.Time) {
 	for _, c := range e.level.Changes(now) {
 		if c.Limited {
--- a/internal/node/edge/pace.go
+++ b/internal/node/edge/pace.go
@@ -37,11 +37,10 @@
 	}
 }
 
-// discardAborted drops the queued packets of a flow that its caller has reset. The reset, which no caller
-// repeats, passes at once, so that it isn't dropped and nothing is sent for the flow any more. The server
-// receives it after a gap: it ends the flow, since the gap is no longer than its window, or asks the caller
-// about it and is told again (RFC 5961). One that ignores it ends the flow by its idle time, as it does after a
-// reset that the network has lost.
+// discardAborted drops the queued packets of a flow that its caller has reset. The reset isn't queued: no caller
+// repeats one that is dropped. The server receives it after a gap in the sequence numbers. Within its window it ends
+// the flow, or challenges the caller, who resets the flow again (RFC 5961). A server that ignores the reset ends
+// the flow by its idle time, as it does after a reset that the network has lost.
 func (e *Entry) discardAborted(f segs.Flow) {
 	e.queue.Discard(f)
 	e.countPaceDrops()
@@ -50,12 +49,12 @@
 // Queued returns a channel that receives a value after packets have been queued.
 func (e *Entry) Queued() <-chan struct{} { return e.queued }
 
-// minSendWait is the shortest time between two calls of SendQueued, so that a faster link doesn't take a wake-up
-// for each packet.
+// minSendWait is the shortest time between two calls of SendQueued: a fast link would otherwise wake the process for
+// each packet.
 const minSendWait = time.Millisecond
 
-// SendQueued sends the queued packets that the link has room for. It returns after which time it must be
-// called again, and reports false if no packet is left.
+// SendQueued sends the queued packets that the link has room for. It returns the time until it must be called
+// again, and false if no packet is left.
 func (e *Entry) SendQueued(now time.Time) (wait time.Duration, ok bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -104,7 +103,7 @@
 
 // isLateBehindLink reports whether an agent's answer to an opening packet is missing because of the entry's
 // own link. The agent gets the copy of the packet then: the packet itself may still be queued in front of the
-// link, and a second agent would open the flow a second time.
+// link, and the server of another agent would open the flow a second time. A late answer is counted and logged.
 func (e *Entry) isLateBehindLink(now time.Time, last *owner.Candidate, s *segs.Segment) bool {
 	if e.Off.Pace || e.Rate == 0 || e.suspects.Failed(last.Agent) || !e.link.Late(now, last.Agent, last.SentAt) {
 		return false
@@ -116,11 +115,12 @@
 
 // rateReport is what was last logged about the learned rate.
 type rateReport struct {
-	narrow bool
+	narrow bool // the link carries less than stated
 	at     time.Time
 }
 
-// rateReportInterval is the shortest time between two such reports.
+// rateReportInterval is the shortest time between two rateReports. It limits the lines for a link whose rate changes
+// often.
 const rateReportInterval = time.Second
 
 // learnedRate is the rate in bytes per second that the entry's link carries.
@@ -139,13 +139,13 @@
 	e.reportRate(now)
 }
 
-// reportRate logs when the link turns out to be narrower than stated, and when it is no longer.
+// reportRate logs when the link is found to be narrower than stated, and when it no longer is.
 func (e *Entry) reportRate(now time.Time) {
 	narrow := e.link.Narrow()
-	if narrow == e.narrow.narrow || now.Sub(e.narrow.at) < rateReportInterval {
+	if narrow == e.rateReport.narrow || now.Sub(e.rateReport.at) < rateReportInterval {
 		return
 	}
-	e.narrow = rateReport{narrow: narrow, at: now}
+	e.rateReport = rateReport{narrow: narrow, at: now}
 	if narrow {
 		e.Events.State("link-narrow").Float64("rate", e.link.Rate()).Dur("delay", e.link.Delay()).Send()
 		return
--- a/internal/node/edge/peer.go
+++ b/internal/node/edge/peer.go
@@ -65,7 +65,7 @@
 		}
 	}
 	if !p.Claimed {
-		e.linkAnswered(now, from, p) // else the flow has waited at the agent
+		e.linkAnswered(now, from, p) // otherwise the answer's delay is the flow's wait at the agent
 	}
 	if m.Reason == msgs.ReasonBusy {
 		if p.Accepted() {
@@ -92,9 +92,9 @@
 	e.place(now, v, route, p, &s, tried, m.Packet)
 }
 
-// recordReturn records that an agent has returned an opening packet. An agent that is merely full is not
-// avoided: the flow was offered to several, and the one that returns it is the least busy of them. A cold
-// server is avoided, because its load does not show the rate that limits it.
+// recordReturn records that an agent has returned an opening packet. An agent that returns it because all agents that
+// the flow was offered to are full is not avoided: it is the least busy of them. A cold server is avoided, because its
+// load does not show the rate that limits it.
 func (e *Entry) recordReturn(now time.Time, from netip.Addr, f segs.Flow, m *msgs.Refused) {
 	s, _ := e.Log.View().Server(from)
 	if m.Reason == msgs.ReasonBusy {
--- a/internal/node/edge/place.go
+++ b/internal/node/edge/place.go
@@ -91,7 +91,8 @@
 	e.send(v, agent, msgs.Forward{LastResort: p.Returned, Hops: p.Usage, Packet: datagram})
 }
 
-// forwardOpening forwards a copy of an opening packet to the agent that has the flow.
+// forwardOpening forwards a copy of an opening packet to the agent that the flow was offered to, with the level of
+// its caller in Hops.
 func (e *Entry) forwardOpening(v *belief.View, agent netip.Addr, p *owner.EntryFlow, datagram []byte) {
 	e.send(v, agent, msgs.Forward{Hops: p.Usage, Packet: datagram})
 }
--- a/internal/node/edge/room.go
+++ b/internal/node/edge/room.go
@@ -10,9 +10,10 @@
 	"mangowinch/internal/load/room"
 )
 
-// What this entry can tell operators about the room that services have (package room).
+// What this entry knows about the room that services have, for operators (package room).
 
-// roomInterval is how often the metrics of package room are updated. It takes a look at every known server.
+// roomInterval is the time between two updates of room's metrics, each of which reads the reports of all known
+// servers.
 const roomInterval = 10 * time.Second
 
 // updateRoom updates the metrics of the room that services have.
@@ -22,7 +23,7 @@
 	}
 	e.roomAt = now
 	for _, s := range e.roomSums {
-		setRoom(&room.Sum{Service: s.Service, Domain: s.Domain}) // the service may have left the domain
+		setRoom(&room.Sum{Service: s.Service, Domain: s.Domain}) // zero if the service has left the domain
 	}
 	r := e.roomReport(now)
 	e.roomSums = r.Sums()
@@ -38,7 +39,7 @@
 	}
 }
 
-// countOpened counts a flow that a server has opened, and records what its agent sent with it.
+// countOpened counts a flow that a server has opened, and records its agent's report for operators.
 func (e *Entry) countOpened(now time.Time, agent netip.Addr, m *msgs.Opened) {
 	e.room.Report(now, agent, m.Load, m.Estimate)
 	v := e.Log.View()
--- a/internal/node/edge/shares.go
+++ b/internal/node/edge/shares.go
@@ -13,29 +13,29 @@
 // Sharing of room between callers (package usage).
 
 const (
-	// maxRefused bounds the callers whose last refusal is remembered, and maxBehind those that are known to be
-	// excluded because of their use.
-	maxRefused = 4096
-	maxBehind  = 16
-	// defaultRetryTime is how long a caller with a refused flow is expected to come again if the route has no
-	// timeout.
+	// maxRefused limits the callers whose last refusal is remembered, and maxExcluded those that count as excluded.
+	// A caller is excluded if a flow of it was refused because of its use.
+	maxRefused  = 4096
+	maxExcluded = 16
+	// defaultRetryTime is the time after a refusal in which a new flow of the caller counts as a retry, if the
+	// route has no timeout.
 	defaultRetryTime = time.Second
-	// behindFor is how long a caller that was refused because of its use counts as excluded, so that one
-	// line is written for one exclusion.
-	behindFor = 30 * time.Second
-	// upkeepInterval is the time between two scans for what is no longer remembered.
+	// exclusionTime is how long a caller counts as excluded. In this time no further line is logged for it.
+	exclusionTime = 30 * time.Second
+	// upkeepInterval is the time between two scans for refusals and exclusions that have expired.
 	upkeepInterval = time.Second
 	// heaviestShown is the number of callers that the status shows.
 	heaviestShown = 10
 )
 
-// shares counts what the callers of this entry use. A nil shares counts nothing, and all levels are 0.
+// shares counts what the callers of this entry use, and determines their levels. A nil shares counts nothing and
+// returns level 0 for each caller.
 type shares struct {
-	callers *usage.Callers
-	counter *usage.Counter
-	refused map[attempt]time.Time // until when the next flow counts as a retry
-	behind  map[queue.Caller]time.Time
-	upkept  time.Time // last upkeep
+	callers    *usage.Callers
+	counter    *usage.Counter
+	refused    map[attempt]time.Time      // until when the next flow counts as a retry
+	excluded   map[queue.Caller]time.Time // since when a caller counts as excluded
+	lastUpkeep time.Time
 }
 
 // attempt is what a caller tries again after a refusal.
@@ -49,10 +49,10 @@
 		return nil
 	}
 	return &shares{
-		callers: c.Shares,
-		counter: usage.New(usage.DefaultLimit),
-		refused: map[attempt]time.Time{},
-		behind:  map[queue.Caller]time.Time{},
+		callers:  c.Shares,
+		counter:  usage.New(usage.DefaultLimit),
+		refused:  map[attempt]time.Time{},
+		excluded: map[queue.Caller]time.Time{},
 	}
 }
 
@@ -61,7 +61,7 @@
 	return s.callers.Identify(netip.AddrFrom4(f.Caller))
 }
 
-// open returns the level of the caller of a flow that is being placed.
+// open records that a flow is being placed, and returns its caller's level.
 func (s *shares) open(now time.Time, f segs.Flow) (level uint8) {
 	if s == nil {
 		return 0
@@ -92,9 +92,9 @@
 	}
 }
 
-// refuse records that a flow was refused. A next flow of its caller to the same address until then is a retry. If the
-// servers are busy, refuse returns the caller's level, and reports whether this is its first exclusion because of its
-// use.
+// refuse records that a flow was refused. Until the given time, the next flow of its caller to the same address counts
+// as a retry. It returns the caller and its level, and reports whether the caller begins to count as excluded: the
+// servers are busy, and the level is above 0.
 func (s *shares) refuse(now time.Time, f segs.Flow, until time.Time, busy bool) (caller queue.Caller, level uint8, first bool) {
 	if s == nil {
 		return queue.Caller{}, 0, false
@@ -104,31 +104,31 @@
 	if len(s.refused) < maxRefused {
 		s.refused[attempt{f.Caller, f.ServiceAddr()}] = until
 	}
-	if _, known := s.behind[caller]; !busy || level == 0 || known || len(s.behind) >= maxBehind {
+	if _, known := s.excluded[caller]; !busy || level == 0 || known || len(s.excluded) >= maxExcluded {
 		return caller, level, false
 	}
-	s.behind[caller] = now
+	s.excluded[caller] = now
 	return caller, level, true
 }
 
-// tick forgets old refusals and sets the part of the callers' flows that this entry sees.
+// tick forgets old refusals and exclusions, and sets the part of the callers' flows that this entry sees.
 func (s *shares) tick(now time.Time, entryShare func() float64) {
 	if s == nil {
 		return
 	}
-	if now.Sub(s.upkept) < upkeepInterval {
+	if now.Sub(s.lastUpkeep) < upkeepInterval {
 		return
 	}
-	s.upkept = now
+	s.lastUpkeep = now
 	s.counter.SetScale(entryShare())
 	for a, until := range s.refused {
 		if !now.Before(until) {
 			delete(s.refused, a)
 		}
 	}
-	for c, since := range s.behind {
-		if now.Sub(since) > behindFor {
-			delete(s.behind, c)
+	for c, since := range s.excluded {
+		if now.Sub(since) > exclusionTime {
+			delete(s.excluded, c)
 		}
 	}
 }
--- a/internal/node/edge/shares_test.go
+++ b/internal/node/edge/shares_test.go
@@ -97,7 +97,7 @@
 	_, level, first := s.refuse(now, flowOf(1, 1), now, false)
 	assert.Assert(t, level > 0 && !first, "a refusal for another reason")
 	reported := 0
-	for caller := range 2 * maxBehind {
+	for caller := range 2 * maxExcluded {
 		for n := range 20 {
 			s.charge(now, flowOf(byte(caller), n))
 		}
@@ -107,7 +107,7 @@
 			}
 		}
 	}
-	assert.Equal(t, reported, maxBehind)
+	assert.Equal(t, reported, maxExcluded)
 	s.open(now, flowOf(250, 1))
 	_, level, first = s.refuse(now, flowOf(250, 1), now, true)
 	assert.Assert(t, level == 0 && !first, "a caller that uses little")
@@ -117,6 +117,6 @@
 		s.refuse(now, f, now.Add(time.Second), true)
 	}
 	assert.Equal(t, len(s.refused), maxRefused)
-	s.tick(now.Add(2*behindFor), onlyDomain)
-	assert.Assert(t, len(s.refused) == 0 && len(s.behind) == 0)
+	s.tick(now.Add(2*exclusionTime), onlyDomain)
+	assert.Assert(t, len(s.refused) == 0 && len(s.excluded) == 0)
 }
--- a/internal/node/local/estimate.go
+++ b/internal/node/local/estimate.go
@@ -16,8 +16,8 @@
 // is sufficient because the agent sees each request and its answer, and because a report that is lost or old only
 // brings the placement back towards counting requests.
 
-// recordService records how long the server spent on a request that took the given time to be answered. An answer
-// that is far too fast is no measure of the server's speed.
+// recordService records the time that the server spent on a request. It took longer to be answered if it waited for a
+// slot. An answer that is far too fast isn't recorded: it is taken for an error, and says nothing about the server's speed.
 func (a *Agent) recordService(now time.Time, f segs.Flow, spent, took time.Duration) {
 	if !a.Off.Quick && a.quick.TooFast(f.ServiceAddr(), took) {
 		return
@@ -26,7 +26,7 @@
 	serviceTime.Set(a.overallService(now).Seconds())
 }
 
-// resetService forgets what was measured, at a new start of the server.
+// resetService discards the measured service times, because the server was started again.
 func (a *Agent) resetService() {
 	a.meter.Reset()
 	serviceTime.Set(0)
--- a/internal/node/local/local.go
+++ b/internal/node/local/local.go
@@ -114,7 +114,7 @@
 	leaving          bool
 	breaker          trip.Breaker
 	quick            *quick.Breaker
-	meter            speed.Meter // of the local server
+	meter            speed.Meter // of the local server's service times
 	warmUp           warm.Limiter
 	pendingResets    []segs.Flow // idle flows to reset while the breaker is open
 	server           serverState
--- a/internal/node/local/room.go
+++ b/internal/node/local/room.go
@@ -7,14 +7,14 @@
 	"mangowinch/internal/load/room"
 )
 
-// Room returns what this agent knows about the room of its own server.
+// Room returns the room of the local server, or an empty report if the platform has no record of the server.
 func (a *Agent) Room(now time.Time) (r room.Report) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	v := a.Log.View()
 	s, ok := v.Server(a.Self)
 	if !ok {
-		return r // the platform has no record of the server
+		return r
 	}
 	server := room.Server{
 		ID:      s.ID,
--- a/internal/oper/verbs/compare.go
+++ b/internal/oper/verbs/compare.go
@@ -61,8 +61,8 @@
 	return nil
 }
 
-// fetchAll queries several processes at the same time and returns their answers, each of which holds its own
-// error.
+// fetchAll queries several processes concurrently and returns their answers in the order of the addresses. Each answer
+// holds its own error.
 func fetchAll[A any](ctx context.Context, addresses []netip.AddrPort, fetch func(context.Context, netip.AddrPort) A) (answers []A) {
 	answers = make([]A, len(addresses))
 	var g errgroup.Group
--- a/internal/oper/verbs/headroom.go
+++ b/internal/oper/verbs/headroom.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/netip"
 	"slices"
 	"strings"
@@ -18,7 +19,7 @@
 	"mangowinch/internal/load/room"
 )
 
-// HeadroomCmd shows how much room services have.
+// HeadroomCmd shows how much room services have, and what would be refused.
 type HeadroomCmd struct {
 	Addresses []netip.AddrPort `arg:"" name:"address" help:"Operators' addresses of entries and agents."`
 	Without   []string         `name:"without" placeholder:"NAME" help:"Leave out these servers, by ID or agent's address, or failure domains."`
@@ -62,14 +63,14 @@
 		return withExitCode(exitUsage, errors.Newf("no server or failure domain %s", strings.Join(names, ", ")))
 	}
 	missing := len(answers) - len(reports)
-	if missing > 0 {
-		fmt.Fprintf(o.out, "%d of %d processes are missing: the sums are partial\n\n", missing, len(answers))
+	if missing == 0 {
+		c.print(o.out, &all)
+		return nil
 	}
+	partial := errors.Newf("%d of %d processes are missing", missing, len(answers))
+	fmt.Fprintf(o.out, "%v: the sums are partial\n\n", partial)
 	c.print(o.out, &all)
-	if missing > 0 {
-		return withExitCode(exitFailure, errors.Newf("%d of %d processes are missing", missing, len(answers)))
-	}
-	return nil
+	return withExitCode(exitFailure, partial)
 }
 
 func fetchRoom(ctx context.Context, address netip.AddrPort) (a roomAnswer) {
@@ -96,7 +97,7 @@
 	printOutlooks(out, all.Outlooks(c.Without))
 }
 
-// unknown stands in a table for a figure that nobody has reported.
+// unknown stands in a table for a figure that no process has reported.
 const unknown = "?"
 
 // formatIf formats a figure, or returns unknown.
@@ -143,22 +144,15 @@
 	_ = w.Flush()
 }
 
-// refusedByPriority returns the refused part of each priority, or "" if nothing is known.
+// refusedByPriority returns the refused part of each priority's flows, or "" if it is unknown: no service time or no
+// demand was reported.
 func refusedByPriority(o *room.Outlook) string {
 	if !o.Known {
 		return ""
 	}
 	var words []string
-	for _, p := range sortedPriorities(o.RefusedPercent) {
+	for _, p := range slices.Sorted(maps.Keys(o.RefusedPercent)) {
 		words = append(words, fmt.Sprintf("%d: %.0f%%", p, o.RefusedPercent[p]))
 	}
 	return strings.Join(words, " ")
 }
-
-func sortedPriorities(m map[int]float64) (list []int) {
-	for p := range m {
-		list = append(list, p)
-	}
-	slices.Sort(list)
-	return list
-}
--- a/internal/oper/verbs/verbs_test.go
+++ b/internal/oper/verbs/verbs_test.go
@@ -145,8 +145,8 @@
 	return strings.TrimPrefix(server.URL, "http://")
 }
 
-// roomOf returns the room of a service with a server in each of two failure domains. Only the first one has
-// been measured.
+// roomOf returns the room of service svc, with a server in each of two failure domains of which only the first has
+// reported its service time, and of service new, whose server has reported nothing.
 func roomOf(busy int, age int64) room.Report {
 	return room.Report{
 		Servers: []room.Server{
@@ -162,8 +162,8 @@
 	}
 }
 
-// Guards against an order that is given because a process which didn't answer, or a server that nobody has
-// measured, was taken for room.
+// Guards against an operator who takes servers away because the sums count a process that didn't answer, or a server
+// whose service time is unknown, as free capacity.
 func TestHeadroom(t *testing.T) {
 	a, b := startRoomServer(t, roomOf(2, 100)), startRoomServer(t, roomOf(0, 2000))
 	code, out, err := run("headroom", a, b)
