--- a/internal/node/edge/peer.go
+++ b/internal/node/edge/peer.go
@@ -68,11 +68,7 @@
 		e.linkAnswered(now, from, p) // otherwise the answer's delay is the flow's wait at the agent
 	}
 	if m.Reason == msgs.ReasonBusy {
-		if p.Accepted() {
-			p.Remove(from)
-			return // a copy of the opening packet went to another agent, whose server has accepted the flow
-		}
-		e.refuse(now, &s, "busy") // the request was offered to several agents, and none can serve it in time
+		e.returnedBusy(now, from, p, &s)
 		return
 	}
 	p.MarkReturned(from)
@@ -92,6 +88,16 @@
 	e.place(now, v, route, p, &s, tried, m.Packet)
 }
 
+// returnedBusy handles an opening packet that was offered to several agents, none of which can serve it in time.
+// The flow is refused, unless a copy of the packet went to another agent whose server has accepted the flow.
+func (e *Entry) returnedBusy(now time.Time, from netip.Addr, p *owner.EntryFlow, s *segs.Segment) {
+	if p.Accepted() {
+		p.Remove(from)
+		return
+	}
+	e.refuse(now, s, "busy")
+}
+
 // recordReturn records that an agent has returned an opening packet. An agent that returns it because all agents that
 // the flow was offered to are full is not avoided: it is the least busy of them. A cold server is avoided, because its
 // load does not show the rate that limits it.
