--- a/internal/node/edge/level_test.go
+++ b/internal/node/edge/level_test.go
@@ -40,7 +40,7 @@
 }
 func (w *countingWire) ToCaller([4]byte, []byte) { w.toCallers++ }
 
-// levelCase is an entry before two servers of a service that are full.
+// levelCase is an entry, with a service of two servers.
 type levelCase struct {
 	entry *Entry
 	wire  *countingWire
@@ -78,8 +78,8 @@
 	return []byte{byte(c.ports >> 8), byte(c.ports), copies}
 }
 
-// overload plays two seconds in which both servers report long waits, and return three flows for each one
-// that they open.
+// overload simulates two seconds in which both servers report long waits, and their agents return three flows for
+// each one that is opened.
 func (c *levelCase) overload() {
 	full := msgs.NewEstimate(20*time.Millisecond, [msgs.NumWaits]time.Duration{time.Second, time.Second, time.Second, time.Second})
 	for i := range 200 {
@@ -121,8 +121,8 @@
 	assert.Equal(t, toCallers, 0)
 }
 
-// Guards against flows refused for servers with room because of servers that take no flows any more: their
-// agents go on opening the flows that wait there, and report.
+// Guards against an entry that refuses flows although a server has free slots, because of reports about another server
+// that takes no new flows: its agent still opens the flows that wait there, and reports long waits.
 func TestReportsOfDrainingServersDoNotCount(t *testing.T) {
 	c := newLevelCase(t, time.Second, parts.Off{})
 	c.entry.Log.Apply(c.now, belief.Change{From: 5, To: 6, Items: []belief.Item{{Key: "10.0.1.1:80", Revision: 6, Server: &belief.Server{
@@ -158,7 +158,7 @@
 	}
 }
 
-// Guards against figures for operators that miss a server, its last report, or what callers asked for.
+// Guards against a section room of /status without a server, its last report, or what callers asked for.
 func TestRoomHoldsReportsAndDemand(t *testing.T) {
 	c := newLevelCase(t, time.Second, parts.Off{})
 	c.overload()
--- a/internal/node/edge/pace_test.go
+++ b/internal/node/edge/pace_test.go
@@ -47,7 +47,7 @@
 }
 func (*recordingWire) ToCaller([4]byte, []byte) {}
 
-// newPacedEntry returns an entry with a link of 10 Mbit/s that knows the agent of the flows of these ports.
+// newPacedEntry returns an entry with a link of 10 Mbit/s that knows the owner of the flows from these ports.
 func newPacedEntry(t *testing.T, now time.Time, ports ...uint16) (e *Entry, wire *recordingWire) {
 	flow := segs.Flow{Caller: [4]byte{100, 64, 0, 7}, Service: [4]byte{198, 18, 0, 1}, Port: 443}
 	log := belief.New()
@@ -72,16 +72,16 @@
 // Guards against a short request that waits behind an upload, and against packets of an upload that overtake
 // each other, get lost or stay in the queue.
 func TestShortFlowPassesAnUpload(t *testing.T) {
-	const upload, short, number = 1, 2, 70
+	const upload, short, numPackets = 1, 2, 70
 	now := time.Unix(1_700_000_000, 0)
 	e, wire := newPacedEntry(t, now, upload, short)
 	packet := make([]byte, 1200)
-	for i := range byte(number) {
+	for i := range byte(numPackets) {
 		packet[0], packet[1] = upload, i
 		e.FromCaller(now, packet)
 	}
 	sent := len(wire.packets)
-	assert.Assert(t, sent < number, "the flow has turned out long")
+	assert.Assert(t, sent < numPackets, "the flow counts as long")
 	e.FromCaller(now, []byte{short})
 	assert.Equal(t, len(wire.packets), sent+1)
 	assert.Equal(t, wire.packets[sent][0], byte(short))
@@ -95,7 +95,7 @@
 			order = append(order, p[1])
 		}
 	}
-	assert.Equal(t, len(order), number)
+	assert.Equal(t, len(order), numPackets)
 	for i, n := range order {
 		assert.Equal(t, n, byte(i))
 	}
@@ -104,16 +104,16 @@
 // Guards against a reset that is dropped behind data or waits there, and against data of an aborted flow that is
 // still sent.
 func TestResetPassesQueuedData(t *testing.T) {
-	const upload, number = 1, 120
+	const upload, numPackets = 1, 120
 	now := time.Unix(1_700_000_000, 0)
 	e, wire := newPacedEntry(t, now, upload)
 	packet := make([]byte, 1200)
-	for i := range byte(number) {
+	for i := range byte(numPackets) {
 		packet[0], packet[1] = upload, i
 		e.FromCaller(now, packet)
 	}
 	sent := len(wire.packets)
-	assert.Assert(t, sent < number, "data is queued")
+	assert.Assert(t, sent < numPackets, "data is queued")
 	e.FromCaller(now, []byte{upload, resetByte})
 	assert.Equal(t, len(wire.packets), sent+1)
 	assert.DeepEqual(t, wire.packets[sent], []byte{upload, resetByte})
--- a/internal/node/edge/shares_test.go
+++ b/internal/node/edge/shares_test.go
@@ -26,7 +26,7 @@
 	return segs.Flow{Caller: [4]byte{100, 64, 0, caller}, CallerPort: uint16(n), Port: 443}
 }
 
-// Guards against counts in a deployment that doesn't ask for shares.
+// Guards against an entry that counts callers' use, or panics, where its settings ask for no shares or switch them off.
 func TestNothingIsCountedWithoutSettings(t *testing.T) {
 	for _, s := range []*shares{newShares(&Config{}), newShares(&Config{Shares: &usage.Callers{}, Off: parts.Off{Shares: true}})} {
 		assert.Assert(t, s == nil)
@@ -38,7 +38,7 @@
 	}
 }
 
-// Guards against a caller that stays behind because of flows which no server has opened, and against flows and
+// Guards against a caller that is charged for flows which no server has opened, and against flows and
 // requests that are charged twice, or not at all because the message Opened was lost.
 func TestOnlyOpenFlowsAndTheirRequestsAreCharged(t *testing.T) {
 	e := &Entry{shares: newTestShares()}
