--- a/internal/node/opaque/agent.go
+++ b/internal/node/opaque/agent.go
@@ -28,24 +28,7 @@
 	if err != nil {
 		return err
 	}
-	g = local.New(local.Config{
-		Self:             s.Link.Addr(),
-		Domain:           s.Process.Domain,
-		Service:          s.Agent.Service,
-		Backend:          s.Agent.Backend,
-		Log:              p.log,
-		Control:          p.follow,
-		Prober:           p.prober,
-		Codec:            a.Codec,
-		Callers:          a.Callers,
-		Wire:             p.sockets,
-		Events:           p.events,
-		PropagationBound: s.Bounds.Change,
-		MaxLife:          s.Bounds.Life,
-		Started:          p.started,
-		Rand:             newRand(),
-		Off:              s.Without,
-	})
+	g = local.New(agentConfig(p, s, a))
 	p.prober.OnAlive, p.prober.OnAnswer = g.MarkAlive, g.ProbeAnswered
 	p.admin.Section("belief", func() any { return p.status() })
 	p.admin.Section("load", func() any { return g.Load(time.Now()) })
@@ -73,6 +56,28 @@
 	)
 }
 
+// agentConfig returns the dependencies and settings of the agent that a process runs.
+func agentConfig(p *process, s *carry.Settings, a Adapter) local.Config {
+	return local.Config{
+		Self:             s.Link.Addr(),
+		Domain:           s.Process.Domain,
+		Service:          s.Agent.Service,
+		Backend:          s.Agent.Backend,
+		Log:              p.log,
+		Control:          p.follow,
+		Prober:           p.prober,
+		Codec:            a.Codec,
+		Callers:          a.Callers,
+		Wire:             p.sockets,
+		Events:           p.events,
+		PropagationBound: s.Bounds.Change,
+		MaxLife:          s.Bounds.Life,
+		Started:          p.started,
+		Rand:             newRand(),
+		Off:              s.Without,
+	}
+}
+
 // waitNoRequests returns when no request is in progress, or after limit.
 func waitNoRequests(g *local.Agent, limit time.Duration) {
 	began := time.Now()
--- a/internal/node/opaque/entry.go
+++ b/internal/node/opaque/entry.go
@@ -36,23 +36,7 @@
 	if err != nil {
 		return err
 	}
-	e = edge.New(edge.Config{
-		Self:             s.Link.Addr(),
-		Domain:           s.Process.Domain,
-		Log:              p.log,
-		Control:          p.follow,
-		Prober:           p.prober,
-		Codec:            a.Codec,
-		Callers:          a.Callers,
-		Rate:             s.Rate,
-		Shares:           s.Entry.Callers,
-		Wire:             p.sockets,
-		Events:           p.events,
-		PropagationBound: s.Bounds.Change,
-		MaxLife:          s.Bounds.Life,
-		Rand:             newRand(),
-		Off:              s.Without,
-	})
+	e = edge.New(entryConfig(p, s, a))
 	p.admin.Section("belief", func() any { return p.status() })
 	p.admin.Section("flows", func() any { return e.Len() })
 	p.admin.Section("callers", func() any { return e.HeaviestCallers(time.Now()) })
@@ -62,8 +46,8 @@
 	staying.Set(true, "")
 	reachable.Set(true, "")
 	configured.Set(false, "no configuration yet")
-	var lastPacket stamp.Time // when the last packet of a caller arrived
-	ended := make(chan struct{})
+	var lastPacket stamp.Time    // when the last packet of a caller arrived
+	ended := make(chan struct{}) // closed when no more packets are to be sent
 	return p.serve(ctx,
 		func(now time.Time) {
 			e.Tick(now)
@@ -80,7 +64,7 @@
 			close(ended)
 		},
 		func() error {
-			if s.Rate > 0 {
+			if s.Rate > 0 { // otherwise nothing is queued
 				sendQueued(e, ended)
 			}
 			return nil
@@ -95,6 +79,27 @@
 	)
 }
 
+// entryConfig returns the dependencies and settings of the entry that a process runs.
+func entryConfig(p *process, s *carry.Settings, a Adapter) edge.Config {
+	return edge.Config{
+		Self:             s.Link.Addr(),
+		Domain:           s.Process.Domain,
+		Log:              p.log,
+		Control:          p.follow,
+		Prober:           p.prober,
+		Codec:            a.Codec,
+		Callers:          a.Callers,
+		Rate:             s.Rate,
+		Shares:           s.Entry.Callers,
+		Wire:             p.sockets,
+		Events:           p.events,
+		PropagationBound: s.Bounds.Change,
+		MaxLife:          s.Bounds.Life,
+		Rand:             newRand(),
+		Off:              s.Without,
+	}
+}
+
 // sendQueued sends the packets that the entry has queued for its link as they become due, until ended is
 // closed.
 func sendQueued(e *edge.Entry, ended <-chan struct{}) {
