--- a/internal/node/local/breaker.go
+++ b/internal/node/local/breaker.go
@@ -58,8 +58,8 @@
 }
 
 // checkResponseTime records how long an answer on a flow took. The answer counts as too fast only if a slot was free
-// when the request came: a full server refuses requests at once. A server that answers far too fast fails its requests (package quick) and gets few new flows; its open
-// flows continue, as some of its answers may be valid.
+// when the request came: a full server refuses requests at once. A server that answers far too fast fails its requests
+// (package quick) and gets few new flows; its open flows continue, as some of its answers may be valid.
 func (a *Agent) checkResponseTime(now time.Time, f segs.Flow, o *owner.Flow, elapsed time.Duration) {
 	free := o.Ahead < a.slots()
 	if a.Off.Quick || !a.quick.RecordAnswer(now, f.ServiceAddr(), elapsed, free) {
