--- a/internal/node/edge/level.go
+++ b/internal/node/edge/level.go
@@ -10,7 +10,7 @@
 )
 
 // Admission of new flows while all servers of a service are overloaded (package level). It applies to routes
-// with a timeout: without one, nothing says which wait is too long.
+// with a timeout: without one, no wait counts as too long.
 
 // admitByLevel reports whether the level of its service admits a new flow. Otherwise the flow is refused. A
 // copy of an opening packet is always admitted: a server may have opened its flow by way of another entry.
--- a/internal/node/local/waits.go
+++ b/internal/node/local/waits.go
@@ -8,7 +8,7 @@
 	"mangowinch/internal/oper/event"
 )
 
-// serverState returns the state of the local server for the queue of waiting flows.
+// serverState returns what the queue of waiting flows needs to know about the local server.
 func (a *Agent) serverState(now time.Time) hold.Server {
 	s := hold.Server{
 		Expected: a.flows.Expected(now),
@@ -32,8 +32,8 @@
 	return a.expectedWaits(now)[min(max(priority, 0), msgs.NumWaits-1)]
 }
 
-// expireWaiting returns the waiting flows that can't be answered before their timeout, and drops those whose callers
-// no longer wait and would not receive a refusal.
+// expireWaiting drops the waiting flows whose callers have given up, without a refusal that no caller would receive, and
+// returns to their entries those that can't be answered before their timeout.
 func (a *Agent) expireWaiting(now time.Time) {
 	for _, w := range a.waiting.Expire(now) {
 		countUnserved("expired")
