--- a/internal/node/edge/shares_test.go
+++ b/internal/node/edge/shares_test.go
@@ -26,7 +26,7 @@
 	return segs.Flow{Caller: [4]byte{100, 64, 0, caller}, CallerPort: uint16(n), Port: 443}
 }
 
-// Guards against counts in a deployment that doesn't ask for shares.
+// Guards against an entry that counts callers' use, or panics, where its settings ask for no shares or switch them off.
 func TestNothingIsCountedWithoutSettings(t *testing.T) {
 	for _, s := range []*shares{newShares(&Config{}), newShares(&Config{Shares: &usage.Callers{}, Off: parts.Off{Shares: true}})} {
 		assert.Assert(t, s == nil)
@@ -38,7 +38,7 @@
 	}
 }
 
-// Guards against a caller that stays behind because of flows which no server has opened, and against flows and
+// Guards against a caller that is charged for flows which no server has opened, and against flows and
 // requests that are charged twice, or not at all because the message Opened was lost.
 func TestOnlyOpenFlowsAndTheirRequestsAreCharged(t *testing.T) {
 	e := &Entry{shares: newTestShares()}
@@ -97,7 +97,7 @@
 	_, level, first := s.refuse(now, flowOf(1, 1), now, false)
 	assert.Assert(t, level > 0 && !first, "a refusal for another reason")
 	reported := 0
-	for caller := range 2 * maxBehind {
+	for caller := range 2 * maxExcluded {
 		for n := range 20 {
 			s.charge(now, flowOf(byte(caller), n))
 		}
@@ -107,7 +107,7 @@
 			}
 		}
 	}
-	assert.Equal(t, reported, maxBehind)
+	assert.Equal(t, reported, maxExcluded)
 	s.open(now, flowOf(250, 1))
 	_, level, first = s.refuse(now, flowOf(250, 1), now, true)
 	assert.Assert(t, level == 0 && !first, "a caller that uses little")
@@ -117,6 +117,6 @@
 		s.refuse(now, f, now.Add(time.Second), true)
 	}
 	assert.Equal(t, len(s.refused), maxRefused)
-	s.tick(now.Add(2*behindFor), onlyDomain)
-	assert.Assert(t, len(s.refused) == 0 && len(s.behind) == 0)
+	s.tick(now.Add(2*exclusionTime), onlyDomain)
+	assert.Assert(t, len(s.refused) == 0 && len(s.excluded) == 0)
 }
