A flow that waits at another agent isn't refused; timeouts without a target count

And a flow to a route with a timeout and no target was never returned when its time was over, as its service time came out as zero.

Change: a flow that another agent has claimed is left alone. Without a target the server's average counts.

--- a/internal/load/hold/hold.go
+++ b/internal/load/hold/hold.go
@@ -283,6 +283,9 @@
 // serviceTime returns the time that a flow's request is expected to take. The average of a server extends over
 // all its routes; requests of a route with a short target take no longer than what that target leaves for them.
 func (w *QueuedFlow) serviceTime(average time.Duration) time.Duration {
+	if w.Target == 0 {
+		return average
+	}
 	return min(average, w.Target-w.openBy())
 }
 
--- a/internal/load/hold/hold_test.go
+++ b/internal/load/hold/hold_test.go
@@ -188,3 +188,13 @@
 	got := q.Waits(now.Add(5*time.Second), busy)[2]
 	assert.Assert(t, got <= 2*paceWindow, "%v for the second flow", got)
 }
+
+// Guards against a flow that is never told that its time is over because its route has a timeout and no target.
+func TestTooLateWithoutTarget(t *testing.T) {
+	q := New(callers, parts.Off{})
+	w := waiting(1, 2, 0)
+	w.Target, w.Timeout = 0, time.Second
+	q.Add(now, w, 10)
+	assert.Equal(t, len(q.TooLate(now.Add(960*time.Millisecond), 40*time.Millisecond)), 0)
+	assert.Equal(t, len(q.TooLate(now.Add(961*time.Millisecond), 40*time.Millisecond)), 1)
+}
--- a/internal/node/edge/peer.go
+++ b/internal/node/edge/peer.go
@@ -89,15 +89,22 @@
 }
 
 // returnedBusy handles an opening packet that was offered to several agents, none of which can serve it in time.
-// The flow is refused, unless a copy of the packet went to another agent whose server has accepted the flow.
+// The flow is refused, unless a copy of the packet went to another agent, whose server has accepted the flow or at
+// which the flow waits.
 func (e *Entry) returnedBusy(now time.Time, from netip.Addr, p *owner.EntryFlow, s *segs.Segment) {
-	if p.Accepted() {
+	if p.Accepted() || waitsElsewhere(p, from) {
 		p.Remove(from)
 		return
 	}
 	e.refuse(now, s, "busy")
 }
 
+// waitsElsewhere reports whether an agent other than the given one has said that it has the flow.
+func waitsElsewhere(p *owner.EntryFlow, agent netip.Addr) bool {
+	last := p.Last()
+	return p.Claimed && last != nil && last.Agent != agent
+}
+
 // recordReturn records that an agent has returned an opening packet. An agent that returns it because all agents that
 // the flow was offered to are full is not avoided: it is the least busy of them. A cold server is avoided, because its
 // load does not show the rate that limits it.
