--- a/internal/conf/carry/carry.go
+++ b/internal/conf/carry/carry.go
@@ -60,7 +60,7 @@
 // Entry holds the settings that only entries have.
 type Entry struct {
 	Bind    netip.AddrPort // UDP, packets of callers
-	Callers *usage.Callers // between whom room is shared; nil: flows are served without regard to their callers
+	Callers *usage.Callers // who share the servers' capacity; nil: flows are served without regard to their callers
 }
 
 // Agent holds the settings that only agents have.
--- a/internal/conf/carry/carry_test.go
+++ b/internal/conf/carry/carry_test.go
@@ -89,7 +89,7 @@
 	}
 }
 
-// Guards against settings of an agent that name callers in vain.
+// Guards against settings of an agent that name callers and are accepted without effect.
 func TestAgentHasNoCallers(t *testing.T) {
 	text, err := os.ReadFile("testdata/agent.ini")
 	assert.NilError(t, err)
@@ -97,6 +97,7 @@
 	assert.ErrorContains(t, err, "[callers] and [caller] are settings of an entry")
 }
 
+// Guards against a faulty section about callers of which only the first fault is listed.
 func TestLoadListsEveryFaultOfCallers(t *testing.T) {
 	_, err := Load("testdata/bad-callers.ini")
 	var faults strict.Faults
--- a/internal/exper/outage/outage.go
+++ b/internal/exper/outage/outage.go
@@ -149,7 +149,8 @@
 		maxWait = c.Length // admit skips the flows of callers that have given up
 	}
 	for i := range c.Servers {
-		r.agents = append(r.agents, &agent{index: i, queue: hold.New(segs.CallerTiming{GiveUp: maxWait + openAnswerTime}, parts.Off{}), waiting: map[segs.Flow]*pendingFlow{}})
+		queue := hold.New(segs.CallerTiming{GiveUp: maxWait + openAnswerTime}, parts.Off{})
+		r.agents = append(r.agents, &agent{index: i, queue: queue, waiting: map[segs.Flow]*pendingFlow{}})
 	}
 	for i := range c.Servers {
 		var list []share.Server
@@ -298,7 +299,7 @@
 // admit opens waiting flows while the queue allows it.
 func (r *run) admit(a *agent) {
 	for {
-		w := a.queue.Next(r.loop.Now(), r.state(a))
+		w := a.queue.Next(r.loop.Now(), r.serverState(a))
 		if w == nil {
 			return
 		}
@@ -313,8 +314,8 @@
 	}
 }
 
-// state returns the state of an agent's server.
-func (r *run) state(a *agent) hold.Server {
+// serverState returns what an agent's queue has to know about its server.
+func (r *run) serverState(a *agent) hold.Server {
 	return hold.Server{Expected: a.expectedLoad(), Slots: r.c.Slots, Lowest: r.lowestPriority(), Service: r.c.Kinds[0].ServiceTime}
 }
 
--- a/internal/flow/msgs/estimate.go
+++ b/internal/flow/msgs/estimate.go
@@ -9,8 +9,8 @@
 // priorities.
 const NumWaits = 4
 
-// Estimate is what an agent expects of a new flow at its server. The zero value says nothing: the agent has no
-// estimate, or its version of the program sends none.
+// Estimate holds the times that an agent expects for a new flow at its server. The zero value means unknown: the agent
+// has no estimate, or runs an older version that sends none.
 type Estimate struct {
 	Service uint16          // time the server takes for a request, in units of estimateServiceUnit; 0: unknown
 	Waits   [NumWaits]uint8 // by priority: time until the server receives a new flow, in units of estimateWaitUnit
@@ -40,7 +40,7 @@
 	return time.Duration(e.Waits[min(max(priority, 0), NumWaits-1)]) * estimateWaitUnit
 }
 
-// appendEstimate appends an estimate at the end of a message, where processes that know none ignore it.
+// appendEstimate appends an estimate at the end of a message, where older processes ignore it.
 func appendEstimate(b []byte, e Estimate) []byte {
 	if e == (Estimate{}) {
 		return b
--- a/internal/flow/owner/agent.go
+++ b/internal/flow/owner/agent.go
@@ -17,20 +17,20 @@
 	Established  bool       // the server has sent a packet after the handshake
 	Origin       netip.Addr // entry that sent the last packet
 	Created      time.Time
-	LastUsed     time.Time  // last packet in either direction
-	PendingSince time.Time  // arrival of the caller's data that is still unanswered; zero: none
-	Home         netip.Addr // agent at which the flow is registered
-	Requested    bool       // a request has arrived on the flow
-	Ahead        int        // requests that were in progress at the server when the last one arrived
-	Ack          uint32     // the caller's last acknowledgement; 0 before its first packet after the opening ones
-	acceptedAt   time.Time  // when the server answered the opening packet; zero: not observed
-	dataEnd      uint32     // sequence number after the caller's last data
-	dataEndKnown bool       // dataEnd is set
-	callerOpen   bool       // no FIN or RST has closed the caller's end
-	serverOpen   bool
+	LastUsed     time.Time     // last packet in either direction
+	PendingSince time.Time     // arrival of the caller's data that is still unanswered; zero: none
+	Home         netip.Addr    // agent at which the flow is registered
+	Requested    bool          // a request has arrived on the flow
+	Ahead        int           // requests that were in progress at the server when the last one arrived
 	Service      time.Duration // time that the server spent on the last request; 0: unknown
-	called       netip.AddrPort
-	beganAt      time.Time // when the server began with the request in progress, or had all its data so far; zero: it waits
+	Ack          uint32        // the caller's last acknowledgement; 0 before its first packet after the opening ones
+	acceptedAt   time.Time     // when the server answered the opening packet; zero: not observed
+	dataEnd      uint32        // sequence number after the caller's last data
+	dataEndKnown bool          // dataEnd is set
+	callerOpen   bool          // no FIN or RST has closed the caller's end
+	serverOpen   bool
+	called       netip.AddrPort // address to which the last request was sent
+	beganAt      time.Time      // when the server began with the request in progress, or last received data of it after that; zero: it waits
 }
 
 // Busy reports whether a request is in progress.
@@ -122,7 +122,7 @@
 		if o.PendingSince.IsZero() {
 			_, o.Ahead, _ = t.requests.count(now)
 			o.PendingSince, o.called = now, s.Flow.ServiceAddr()
-			t.requests.queue(now, o)
+			t.requests.arrived(now, o)
 			t.requests.asked(now, o)
 		}
 		o.dataArrived(now)
--- a/internal/flow/owner/entry.go
+++ b/internal/flow/owner/entry.go
@@ -98,7 +98,8 @@
 }
 
 // SentAt returns when the opening packet that an agent answers was sent. Agents also answer opening packets
-// that others have passed on to them, so for an agent that is no candidate the last one's counts.
+// that other agents have passed on to them: for an agent that is no candidate, it is when the packet was sent to
+// the last candidate.
 func (p *EntryFlow) SentAt(agent netip.Addr) (at time.Time) {
 	for _, c := range p.Candidates {
 		at = c.SentAt
--- a/internal/flow/owner/owner_test.go
+++ b/internal/flow/owner/owner_test.go
@@ -160,7 +160,7 @@
 	assert.Assert(t, table.Get(flow) == nil)
 }
 
-// The time that a request spends in the server's queue is not counted as service time.
+// Guards against a service time that includes the request's time in the server's queue.
 func TestServiceTimeExcludesTheServersQueue(t *testing.T) {
 	table := NewAgent(10, parts.Off{})
 	table.SetSlots(2)
@@ -187,7 +187,7 @@
 	assert.Equal(t, table.Oldest(at(80), flow.ServiceAddr()), time.Duration(0))
 }
 
-// A request whose data arrives in parts begins with the last one: the caller's link is not the server's time.
+// Guards against a service time that includes the time in which the request's data arrives over the caller's link.
 func TestServiceTimeBeginsWithTheLastData(t *testing.T) {
 	table := NewAgent(10, parts.Off{})
 	o := table.Add(now, flow)
@@ -217,7 +217,8 @@
 	assert.Equal(t, p.Requests, 3, "an acknowledgement is no request")
 }
 
-// An answer within a millisecond means failure only if the server had a free slot when the request came.
+// Guards against a full server that is taken for a failing one: an answer within a millisecond means failure only if
+// the server had a free slot when the request came, so the requests in progress then are counted.
 func TestRequestsInProgressAreCountedOnArrival(t *testing.T) {
 	table := NewAgent(10, parts.Off{})
 	for port := range 3 {
--- a/internal/flow/owner/service.go
+++ b/internal/flow/owner/service.go
@@ -14,9 +14,9 @@
 // SetSlots sets the number of requests that the server runs at a time.
 func (t *Agent) SetSlots(slots int) { t.requests.slots = slots }
 
-// queue determines whether the server begins with a new request at once. The request is not in the list of active
+// arrived determines whether the server begins with a new request at once. The request is not in the list of active
 // ones yet.
-func (r *requests) queue(now time.Time, o *Flow) {
+func (r *requests) arrived(now time.Time, o *Flow) {
 	ahead := 0
 	for _, p := range r.active {
 		if p.current() {
@@ -32,7 +32,7 @@
 // current reports whether the request is still in progress.
 func (p pending) current() bool { return p.flow.PendingSince.Equal(p.since) }
 
-// dataArrived notes that the server has received more data of the request in progress.
+// dataArrived records that the server has received more data of the request in progress.
 func (o *Flow) dataArrived(now time.Time) {
 	if !o.beganAt.IsZero() {
 		o.beganAt = now
--- a/internal/load/bulk/bulk.go
+++ b/internal/load/bulk/bulk.go
@@ -100,7 +100,14 @@
 // New returns a gate for a link with the given rate in bytes per second, at which a flow waits no longer
 // than maxWait.
 func New(rate float64, maxWait time.Duration) *Gate {
-	return &Gate{rate: rate, carried: rate, maxWait: maxWait, queue: maxQueueTime, avgBytes: map[netip.AddrPort]float64{}, active: map[segs.Flow]*flow{}}
+	return &Gate{
+		rate:     rate,
+		carried:  rate,
+		maxWait:  maxWait,
+		queue:    maxQueueTime,
+		avgBytes: map[netip.AddrPort]float64{},
+		active:   map[segs.Flow]*flow{},
+	}
 }
 
 // NewPaced returns a gate like New for a link before which the packets of long flows are queued by package
@@ -116,10 +123,10 @@
 func (g *Gate) SetCarried(rate float64, narrow bool) { g.carried, g.narrow = min(rate, g.rate), narrow }
 
 // CanEnd reports whether a flow that starts as soon as possible can end within the time that its caller
-// still waits: whether the link carries it and what is ahead of it until then. Flows that take turns with it
-// delay it no further, since what they send meanwhile is either ahead of it or sent after its end. It is also
-// true while no long flow is under way: only flows that run correct what is known about their length, and without
-// them an address with one very long flow would be refused for ever.
+// still waits: whether the link can carry it and what is ahead of it until then. Flows under way beside it
+// delay it no further, since what they send meanwhile is either counted as ahead of it or sent after its end.
+// CanEnd also reports true while no long flow is under way or waits: the expected length is corrected only by
+// flows that run, so without this exception an address with one very long flow would be refused for ever.
 func (g *Gate) CanEnd(f segs.Flow, left time.Duration) bool {
 	if !g.isLong(f) || len(g.waiting) == 0 && g.activeLong() == 0 {
 		return true
--- a/internal/load/hold/hold.go
+++ b/internal/load/hold/hold.go
@@ -69,16 +69,16 @@
 type rank uint8
 
 const (
-	inTime rank = iota // an answer within the target
-	late               // an answer after it
-	left               // nothing: by all signs the caller has left
+	inTime    rank = iota // an answer within the target
+	late                  // an answer after it
+	abandoned             // nothing: by all signs the caller has left
 )
 
 // rank returns the rank of a waiting flow.
 func (q *Queue) rank(w *QueuedFlow, now time.Time) rank {
 	switch {
 	case q.signs.overdue(w, now):
-		return left
+		return abandoned
 	case now.Sub(w.FirstSent) < w.openBy():
 		return inTime
 	default:
@@ -110,7 +110,7 @@
 	waiting []*QueuedFlow
 	signs   signs
 	paces   [msgs.NumWaits]pace
-	floors  [msgs.NumWaits]time.Time // when flows of a priority began to wait, or when the last one was due to be opened
+	lastDue [msgs.NumWaits]time.Time // when flows of a priority began to wait, or when the last one was due to be opened
 }
 
 // New returns an empty queue for flows of callers with the given timing.
@@ -136,7 +136,7 @@
 	q.advance(now)
 	i := paceIndex(w.Priority)
 	if !slices.ContainsFunc(q.waiting, func(v *QueuedFlow) bool { return paceIndex(v.Priority) == i }) {
-		q.floors[i] = now
+		q.lastDue[i] = now
 	}
 	q.waiting = append(q.waiting, w)
 	if len(q.waiting) <= limit {
@@ -197,7 +197,7 @@
 	q.remove(next)
 	i := paceIndex(next.Priority)
 	q.paces[i].opened++
-	q.floors[i] = opened
+	q.lastDue[i] = opened
 	return next
 }
 
@@ -211,17 +211,19 @@
 	return first
 }
 
-// floorPart is the part of the server's capacity that each priority gets while its flows wait: one request in
-// eight. Higher priorities, and requests on open flows, could else keep out the lowest for ever.
-const floorPart = 8
+// floorDivisor is the divisor of the server's capacity whose quotient each priority gets while its flows wait: one
+// request in eight. Without it, higher priorities and requests on open flows could keep out the lowest for ever.
+const floorDivisor = 8
 
 // floorInterval returns the mean time between two openings of a priority at its floor.
-func (s Server) floorInterval() time.Duration { return floorPart * s.Service / time.Duration(s.Slots) }
+func (s Server) floorInterval() time.Duration {
+	return floorDivisor * s.Service / time.Duration(s.Slots)
+}
 
-// floorDue returns when the opening of a priority was due that its floor allows now. The next one is due an
-// interval later, so that an opening that comes late delays no other; more than one isn't made up for.
+// floorDue returns when the opening that a priority's floor allows now was due. The next one is due an interval
+// after that time, so a late opening delays no other, but at most one interval is made up for.
 func (q *Queue) floorDue(now time.Time, s Server, priority int) time.Time {
-	due := q.floors[paceIndex(priority)].Add(s.floorInterval())
+	due := q.lastDue[paceIndex(priority)].Add(s.floorInterval())
 	if earliest := now.Add(-s.floorInterval()); due.Before(earliest) {
 		return earliest
 	}
@@ -235,7 +237,7 @@
 		return nil
 	}
 	return q.first(now, func(w *QueuedFlow) bool {
-		return now.Sub(q.floors[paceIndex(w.Priority)]) > s.floorInterval() && !q.signs.overdue(w, now)
+		return now.Sub(q.lastDue[paceIndex(w.Priority)]) > s.floorInterval() && !q.signs.overdue(w, now)
 	})
 }
 
--- a/internal/load/hold/load_test.go
+++ b/internal/load/hold/load_test.go
@@ -209,7 +209,7 @@
 
 // Guards against a lowest priority that gets nothing as long as higher ones ask for all that servers can do.
 func TestLowestPriorityKeepsItsFloor(t *testing.T) {
-	const interval = floorPart * service / slots
+	const interval = floorDivisor * service / slots
 	floor := float64(servers * (loadTime / interval))
 	with, without := runLoad(5, parts.Off{}, 1), runLoad(5, parts.Off{Floor: true}, 1)
 	t.Logf("opened %d for a floor of %.0f, answered %+v; without a floor %d, %+v", with.opened[2], floor, with.got[2], without.opened[2], without.got[2])
--- a/internal/load/hold/sign.go
+++ b/internal/load/hold/sign.go
@@ -16,8 +16,8 @@
 	minLag = 20 * time.Millisecond
 )
 
-// signs tells which callers still want their flows: a caller repeats its opening packet at known times until it
-// leaves the try. It learns by how much copies are later than they were sent.
+// signs determines which callers have left: a caller repeats its opening packet at known times until it gives up the
+// attempt. It learns how long after their sending copies arrive.
 type signs struct {
 	sendTimes []time.Duration
 	mean, dev time.Duration
--- a/internal/load/level/level.go
+++ b/internal/load/level/level.go
@@ -55,8 +55,8 @@
 )
 
 const (
-	// forgetAfter is how long a report is used. It bounds how long an entry refuses flows by what it has
-	// heard and can no longer check.
+	// forgetAfter is the age at which a report is discarded, so that an entry which no longer hears from agents
+	// stops refusing flows on outdated reports. A priority without flows for that long loses its level.
 	forgetAfter = 5 * time.Second
 	// stepInterval is the shortest time between two steps of a level. In this time every agent has opened
 	// several flows, whose reports show the effect of the last step.
@@ -68,28 +68,29 @@
 	// part below which it rises.
 	fullPercent      = 90
 	roomBelowPercent = 75
-	// longWaitPart divides the time that a flow has left to wait: a longer wait than this part counts as long.
+	// longWaitDivisor is the divisor of the time that a flow has left to wait: a longer wait than the quotient is long.
 	// Agents take no flows beyond the whole of it, so an agent that refuses flows reports a little less than that.
-	longWaitPart = 2
-	// margin is how many flows are admitted at least for each one that is opened, so that there are enough
-	// waiting flows when a server has got faster since its report.
-	margin = 1.1
-	// drainMargin is the same while it is certain that waits are long. The waits of half of a flow's time
-	// become shorter within a few seconds, and no server is idle meanwhile.
-	drainMargin = 0.8
+	longWaitDivisor = 2
+	// admitRatio is the lowest ratio of admitted to opened flows to which a level falls, so that enough flows wait
+	// when a server has become faster since its report.
+	admitRatio = 1.1
+	// drainRatio is the same ratio while reports are so new that waits are certainly long. Below 1, queues get
+	// shorter: waits of half of a flow's time do so within a few seconds, and no server is idle meanwhile.
+	drainRatio = 0.8
 	// fallFactor and riseFactor are the largest steps of a level, riseStep the smallest one up.
 	fallFactor = 0.7
 	riseFactor = 1.2
 	riseStep   = 0.01
-	// fewReturned is the number of returned flows for each opened one below which a level rises whatever
-	// agents have reported. It is well below margin less one, so it isn't reached while servers are full.
-	fewReturned = 0.02
-	// probePart is the part of the flows that is admitted at any level. It is small against margin less one, so
+	// fewReturnedRatio is the ratio of returned to opened flows below which a level rises whatever agents have
+	// reported. It is well below admitRatio less one, so the ratio doesn't fall below it while servers are full.
+	fewReturnedRatio = 0.02
+	// probePart is the part of the flows that is admitted at any level. It is small against admitRatio less one, so
 	// that probes alone don't fill servers.
 	probePart = 1.0 / 32
 	// probeInterval is the longest time without an admitted flow while there are flows.
 	probeInterval = 100 * time.Millisecond
-	// minOutcomes is the number of opened and returned flows below which their ratio is left to chance.
+	// minOutcomes is the number of opened and returned flows below which their ratio depends too much on chance to
+	// lower a level.
 	minOutcomes = 8
 	// endDelay is how long every flow must have been admitted before an overload is reported as ended.
 	endDelay = time.Second
@@ -106,12 +107,12 @@
 
 // service is what is known about one service.
 type service struct {
-	reports    map[netip.Addr]report
-	levels     [msgs.NumWaits]level
-	steppedAt  time.Time
-	limited    bool      // last reported by Changes
-	notFullAt  time.Time // when a level was last below full admission
-	lastLowest int       // lowest level in percent since the last change
+	reports       map[netip.Addr]report
+	levels        [msgs.NumWaits]level
+	steppedAt     time.Time
+	limited       bool      // last reported by Changes
+	belowFullAt   time.Time // when a level was last below full admission
+	lowestPercent int       // lowest level since the last change
 }
 
 // report is what an agent has last reported.
@@ -123,22 +124,22 @@
 
 // level is the state of one priority of a service. The counts lose their weight over averageTime.
 type level struct {
-	fallen     float64 // part of the flows that is not admitted
-	arrived    float64
-	admitted   float64
-	opened     float64
-	returned   float64
-	mostLeft   time.Duration // time left to the most patient caller between the last two steps with flows
-	nextLeft   time.Duration // the same since the last step
-	arrivedAt  time.Time
-	admittedAt time.Time
+	fallen      float64 // part of the flows that is not admitted
+	arrived     float64
+	admitted    float64
+	opened      float64
+	returned    float64
+	maxLeft     time.Duration // longest time that a flow had left between the last two steps with flows
+	nextMaxLeft time.Duration // the same since the last step
+	arrivedAt   time.Time
+	admittedAt  time.Time
 }
 
 // Change is a service that has begun or ended to refuse flows.
 type Change struct {
 	Service string
 	Limited bool // flows are refused; false: all flows are admitted again
-	Percent int  // of the flows of the lowest priority that were admitted, at the least since the last change
+	Percent int  // lowest level of the lowest priority since the last change
 }
 
 // Level is the admitted part of one priority of a service.
@@ -195,7 +196,7 @@
 	}
 	p := class(priority)
 	l := &s.levels[p]
-	l.nextLeft = max(l.nextLeft, left)
+	l.nextMaxLeft = max(l.nextMaxLeft, left)
 	l.arrivedAt = now
 	if now.Sub(s.steppedAt) >= stepInterval {
 		s.step(now, servers)
@@ -235,13 +236,13 @@
 		}
 		lowest := int(math.Floor(100 * s.part(msgs.NumWaits-1)))
 		if lowest < 100 {
-			s.notFullAt = now
-			s.lastLowest = min(s.lastLowest, lowest)
+			s.belowFullAt = now
+			s.lowestPercent = min(s.lowestPercent, lowest)
 		}
-		limited := lowest < 100 || s.limited && now.Sub(s.notFullAt) < endDelay
+		limited := lowest < 100 || s.limited && now.Sub(s.belowFullAt) < endDelay
 		if limited != s.limited {
-			list = append(list, Change{Service: name, Limited: limited, Percent: s.lastLowest})
-			s.limited, s.lastLowest = limited, 100
+			list = append(list, Change{Service: name, Limited: limited, Percent: s.lowestPercent})
+			s.limited, s.lowestPercent = limited, 100
 		}
 		if idle && len(s.reports) == 0 && !s.limited {
 			delete(g.services, name)
@@ -266,7 +267,7 @@
 func (g *Gate) service(name string) *service {
 	s := g.services[name]
 	if s == nil && len(g.services) < maxServices {
-		s = &service{reports: map[netip.Addr]report{}, lastLowest: 100}
+		s = &service{reports: map[netip.Addr]report{}, lowestPercent: 100}
 		g.services[name] = s
 	}
 	return s
@@ -297,14 +298,14 @@
 	s.expire(now)
 	for p := range s.levels {
 		l := &s.levels[p]
-		if l.nextLeft > 0 {
-			l.mostLeft, l.nextLeft = l.nextLeft, 0
+		if l.nextMaxLeft > 0 {
+			l.maxLeft, l.nextMaxLeft = l.nextMaxLeft, 0
 		}
-		if l.mostLeft == 0 {
+		if l.maxLeft == 0 {
 			continue // no flows
 		}
-		full, freshlyFull := s.full(now, p, l.mostLeft)
-		l.move(100*full, 100*freshlyFull, servers)
+		full, freshlyFull := s.full(now, p, l.maxLeft)
+		l.move(full, freshlyFull, servers)
 		l.decay(keep)
 	}
 }
@@ -314,7 +315,7 @@
 func (s *service) full(now time.Time, p int, left time.Duration) (full, fresh int) {
 	for _, r := range s.reports {
 		wait := r.estimate.Wait(p)
-		long := max(0, left-r.estimate.ServiceTime()) / longWaitPart
+		long := max(0, left-r.estimate.ServiceTime()) / longWaitDivisor
 		age := now.Sub(r.estimatedAt)
 		switch {
 		case wait > long && age <= forgetAfter:
@@ -334,18 +335,17 @@
 	return slices.ContainsFunc(r.refusedAt[:p+1], func(at time.Time) bool { return now.Sub(at) <= forgetAfter })
 }
 
-// move takes one step, by 100 times the number of full servers, 100 times the number of those that are so for
-// certain, and the number of all servers.
+// move takes one step, given the number of full servers, of those that are certainly full, and of all servers.
 func (l *level) move(full, freshlyFull, servers int) {
 	part := 1 - l.fallen
-	returning := l.opened+l.returned >= minOutcomes && l.returned >= fewReturned*l.opened
+	returning := l.opened+l.returned >= minOutcomes && l.returned >= fewReturnedRatio*l.opened
 	switch {
-	case returning && freshlyFull >= fullPercent*servers:
-		part = max(part*fallFactor, drainMargin*l.openedPart(), probePart)
-	case full < roomBelowPercent*servers || l.opened > 0 && l.returned < fewReturned*l.opened:
+	case returning && 100*freshlyFull >= fullPercent*servers:
+		part = max(part*fallFactor, drainRatio*l.openedPart(), probePart)
+	case 100*full < roomBelowPercent*servers || l.opened > 0 && l.returned < fewReturnedRatio*l.opened:
 		part = part*riseFactor + riseStep
-	case returning && full >= fullPercent*servers:
-		part = max(part*fallFactor, margin*l.openedPart(), probePart)
+	case returning && 100*full >= fullPercent*servers:
+		part = max(part*fallFactor, admitRatio*l.openedPart(), probePart)
 	}
 	l.fallen = max(0, 1-part)
 }
@@ -358,6 +358,7 @@
 	return l.admitted / l.arrived * l.opened / (l.opened + l.returned)
 }
 
+// decay reduces the weight of the counts.
 func (l *level) decay(keep float64) {
 	l.arrived *= keep
 	l.admitted *= keep
--- a/internal/load/level/level_test.go
+++ b/internal/load/level/level_test.go
@@ -112,7 +112,7 @@
 		for a := range 10 {
 			g.Report(now, "svc", agentAddr(a), long)
 		}
-		now = now.Add(timeout / longWaitPart)
+		now = now.Add(timeout / longWaitDivisor)
 		for range rapid.IntRange(0, 500).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 20).Draw(t, "ms")) * time.Millisecond)
 			if rapid.Bool().Draw(t, "opened") {
--- a/internal/load/pace/base.go
+++ b/internal/load/pace/base.go
@@ -22,7 +22,7 @@
 	samples int             // in the current interval
 }
 
-// learnBase learns the least delay.
+// learnBase includes a delay in the least one of the current period.
 func (o *origin) learnBase(now time.Time, d time.Duration) {
 	if len(o.bases) == 0 || now.Sub(o.baseAt) >= basePeriod {
 		o.bases = append(o.bases, d)
@@ -44,15 +44,15 @@
 	o.samples++
 }
 
-// shift adds to what is known as the least delay.
+// shift raises the least delays by d.
 func (o *origin) shift(d time.Duration) {
 	for i := range o.bases {
 		o.bases[i] += d
 	}
 }
 
-// originOf returns the record of an origin, or nil if there is no room for it. The first answer of an origin
-// is taken to be as late as those of the others were.
+// originOf returns the origin for a failure domain, or nil if there are too many. The first answer of an origin
+// is assumed to exceed the least delay by as much as those of the other origins did.
 func (l *Link) originOf(now time.Time, domain string, d time.Duration) *origin {
 	o := l.origins[domain]
 	if o == nil && len(l.origins) < maxOrigins {
--- a/internal/load/pace/link.go
+++ b/internal/load/pace/link.go
@@ -14,8 +14,8 @@
 	// minSamples is the number of answers in such an interval from which a delay is derived. The least of
 	// them counts, since a single answer may be late for other reasons.
 	minSamples = 3
-	// targetDelay is the delay beyond the least one known at which the rate is kept: what an opening packet may
-	// wait behind long flows.
+	// targetDelay is the delay beyond the least one known at which the rate stays as it is: the time for which an
+	// opening packet may wait behind long flows.
 	targetDelay = 10 * time.Millisecond
 	// gain is the largest part of the rate that one adjustment takes away, and maxRise the largest that it
 	// adds.
@@ -24,13 +24,13 @@
 	// idleRise is the part that it adds without enough answers, so that the rate learned from a link that was
 	// narrow for some time is forgotten: within a minute while no flow can fill the link.
 	idleRise = 0.01
-	// busyTime is how long after a packet of such flows an answer still tells about them.
+	// busyTime is how long after a packet of a flow that can fill the link the delay of an answer may be due to it.
 	busyTime = 50 * time.Millisecond
 	// minRatePart is the least part of the stated rate to which the learned one falls.
 	minRatePart = 1.0 / 16
-	// trialPart is the part of the rate at which a delay began that, when it is reached without the delay
-	// having become shorter, starts a trial. trialRatePart is the part of the stated rate that is sent
-	// meanwhile: so little that the queue in front of the link becomes shorter if it carries minRatePart.
+	// trialPart is a part of the rate at which a delay began: if the rate falls to it and the delay hasn't become
+	// shorter, a trial begins. trialRatePart is the part of the stated rate that is sent during a trial: so little
+	// that the queue in front of a link that carries minRatePart becomes shorter.
 	trialPart     = 0.25
 	trialRatePart = minRatePart / 4
 	// settleDelays is how many times the delay a trial lasts at least: once until packets from before it are
@@ -133,7 +133,7 @@
 		return
 	}
 	o.learnBase(now, d)
-	if now.Sub(l.busyAt) <= busyTime { // others say nothing about the link while long flows use it
+	if now.Sub(l.busyAt) <= busyTime { // the other answers don't show how long flows delay packets
 		o.sample(d)
 	}
 }
@@ -152,11 +152,10 @@
 	}
 	l.adjustedAt = now
 	samples, excess := l.takeSamples()
-	switch {
-	case samples >= minSamples:
+	if samples >= minSamples {
 		l.excess = excess
 		l.follow(now)
-	default: // too few answers, so nothing shows that the link is still narrow
+	} else { // too few answers, so nothing shows that the link is still narrow
 		l.endTrial()
 		if !busy {
 			l.excess = 0
@@ -170,7 +169,7 @@
 func (l *Link) follow(now time.Time) {
 	l.fallDelay = max(l.fallDelay, l.excess)
 	if !l.trialAt.IsZero() && now.Sub(l.trialAt) < adjustInterval+settleDelays*l.fallDelay {
-		return // it doesn't show in the answers yet
+		return // the answers don't show the effect of the trial yet
 	}
 	stays := l.observeFall()
 	tried := l.endTrial()
@@ -216,7 +215,7 @@
 	l.setRate(min(max(l.rate*(1+change), minRatePart*l.stated), l.stated))
 }
 
-// setRate sets the rate.
+// setRate sets the rate and whether the link counts as narrow, with hysteresis.
 func (l *Link) setRate(rate float64) {
 	l.rate = rate
 	l.narrow = rate < narrowPart*l.stated || l.narrow && rate < statedPart*l.stated
--- a/internal/load/pace/link_test.go
+++ b/internal/load/pace/link_test.go
@@ -50,7 +50,7 @@
 	assert.Assert(t, w.link.Rate() <= 1.3*0.3*linkRate, "a squeezed link is still found: %.2f", w.link.Rate()/linkRate)
 }
 
-// Guards against a squeeze that stays hidden because agents of another domain begin to answer meanwhile.
+// Guards against a narrowed link that isn't noticed because agents of another domain begin to answer meanwhile.
 func TestAnswersOfAnotherDomainKeepTheDelay(t *testing.T) {
 	w := &world{link: NewLink(linkRate), now: start, origin: "near"}
 	w.run(5*time.Second, linkRate, true)
@@ -117,7 +117,7 @@
 	assert.Equal(t, w.link.Rate(), linkRate)
 }
 
-// Whatever the answers, the rate stays within its bounds and returns to the stated one.
+// Guards against a rate outside of its bounds, or one that never returns to the stated one, whatever the answers.
 func TestRateIsBounded(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		l := NewLink(linkRate)
--- a/internal/load/pace/pace.go
+++ b/internal/load/pace/pace.go
@@ -1,6 +1,6 @@
 // Package pace orders, at an entry, the packets of long flows before a narrow link.
 //
-// Callers that upload keep a window of packets in flight each. The windows of a few of them fill a narrow
+// Each caller that uploads keeps a window of packets in flight. The windows of a few such callers fill a narrow
 // link, and each opening packet and each short request waits behind them, in front of the link, where the
 // entry has no influence. Forwarded at a rate a little below that of the link, the packets wait in the
 // entry's memory instead, and everything else passes at once.
@@ -51,8 +51,10 @@
 	// overhead is the number of bytes by which a packet grows on the link: the headers of IP, UDP and the
 	// message between processes.
 	overhead = 64
+	// maxPacket is the size of the largest packet that callers send, in bytes.
+	maxPacket = 1232
 	// quantum is how many bytes a flow or a caller sends in one turn: a packet of the largest size.
-	quantum = 1232 + overhead
+	quantum = maxPacket + overhead
 )
 
 // Packet is a queued packet.
@@ -213,7 +215,7 @@
 	l.packets = l.packets[:last]
 	q.add(c, -1, -p.size())
 	q.drops.Full++
-	q.tidy(c, at, p.Flow)
+	q.removeEmpty(c, at, p.Flow)
 }
 
 // Discard drops the queued packets of a flow that its caller has reset.
@@ -228,11 +230,11 @@
 	}
 	q.drops.Aborted += len(l.packets)
 	l.packets = nil
-	q.tidy(c, slices.Index(c.flows, l), f)
+	q.removeEmpty(c, slices.Index(c.flows, l), f)
 }
 
-// tidy removes a flow and its caller if they have no packets left.
-func (q *Queue) tidy(c *caller, at int, f segs.Flow) {
+// removeEmpty removes a flow and its caller if they have no packets left.
+func (q *Queue) removeEmpty(c *caller, at int, f segs.Flow) {
 	if len(c.flows[at].packets) > 0 {
 		return
 	}
@@ -278,7 +280,7 @@
 		c.credit += quantum
 		q.callers = append(q.callers[1:], c)
 	}
-	q.tidy(c, slices.Index(c.flows, l), p.Flow)
+	q.removeEmpty(c, slices.Index(c.flows, l), p.Flow)
 	return p
 }
 
--- a/internal/load/room/room.go
+++ b/internal/load/room/room.go
@@ -6,7 +6,7 @@
 // the reports of several, takes the newest figures of each server and adds up what entries were asked for.
 //
 // The capacity of a server is its slots over the time that it takes for a request. A server whose service time
-// nobody has reported counts with the average of its service. The offered load is what the servers work on,
+// is unknown counts with the average of its service. The offered load is what the servers work on,
 // divided by the part of the flows that is opened. Attempts of refused callers count as asked, so the offered
 // load of an overloaded service is an upper bound. Priorities are assumed to cost the same for each flow.
 //
@@ -76,7 +76,7 @@
 	OldestMillis    int64                  // age of the oldest figures
 }
 
-// Outlook is how a service would fare without some servers.
+// Outlook is the capacity and load of a service as they would be without some servers.
 type Outlook struct {
 	Service  string
 	Servers  int     // that remain and take new flows
@@ -148,15 +148,15 @@
 // Unmatched returns the names that are neither a server, nor an agent's address, nor a failure domain.
 func (r *Report) Unmatched(names []string) (unmatched []string) {
 	for _, n := range names {
-		if !slices.ContainsFunc(r.Servers, func(s Server) bool { return s.isOneOf([]string{n}) }) {
+		if !slices.ContainsFunc(r.Servers, func(s Server) bool { return s.hasName([]string{n}) }) {
 			unmatched = append(unmatched, n)
 		}
 	}
 	return unmatched
 }
 
-// isOneOf reports whether one of the names is that of the server, its agent or its failure domain.
-func (s *Server) isOneOf(names []string) bool {
+// hasName reports whether any of the names is that of the server, its agent or its failure domain.
+func (s *Server) hasName(names []string) bool {
 	return slices.Contains(names, s.ID) || slices.Contains(names, s.Agent) || slices.Contains(names, s.Domain)
 }
 
@@ -247,7 +247,7 @@
 	return sums
 }
 
-// Outlooks returns how each service would fare if the servers with the given names were left out. A name is
+// Outlooks returns the outlook of each service without the servers that have one of the given names. A name is
 // that of a server, its agent's address, or that of a failure domain.
 func (r *Report) Outlooks(without []string) (list []Outlook) {
 	averages := r.averageMillis()
@@ -259,22 +259,22 @@
 			byService[s.Service] = o
 		}
 		o.Offered += s.rate(averages[s.Service])
-		if s.Open && !s.isOneOf(without) {
+		if s.Open && !s.hasName(without) {
 			o.Servers++
 			o.Capacity += s.capacity(averages[s.Service])
 		}
 	}
 	for _, o := range byService {
-		o.refuse(r.Demands)
+		o.computeRefused(r.Demands)
 		list = append(list, *o)
 	}
 	slices.SortFunc(list, func(a, b Outlook) int { return cmp.Compare(a.Service, b.Service) })
 	return list
 }
 
-// refuse computes the offered load from the servers' work and the part of the flows that is opened, and which
+// computeRefused computes the offered load from the servers' work and the part of the flows that is opened, and which
 // part of each priority's load finds no room.
-func (o *Outlook) refuse(demands []Demand) {
+func (o *Outlook) computeRefused(demands []Demand) {
 	asked, opened := 0.0, 0.0
 	var own []Demand
 	for _, d := range demands {
--- a/internal/load/speed/speed.go
+++ b/internal/load/speed/speed.go
@@ -7,9 +7,9 @@
 // The meter keeps a moving geometric mean for each called address, because requests to different addresses differ
 // in length, and an overall figure weighted by each address's share of the requests. The geometric mean is hardly
 // moved by the few requests that take many times the usual time. After a pause a sample weighs more, so that the
-// recovery of a server that is seldom used shows within a few samples. A request in progress that already lasts longer than
-// expected counts as one more sample, so that a sudden slow-down shows before the first answer. The samples of an
-// address are forgotten when no other one has come for half a minute.
+// recovery of a server that is seldom used shows within a few samples. A request in progress that already lasts
+// longer than expected counts as one more sample, so that a sudden slow-down shows before the first answer. The
+// samples of an address are forgotten after half a minute without a further one.
 //
 // The meter does not know the server's queue: the caller passes in the time that the server spent on a request,
 // without the time for which the request waited for a slot. It does not judge whether an answer is an error
@@ -34,7 +34,8 @@
 const (
 	// minWeight is the weight of a sample among many: the mean then extends over the last 24.
 	minWeight = 1.0 / 24
-	// maxWeight is the weight of a sample after a pause. A single one must not decide.
+	// maxWeight is the weight of a sample after a pause. It is well below 1, so that no single sample determines the
+	// mean.
 	maxWeight = 1.0 / 4
 	// pause is the time without samples after which a sample has maxWeight.
 	pause = time.Second
@@ -42,8 +43,8 @@
 	shareWeight = 1.0 / 256
 	// minShare is the share below which an address is forgotten when another one needs its place.
 	minShare = shareWeight / 16
-	// sampleLifetime is the time without samples after which those before are forgotten: the server may have any speed
-	// by then. Reports to entries carry the estimate again and again, so its age does not show there.
+	// sampleLifetime is the time without samples after which earlier ones are forgotten: the server may have any
+	// speed by then. Entries can't tell the age of an estimate, because agents repeat it in each report.
 	sampleLifetime = 30 * time.Second
 	// maxAddresses bounds the memory used for called addresses.
 	maxAddresses = 256
@@ -56,10 +57,10 @@
 
 // kind holds the samples of one called address.
 type kind struct {
-	log   float64 // mean of the logarithm of the time in seconds
-	last  time.Time
-	share float64 // of the requests, decayed
-	count int
+	meanLog float64 // mean of the logarithm of the time in seconds
+	last    time.Time
+	share   float64 // of the requests, decayed
+	count   int
 }
 
 // Record records the time that the server spent on a request to a called address.
@@ -71,11 +72,11 @@
 	if k == nil {
 		return
 	}
-	if k.old(now) {
+	if k.expired(now) {
 		k.count = 0
 	}
 	k.count++
-	k.log += k.weight(now, k.count) * (math.Log(took.Seconds()) - k.log)
+	k.meanLog += k.weight(now, k.count) * (math.Log(took.Seconds()) - k.meanLog)
 	k.last = now
 	for _, o := range m.kinds {
 		o.share *= 1 - shareWeight
@@ -111,31 +112,31 @@
 	}
 }
 
-// weight returns the weight of a sample at a time, if it is the count-th of its kind.
+// weight returns the weight of a sample that comes now. count is the number of samples including this one.
 func (k *kind) weight(now time.Time, count int) float64 {
 	sinceLast := float64(now.Sub(k.last)) / float64(pause)
 	w := min(max(minWeight, sinceLast*maxWeight), maxWeight)
 	return max(w, 1/float64(count))
 }
 
-// old reports whether the last sample is too old to say anything about the server.
-func (k *kind) old(now time.Time) bool { return now.Sub(k.last) >= sampleLifetime }
+// expired reports whether the last sample is too old to say anything about the server.
+func (k *kind) expired(now time.Time) bool { return now.Sub(k.last) >= sampleLifetime }
 
 // exceeded reports whether a request that has lasted for a time takes longer than expected.
-func (k *kind) exceeded(lasted time.Duration) bool { return lasted.Seconds() > math.Exp(k.log) }
+func (k *kind) exceeded(lasted time.Duration) bool { return lasted.Seconds() > math.Exp(k.meanLog) }
 
 // expected returns the expected time of a request in seconds. oldest is how long the server has spent on the oldest
 // request in progress.
 func (k *kind) expected(now time.Time, oldest time.Duration) float64 {
 	if !k.exceeded(oldest) {
-		return math.Exp(k.log)
+		return math.Exp(k.meanLog)
 	}
-	return math.Exp(k.log + k.weight(now, k.count+1)*(math.Log(oldest.Seconds())-k.log))
+	return math.Exp(k.meanLog + k.weight(now, k.count+1)*(math.Log(oldest.Seconds())-k.meanLog))
 }
 
 // Overall returns the expected time of a request to any address, weighted by the shares of the addresses, or 0 if
-// it is unknown: there are no samples, or none for sampleLifetime and no request that takes longer. oldest returns how long the server has spent on the oldest request in progress to an
-// address; if it is nil, none is in progress.
+// it is unknown: there are no samples, or none for sampleLifetime and no request that takes longer. oldest returns
+// how long the server has spent on the oldest request in progress to an address; if it is nil, none is in progress.
 func (m *Meter) Overall(now time.Time, oldest func(called netip.AddrPort) time.Duration) time.Duration {
 	sum, shares := 0.0, 0.0
 	for a, k := range m.kinds {
@@ -143,7 +144,7 @@
 		if oldest != nil {
 			lasted = oldest(a)
 		}
-		if k.old(now) && !k.exceeded(lasted) {
+		if k.expired(now) && !k.exceeded(lasted) {
 			continue
 		}
 		sum += k.share * k.expected(now, lasted)
--- a/internal/load/speed/speed_test.go
+++ b/internal/load/speed/speed_test.go
@@ -42,7 +42,8 @@
 	return math.Sqrt(squares/n-sum*sum/n/n) / (sum / n)
 }
 
-// An estimate compares servers, so what counts is how far it strays from its own mean. Without a tail the geometric
+// Guards against estimates that are spread more by a few long requests than by the servers' speeds. An estimate
+// compares servers, so what counts is how far it strays from its own mean. Without a tail the geometric
 // and the arithmetic mean stray equally; if 3% of the requests take seven times as long, the geometric one strays half
 // as much, and less than servers differ.
 func TestTailHardlyMovesTheEstimate(t *testing.T) {
@@ -93,7 +94,7 @@
 	return func(netip.AddrPort) time.Duration { return lasted }
 }
 
-// A request in progress counts once it has lasted longer than expected, and more if no answer has come for a while.
+// Guards against a sudden slow-down that shows only with the first answer. A request in progress counts once it has lasted longer than expected, and more if no answer has come for a while.
 func TestRequestInProgressCounts(t *testing.T) {
 	var m Meter
 	now := start
@@ -108,7 +109,7 @@
 	assert.Assert(t, m.Overall(later, inProgress(pause)) > 2*before, "no answer for a while")
 }
 
-// The recovery of a server that is seldom used shows after a few answers.
+// Guards against a server that counts as slow long after its recovery because it is seldom used.
 func TestRecoveryIsSeenByAFewAnswers(t *testing.T) {
 	var m Meter
 	now := start
@@ -142,7 +143,7 @@
 	assert.Assert(t, m.Overall(later, nil) < usual*11/10, "the samples before have no weight")
 }
 
-// The overall figure weighs addresses by their requests.
+// Guards against an overall figure in which an address that is seldom called counts as much as one that is often.
 func TestOverallIsWeightedByShare(t *testing.T) {
 	var m Meter
 	now := start
--- a/internal/load/steer/rate.go
+++ b/internal/load/steer/rate.go
@@ -8,11 +8,12 @@
 )
 
 const (
-	// serviceWeight is the weight of a server's service time, over the mean, against the part of its slots that is in
-	// use. With a higher one, flows placed by the same old report crowd at the fast servers.
+	// serviceWeight is the weight of a server's service time, relative to the mean, against the part of its slots that
+	// is in use. With a higher one, too many flows that are placed by the same old report go to the fast servers.
 	serviceWeight = 0.5
-	// minRatio bounds how fast a server counts, over the mean. A lower ratio comes from answers that are errors, or from
-	// a slow server that raises the mean. Without a bound a queue at such a server would cost nothing.
+	// minRatio is the lowest ratio of a server's service time to the mean that is used. Lower ones come from answers
+	// that are errors, or from a slow server that raises the mean. Without a bound a queue at a server with such a
+	// ratio would cost nothing.
 	minRatio = 0.25
 	// estimateLifetime is the age at which an estimate has no weight any more and the server counts as one of mean
 	// speed. Servers seldom change their speed, and in a large fleet an entry hears of a server every few seconds.
@@ -20,9 +21,9 @@
 	// ProbeInterval is the time between probes: a server that is passed over because it is slow gets a flow when its
 	// agent has sent no report for this time, so that its recovery is seen.
 	ProbeInterval = 5 * time.Second
-	// choicesPerProbe bounds the probes to one flow in this many, which delays them where an entry has many slow
-	// servers and few flows.
-	choicesPerProbe = 32
+	// minChoicesPerProbe is the number of choices from one probe to the next at least, so that few flows go to slow
+	// servers. Where an entry has many slow servers and few flows, probes come later than ProbeInterval.
+	minChoicesPerProbe = 32
 )
 
 // Reason is why a server was chosen.
@@ -96,7 +97,8 @@
 	return sum / known
 }
 
-// ratio returns the service time of a candidate over the mean, at least minRatio. The older the report, the closer the ratio is to 1.
+// ratio returns the ratio of a candidate's service time to the mean, which counts as at least minRatio. The older the
+// report, the closer the ratio is to 1.
 func (c *Chooser) ratio(now time.Time, k Candidate, mean time.Duration) float64 {
 	service := c.Service(k.Agent)
 	if service == 0 || mean == 0 {
@@ -113,11 +115,11 @@
 	return serviceWeight*ratio + min(work, 1) + max(0, work-1)*ratio
 }
 
-// probe returns a server of the own failure domain that is due for a probe, the one with the oldest report first. A
-// server elsewhere is probed by the entries there.
+// probe returns the server of the own failure domain that is due for a probe and has the oldest report. A server
+// elsewhere is probed by the entries there.
 func (c *Chooser) probe(now time.Time, candidates []Candidate, tried []netip.Addr, best score) (agent netip.Addr, due bool) {
 	c.sinceProbe++
-	if c.sinceProbe < choicesPerProbe || len(tried) > 0 || best.service == 0 {
+	if c.sinceProbe < minChoicesPerProbe || len(tried) > 0 || best.service == 0 {
 		return agent, false
 	}
 	oldest := ProbeInterval
--- a/internal/load/steer/rate_test.go
+++ b/internal/load/steer/rate_test.go
@@ -31,7 +31,8 @@
 	assert.Equal(t, choose(t, c, now, list), agent(0), "a full server is not waited for")
 }
 
-// A server without an estimate counts as one of mean speed, and so does one whose estimate is old.
+// Guards against a server that is preferred or avoided for a speed that isn't known: without an estimate, or with an
+// old one, it counts as one of mean speed.
 func TestUnknownAndOldEstimatesCountAsMean(t *testing.T) {
 	c := New("zg-a", rand.New(rand.NewPCG(1, 2)), parts.Off{})
 	list := candidates(3)
@@ -106,7 +107,7 @@
 	assert.Equal(t, c.Service(agent(0)), time.Duration(0))
 }
 
-// A local server is used while its slots suffice, also if a server elsewhere is faster.
+// Guards against flows that leave the failure domain for a faster server while the slots of a local one suffice.
 func TestSurchargeDoesNotDependOnSpeed(t *testing.T) {
 	c := New("zg-b", rand.New(rand.NewPCG(1, 2)), parts.Off{})
 	list := candidates(2)
@@ -116,7 +117,8 @@
 	assert.Equal(t, choose(t, c, now, list), agent(1))
 }
 
-// Fast and slow servers with 3% of requests that take seven times as long: the part of requests that misses the
+// Guards against rates that make more requests late. Fast and slow servers with 3% of requests that take seven times
+// as long: the part of requests that misses the
 // target is never above that without rates, waits are less spread, and at 95% of capacity a quarter fewer are late.
 func TestLateRequestsOfUnequalServers(t *testing.T) {
 	for _, load := range []float64{0.5, 0.8, 0.95} {
@@ -154,7 +156,8 @@
 	return float64(own) / float64(total)
 }
 
-// A server that slows to a third gets far fewer flows within a second, but some, and has its old share within two probe
+// Guards against a slowed server that keeps its share, and against one that doesn't get it back. One that slows to a
+// third of its speed gets far fewer flows within a second, but some, and has its old share within two probe
 // intervals after its recovery.
 func TestSlowedServerGetsFewerFlowsAndRecovers(t *testing.T) {
 	f := newFleet(5, parts.Off{}, tenEqual())
@@ -216,7 +219,8 @@
 	assert.Assert(t, most[false] < 2*most[true])
 }
 
-// Servers that report the same service time are chosen as without rates, whatever their loads are.
+// Guards against rates that change the choice among equally fast servers: it is the one without rates, whatever their
+// loads are.
 func TestEqualServersAreChosenAsWithoutRates(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		with, without := New("zg-a", rand.New(rand.NewPCG(1, 2)), parts.Off{}), New("zg-a", rand.New(rand.NewPCG(1, 2)), parts.Off{Rates: true})
--- a/internal/load/steer/steer.go
+++ b/internal/load/steer/steer.go
@@ -7,7 +7,7 @@
 // looks idle, and a server that has just started is slow. Servers of one service differ in speed.
 //
 // Among the servers that may take flows, the chooser picks the one that is expected to answer first: by its
-// expected work per slot and the service time that its agent reports, over the mean of the candidates.
+// expected work per slot and the service time that its agent reports, relative to the mean of the candidates.
 // Expected work is the load last reported by the server's agent, the flows the server holds, and the flows
 // this entry has placed there since that report. A server in another failure domain is charged a fixed
 // extra amount, so that equally loaded servers are used locally. Servers that refused an opening packet,
--- a/internal/load/usage/share_test.go
+++ b/internal/load/usage/share_test.go
@@ -14,7 +14,7 @@
 	"mangowinch/internal/load/queue"
 )
 
-func exp(d time.Duration) float64 { return math.Exp(float64(d) / float64(window)) }
+func exp(d time.Duration) float64 { return math.Exp(float64(d) / float64(decayTime)) }
 
 // callerTiming says how long callers wait for their flows to open.
 var callerTiming = segs.CallerTiming{GiveUp: giveUp}
--- a/internal/load/usage/usage.go
+++ b/internal/load/usage/usage.go
@@ -1,8 +1,8 @@
 // Package usage estimates how much of a service each caller uses, so that flows of callers that use less are
 // served first.
 //
-// If callers ask for more than the servers can do, whoever opens more flows gets more, and a modest caller waits
-// behind a heavy one. The order of waiting flows (package hold) prevents this if it knows what their callers
+// If callers ask for more than the servers can do, a caller that opens more flows gets more, and a caller with few
+// flows waits behind one with many. The order of waiting flows (package hold) prevents this if it knows what their callers
 // use. An entry sees an equal part of what each caller of its failure domain sends, because routers distribute
 // flows by their hash. Its counts therefore rank the callers of the domain without an exchange between entries.
 //
@@ -12,19 +12,19 @@
 //
 // Counts are a sample, and small where a failure domain has many entries. The estimate of a caller's use therefore
 // combines its count with the mean of the callers at the entry: the expectation of a rate of which n events were
-// seen, and which was exponentially distributed with that mean before. Callers of a failure domain in a burst are so
-// told from those of others before their own counts show it; within an entry, the order is that of the counts.
+// seen, if rates are exponentially distributed with that mean. Callers of a failure domain in a burst thus get
+// higher estimates than those of others before their own counts differ; within an entry, the order is that of the counts.
 // Levels are a factor of up to two apart, and an estimate below minUse is level 0. Entries of a failure domain with
 // fewer entries see a larger part of each caller, so they scale their counts down (Counter.SetScale): one level means
 // the same use at all entries.
 //
 // The memory is bounded by the space-saving algorithm (Metwally, Agrawal, El Abbadi: Efficient Computation of
 // Frequent and Top-k Elements in Data Streams, 2005), on exponentially decayed counts. Where the algorithm
-// can't tell a caller's use from that of a caller it has replaced, the caller gets the benefit of the doubt.
+// can't tell a caller's use from that of a caller it has replaced, the lower bound of the use counts.
 // An entry that has restarted, or does not know other entries, assigns levels by its own counts alone.
 //
-// Package usage does not decide who is served, and does not limit callers that compete with nobody. The caller
-// passes in the time. A Counter is not safe for concurrent use.
+// Package usage does not decide who is served, and does not limit callers without competitors. The
+// calling code passes in the time. A Counter is not safe for concurrent use.
 //
 // # Usage
 //
@@ -45,9 +45,9 @@
 )
 
 const (
-	// window is the time constant of the decay. A caller's retries extend over some seconds; a shorter window
-	// would forget the caller between them, and a longer one would hold a past burst against it.
-	window = 4 * time.Second
+	// decayTime is the time constant of the decay. A caller's retries extend over some seconds: a shorter time would
+	// forget the caller between them, and a longer one would rank it low for a burst long past.
+	decayTime = 4 * time.Second
 	// minUse is the estimate from which a caller has a level above 0. Among equal callers with a mean of 2, one in
 	// twenty reaches it by chance.
 	minUse = 4
@@ -70,7 +70,7 @@
 	latest  time.Time
 	callers map[queue.Caller]*count
 	heap    counts  // smallest count first
-	mean    float64 // use of the callers that were seen within the window
+	mean    float64 // use of the callers that were counted within decayTime
 	meanAt  time.Time
 }
 
@@ -123,7 +123,7 @@
 	if now.After(c.latest) {
 		c.latest = now
 	}
-	growth = math.Exp(float64(c.latest.Sub(c.origin)) / float64(window))
+	growth = math.Exp(float64(c.latest.Sub(c.origin)) / float64(decayTime))
 	if growth < maxGrowth {
 		return growth
 	}
@@ -166,7 +166,8 @@
 	return (c.use(now, caller) + 1) / (1 + 1/c.mean)
 }
 
-// meanUse returns the mean use of the callers that were seen within the window.
+// meanUse returns the mean use of the callers that were counted within decayTime: those with more than what is left
+// of one request after that time.
 func (c *Counter) meanUse(now time.Time) float64 {
 	growth := c.advance(now)
 	seen, sum := 0, 0.0
@@ -180,7 +181,8 @@
 }
 
 // bounds are the estimates from which a caller has each level above 0. They are a factor of two apart up to 16, where
-// the standard deviation of a count is a quarter of it, and the square root of two from there on. Within a level, whoever opens more flows gets more.
+// the standard deviation of a count is a quarter of it, and the square root of two from there on. Within a level, a
+// caller that opens more flows gets more.
 var bounds = [MaxLevel]float64{minUse, 8, 16, 23, 32, 45, 64, 91, 128, 181, 256, 362, 512, 724, 1024}
 
 // Use is what one caller uses, as shown to operators.
--- a/internal/load/usage/usage_test.go
+++ b/internal/load/usage/usage_test.go
@@ -33,10 +33,10 @@
 	assert.DeepEqual(t, levels, []uint8{0, 0, 0, 0, 1, 1, 1, 1, 2, 2})
 	c.Add(start, site(1), 420)
 	assert.Equal(t, c.Level(start.Add(meanInterval), site(1), 1), uint8(12))
-	assert.Equal(t, c.Level(start.Add(window), site(1), 1), uint8(9))
-	assert.Equal(t, c.Level(start.Add(6*window), site(1), 1), uint8(0))
+	assert.Equal(t, c.Level(start.Add(decayTime), site(1), 1), uint8(9))
+	assert.Equal(t, c.Level(start.Add(6*decayTime), site(1), 1), uint8(0))
 	c.Add(start, site(1), 1e30)
-	assert.Equal(t, c.Level(start.Add(7*window), site(1), 1), uint8(MaxLevel))
+	assert.Equal(t, c.Level(start.Add(7*decayTime), site(1), 1), uint8(MaxLevel))
 }
 
 // Guards against a caller that pays for its weight, and against entries that rank one caller differently
@@ -67,6 +67,7 @@
 	assert.Equal(t, burst.Level(start, site(1), 1), uint8(1))
 }
 
+// Guards against a list for operators that lacks the heaviest callers, or isn't in order.
 func TestHeaviest(t *testing.T) {
 	c := New(8)
 	for i := range 5 {
@@ -78,6 +79,7 @@
 	assert.Equal(t, len(c.Heaviest(start, 20)), 5)
 }
 
+// Guards against a caller that gets the weight of another one, and against a site prefix that isn't followed.
 func TestCallersAreIdentified(t *testing.T) {
 	c := Callers{Named: []docs.Caller{{Name: "bureau", Networks: []netip.Prefix{netip.MustParsePrefix("10.9.0.0/16")}, Weight: 4}}, SiteBits: 32}
 	named := c.Identify(netip.MustParseAddr("10.9.7.1"))
