--- a/internal/conf/carry/carry.go
+++ b/internal/conf/carry/carry.go
@@ -116,25 +116,34 @@
 		s.Entry = &Entry{Bind: from.AddrPort("bind")}
 	}
 	readCallers(f, s.Entry)
-	if from, ok := f.Maybe("agent"); ok {
-		s.Agent = &Agent{
-			Service: from.Word("service"),
-			Backend: from.AddrPort("backend"),
-			Listen:  from.AddrPort("listen"),
-			Caller:  from.AddrPort("caller"),
-		}
-		if s.Entry != nil {
-			from.Fault("", strict.Invalid, "a process is either an entry or an agent")
-		}
-	} else if s.Entry == nil {
-		f.Fault(strict.Missing, "neither [entry] nor [agent]")
-	}
+	readAgent(f, s)
 	if err := f.Err(); err != nil {
 		return nil, err
 	}
 	return s, nil
 }
 
+// readAgent reads the section of an agent. A process has either this section or that of an entry, which has been
+// read before.
+func readAgent(f *strict.File, s *Settings) {
+	from, ok := f.Maybe("agent")
+	if !ok {
+		if s.Entry == nil {
+			f.Fault(strict.Missing, "neither [entry] nor [agent]")
+		}
+		return
+	}
+	s.Agent = &Agent{
+		Service: from.Word("service"),
+		Backend: from.AddrPort("backend"),
+		Listen:  from.AddrPort("listen"),
+		Caller:  from.AddrPort("caller"),
+	}
+	if s.Entry != nil {
+		from.Fault("", strict.Invalid, "a process is either an entry or an agent")
+	}
+}
+
 // maxSiteBits is the prefix length at which each address is a caller of its own.
 const maxSiteBits = 32
 
--- a/internal/flow/owner/requests.go
+++ b/internal/flow/owner/requests.go
@@ -94,7 +94,7 @@
 func (r *requests) count(now time.Time) (unused, active, overdue int) {
 	r.unused = filter(r.unused, func(p pending) bool { return r.awaited(now, p) })
 	r.active = filter(r.active, func(p pending) bool {
-		return p.flow.PendingSince.Equal(p.since) && now.Sub(p.since) < overdueRetention
+		return p.current() && now.Sub(p.since) < overdueRetention
 	})
 	limit := r.overdueAge()
 	for _, p := range r.active {
--- a/internal/load/hold/load_test.go
+++ b/internal/load/hold/load_test.go
@@ -30,45 +30,45 @@
 
 var timing = segs.CallerTiming{SendTimes: []time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond}, GiveUp: 1400 * time.Millisecond}
 
-// got is what callers of one priority got.
-type got struct{ asked, inTime, late int }
+// result counts the calls of one priority.
+type result struct{ asked, inTime, late int }
 
 // server is a server with its agent's queue.
 type server struct {
 	queue             *Queue
-	pending           map[segs.Flow]*try
+	pending           map[segs.Flow]*attempt
 	reserved, running int
 	backlog           []func()
 }
 
-// call is a caller's request, try one attempt to have it served.
+// call is a caller's request, attempt one of its attempts to have it served.
 type call struct {
 	priority, tries int
 	sent            time.Time
 	ended           bool
 }
 
-type try struct {
+type attempt struct {
 	*call
 	left bool // or refused
 }
 
-type play struct {
+type simulation struct {
 	*loop.Loop
 	random  *rand.Rand
 	off     parts.Off
 	servers []*server
 	ports   uint16
 	callers uint16
-	got     [3]got
+	results [3]result
 	opened  [3]int // flows of each priority that servers received while the load lasted
 }
 
-// runLoad plays a demand of the given multiple of the capacity.
-func runLoad(times float64, off parts.Off, seed uint64) *play {
-	p := &play{Loop: loop.New(), random: rand.New(rand.NewPCG(seed, 1)), off: off}
+// runLoad simulates a demand of the given multiple of the capacity.
+func runLoad(times float64, off parts.Off, seed uint64) *simulation {
+	p := &simulation{Loop: loop.New(), random: rand.New(rand.NewPCG(seed, 1)), off: off}
 	for range servers {
-		p.servers = append(p.servers, &server{queue: New(timing, off), pending: map[segs.Flow]*try{}})
+		p.servers = append(p.servers, &server{queue: New(timing, off), pending: map[segs.Flow]*attempt{}})
 	}
 	p.arrive(openFlowPart*capacity, func() {
 		if s := p.servers[p.random.IntN(servers)]; len(s.backlog) < urgentPerSlot*slots {
@@ -79,7 +79,7 @@
 	for i, part := range []float64{1. / 3, 2. / 3} {
 		priority := i + 1
 		p.arrive(part*demand, func() {
-			p.got[priority].asked++
+			p.results[priority].asked++
 			p.try(&call{priority: priority, sent: p.Now()})
 		})
 	}
@@ -88,7 +88,7 @@
 	return p
 }
 
-func (p *play) arrive(rate float64, f func()) {
+func (p *simulation) arrive(rate float64, f func()) {
 	p.After(time.Duration(-math.Log(1-p.random.Float64())/rate*float64(time.Second)), func() {
 		if p.Elapsed() < loadTime {
 			f()
@@ -97,7 +97,7 @@
 	})
 }
 
-func (p *play) tick() {
+func (p *simulation) tick() {
 	for _, s := range p.servers {
 		p.admit(s)
 	}
@@ -107,12 +107,12 @@
 const maxTries = 3
 
 // try starts an attempt at the least loaded of four servers. The caller leaves it after a while.
-func (p *play) try(c *call) {
+func (p *simulation) try(c *call) {
 	if c.tries == maxTries || c.ended || p.Now().Sub(c.sent) > loadTimeout {
 		return
 	}
 	c.tries++
-	a := &try{call: c}
+	a := &attempt{call: c}
 	s := p.servers[p.random.IntN(servers)]
 	for range 3 {
 		if v := p.servers[p.random.IntN(servers)]; v.load() < s.load() {
@@ -152,7 +152,7 @@
 	return Server{Expected: s.expected(), Slots: slots, Lowest: 2, Service: service}
 }
 
-func (p *play) admit(s *server) {
+func (p *simulation) admit(s *server) {
 	for _, w := range s.queue.Expire(p.Now()) {
 		delete(s.pending, w.Flow)
 	}
@@ -162,7 +162,7 @@
 	}
 }
 
-func (p *play) open(s *server, a *try) {
+func (p *simulation) open(s *server, a *attempt) {
 	s.reserved++
 	if p.Elapsed() < loadTime {
 		p.opened[a.priority]++
@@ -180,20 +180,20 @@
 			a.ended = true
 			switch took := p.Now().Add(trip).Sub(a.sent); {
 			case took <= loadTarget:
-				p.got[a.priority].inTime++
+				p.results[a.priority].inTime++
 			case took <= loadTimeout:
-				p.got[a.priority].late++
+				p.results[a.priority].late++
 			}
 		})
 	})
 }
 
-func (p *play) serve(s *server, done func()) {
+func (p *simulation) serve(s *server, done func()) {
 	s.backlog = append(s.backlog, done)
 	p.start(s)
 }
 
-func (p *play) start(s *server) {
+func (p *simulation) start(s *server) {
 	for s.running < slots && len(s.backlog) > 0 {
 		done := s.backlog[0]
 		s.backlog = s.backlog[1:]
@@ -212,7 +212,7 @@
 	const interval = floorDivisor * service / slots
 	floor := float64(servers * (loadTime / interval))
 	with, without := runLoad(5, parts.Off{}, 1), runLoad(5, parts.Off{Floor: true}, 1)
-	t.Logf("opened %d for a floor of %.0f, answered %+v; without a floor %d, %+v", with.opened[2], floor, with.got[2], without.opened[2], without.got[2])
+	t.Logf("opened %d for a floor of %.0f, answered %+v; without a floor %d, %+v", with.opened[2], floor, with.results[2], without.opened[2], without.results[2])
 	assert.Assert(t, float64(with.opened[2]) > 0.9*floor)
 	assert.Assert(t, float64(with.opened[2]) < 1.1*floor, "higher priorities lose more than the floor")
 	assert.Assert(t, float64(without.opened[2]) < 0.2*floor)
--- a/internal/load/level/level.go
+++ b/internal/load/level/level.go
@@ -8,13 +8,13 @@
 //
 // The gate keeps a level for each service and priority, the part of the new flows that is admitted:
 //
-//   - A server is full if it has reported, not long ago, a wait that takes more than half of the time left to a
-//     flow of this priority beside the server's own, or has refused such a flow. The level falls only while
-//     nearly all servers of the service are full and agents return flows: long waits alone may come from a
-//     burst that queues absorb.
-//   - If nearly all of these reports are so new that the wait can't have passed, the level falls to less than
-//     the part that is opened. By older reports it falls to somewhat more than that part, which keeps servers
-//     busy whatever has changed since.
+//   - A server is full if its agent has lately refused a flow of this priority or a higher one, or has
+//     reported a long wait: more than half of the time that such a flow has left beyond the service time. The
+//     level falls only while nearly all servers of the service are full and agents return flows: long waits
+//     alone may come from a burst that queues absorb.
+//   - If nearly all servers have reported long waits so lately that these can't have passed, the level falls to
+//     less than the part that is opened. Otherwise it falls to somewhat more than that part, which keeps servers
+//     busy whatever has changed since the reports.
 //   - The level rises by steps when a good part of the servers has room, or agents return hardly any flow. It
 //     holds in between.
 //   - A few flows are admitted at any level, so that the end of an overload is noticed. A lower priority is
@@ -94,6 +94,8 @@
 	minOutcomes = 8
 	// endDelay is how long every flow must have been admitted before an overload is reported as ended.
 	endDelay = time.Second
+	// minCount is the number of arrived flows below which a decayed count is set to zero.
+	minCount = 0.01
 	// maxServices and maxAgents bound the memory used for services, and for the agents of each.
 	maxServices = 256
 	maxAgents   = 8192
@@ -364,7 +366,7 @@
 	l.admitted *= keep
 	l.opened *= keep
 	l.returned *= keep
-	if l.arrived < 0.01 {
+	if l.arrived < minCount {
 		l.arrived, l.admitted = 0, 0
 	}
 }
--- a/internal/load/level/sim_test.go
+++ b/internal/load/level/sim_test.go
@@ -13,7 +13,7 @@
 	"mangowinch/internal/flow/msgs"
 )
 
-// The cases of this file play entries before a service whose agents queue flows, refuse by estimate after some
+// The tests of this file simulate entries before a service whose agents queue flows, refuse by estimate after some
 // visits, and report with the flows they open. Time advances in steps of a millisecond.
 const (
 	numServers  = 45
@@ -61,8 +61,8 @@
 	return msgs.NewEstimate(serviceTime, waits)
 }
 
-// play is one run, and what callers got in it.
-type play struct {
+// simulation is one run and its results.
+type simulation struct {
 	demand    func(at time.Duration) float64 // as a multiple of the capacity
 	duration  time.Duration
 	without   bool          // the level is off
@@ -90,7 +90,7 @@
 
 func agentAddr(i int) netip.Addr { return netip.AddrFrom4([4]byte{10, 0, 1, byte(i)}) }
 
-func (p *play) run() *play {
+func (p *simulation) run() *simulation {
 	p.random = rand.New(rand.NewPCG(1, 2))
 	for i := range p.gates {
 		p.gates[i] = New(rand.New(rand.NewPCG(uint64(i), 3)))
@@ -125,7 +125,7 @@
 }
 
 // attempt plays one attempt and reports whether it was taken.
-func (p *play) attempt(now time.Time, r request) bool {
+func (p *simulation) attempt(now time.Time, r request) bool {
 	left := r.first.Add(timeout).Sub(now)
 	if !p.without && !p.gates[r.entry].Admit(now, "svc", r.priority, left, numServers) {
 		p.refused++
@@ -156,7 +156,7 @@
 }
 
 // returned records a flow that an agent returns as busy.
-func (p *play) returned(now time.Time, r request, agent int) {
+func (p *simulation) returned(now time.Time, r request, agent int) {
 	p.refused++
 	p.visits += maxVisits
 	p.wasted += maxVisits * visitTime
@@ -165,16 +165,16 @@
 	}
 }
 
-func (p *play) isolated(entry, server int) bool {
+func (p *simulation) isolated(entry, server int) bool {
 	return p.cutOff && entry == 0 && server >= numServers/2
 }
 
-func (p *play) isLost(entry, server int) bool {
+func (p *simulation) isLost(entry, server int) bool {
 	return p.isolated(entry, server) || p.random.Float64() < p.lost
 }
 
 // serve ends and begins requests at a server.
-func (p *play) serve(now time.Time, i int) {
+func (p *simulation) serve(now time.Time, i int) {
 	s := &p.servers[i]
 	kept := s.running[:0]
 	for _, r := range s.running {
@@ -199,13 +199,13 @@
 			}
 			took := serviceTime + time.Duration(p.random.IntN(17)-8)*tick
 			s.running = append(s.running, running{r, now.Add(took)})
-			p.tell(now, r, i)
+			p.sendReport(now, r, i)
 		}
 	}
 }
 
-// tell sends what an agent reports when its server opens a flow.
-func (p *play) tell(now time.Time, r request, i int) {
+// sendReport sends what an agent reports when its server opens a flow.
+func (p *simulation) sendReport(now time.Time, r request, i int) {
 	if p.isLost(r.entry, i) {
 		return
 	}
@@ -221,23 +221,25 @@
 }
 
 // answered returns the requests answered in time as a part of those that could be.
-func (p *play) answered() float64 {
+func (p *simulation) answered() float64 {
 	asked := float64(p.asked[0] + p.asked[1])
 	return float64(p.inTime[0]+p.inTime[1]) / min(asked, capacity*p.duration.Seconds())
 }
 
-func (p *play) visitsPerRefusal() float64 { return float64(p.visits) / float64(max(p.refused, 1)) }
+func (p *simulation) visitsPerRefusal() float64 {
+	return float64(p.visits) / float64(max(p.refused, 1))
+}
 
 // meanTook returns the mean time of the requests answered in time.
-func (p *play) meanTook() time.Duration { return p.took / time.Duration(p.inTime[0]+p.inTime[1]) }
+func (p *simulation) meanTook() time.Duration { return p.took / time.Duration(p.inTime[0]+p.inTime[1]) }
 
 // Guards against overload in which every refused flow costs visits to several full agents, and against a
 // level that refuses flows while servers are idle, or leaves queues as long as callers wait at most.
 func TestOverloadIsRefusedWithFewVisitsAndServersStayBusy(t *testing.T) {
 	for _, times := range []float64{1.1, 1.5, 2, 5, 9} {
-		with := (&play{demand: steady(times), duration: 10 * time.Second}).run()
-		without := (&play{demand: steady(times), duration: 10 * time.Second, without: true}).run()
-		for name, p := range map[string]*play{"with": with, "without": without} {
+		with := (&simulation{demand: steady(times), duration: 10 * time.Second}).run()
+		without := (&simulation{demand: steady(times), duration: 10 * time.Second, without: true}).run()
+		for name, p := range map[string]*simulation{"with": with, "without": without} {
 			t.Logf("%.1f %s: answered %.3f after %v, refused %d, visits per refusal %.2f, time until refused %v", times, name,
 				p.answered(), p.meanTook(), p.refused, p.visitsPerRefusal(), p.wasted/time.Duration(max(p.refused, 1)))
 		}
@@ -257,7 +259,7 @@
 			for _, lost := range []float64{0, 0.3} {
 				t.Run(fmt.Sprintf("%.1f, reports every %v, %.1f lost", times, staleness, lost), func(t *testing.T) {
 					t.Parallel()
-					p := (&play{demand: steady(times), duration: 10 * time.Second, staleness: staleness, lost: lost}).run()
+					p := (&simulation{demand: steady(times), duration: 10 * time.Second, staleness: staleness, lost: lost}).run()
 					t.Logf("answered %.3f, visits per refusal %.2f, by second %v", p.answered(), p.visitsPerRefusal(), p.bySecond[:10])
 					assert.Assert(t, p.answered() > 0.95)
 				})
@@ -278,7 +280,7 @@
 			}
 			return 0.7
 		}
-		p := (&play{demand: burst, duration: 14 * time.Second, staleness: staleness}).run()
+		p := (&simulation{demand: burst, duration: 14 * time.Second, staleness: staleness}).run()
 		t.Logf("reports every %v: last refusal by an entry %v after the burst; answered by second %v", staleness, p.lastLow-5*time.Second, p.bySecond)
 		assert.Assert(t, p.lastLow < 5*time.Second+timeout+2*averageTime+steps*stepInterval)
 	}
@@ -286,7 +288,7 @@
 
 // Guards against a lower priority that is admitted in place of a higher one.
 func TestHigherPriorityIsRefusedLast(t *testing.T) {
-	p := (&play{demand: steady(2), duration: 10 * time.Second, low: 0.7}).run() // the high priority takes 0.6 of the capacity
+	p := (&simulation{demand: steady(2), duration: 10 * time.Second, low: 0.7}).run() // the high priority takes 0.6 of the capacity
 	high := float64(p.inTime[0]) / float64(p.asked[0])
 	t.Logf("high priority %.3f, all %.3f of the capacity", high, p.answered())
 	assert.Assert(t, high > 0.98)
@@ -295,7 +297,7 @@
 
 // Guards against an entry that refuses flows for servers that it doesn't hear.
 func TestEntryCutOffFromHalfOfTheAgentsRefusesNothing(t *testing.T) {
-	p := (&play{demand: steady(5), duration: 5 * time.Second, cutOff: true}).run()
+	p := (&simulation{demand: steady(5), duration: 5 * time.Second, cutOff: true}).run()
 	assert.Equal(t, p.byEntry[0], 0)
 	assert.Assert(t, p.byEntry[1] > 0)
 }
@@ -310,8 +312,8 @@
 			}
 			return 0.5
 		}
-		without := (&play{demand: burst, duration: 12 * time.Second, without: true}).run()
-		with := (&play{demand: burst, duration: 12 * time.Second}).run()
+		without := (&simulation{demand: burst, duration: 12 * time.Second, without: true}).run()
+		with := (&simulation{demand: burst, duration: 12 * time.Second}).run()
 		t.Logf("%.1f: without %.4f, %d refused; with %.4f, %d refused", times, without.answered(), without.refused, with.answered(), with.refused)
 		assert.Equal(t, without.refused, 0)
 		assert.Equal(t, with.refused, 0)
@@ -320,6 +322,6 @@
 
 // Guards against a level that falls in a deployment that can serve everything.
 func TestNothingIsRefusedBelowCapacity(t *testing.T) {
-	p := (&play{demand: steady(0.9), duration: 10 * time.Second}).run()
+	p := (&simulation{demand: steady(0.9), duration: 10 * time.Second}).run()
 	assert.Equal(t, p.refused, 0)
 }
--- a/internal/load/pace/link_test.go
+++ b/internal/load/pace/link_test.go
@@ -13,8 +13,8 @@
 
 func agentOf(n int) netip.Addr { return netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}) }
 
-// world is a link of some rate with a queue that grows while the entry sends more than the link carries.
-type world struct {
+// linkSim simulates a link of some rate with a queue that grows while the entry sends more than the link carries.
+type linkSim struct {
 	link  *Link
 	now   time.Time
 	queue float64 // bytes in front of the link
@@ -25,7 +25,7 @@
 }
 
 // run sends at the learned rate for a time over a link that carries the given rate.
-func (w *world) run(d time.Duration, carried float64, busy bool) {
+func (w *linkSim) run(d time.Duration, carried float64, busy bool) {
 	for end := w.now.Add(d); w.now.Before(end); w.now = w.now.Add(10 * time.Millisecond) {
 		if busy {
 			w.link.MarkBusy(w.now)
@@ -41,7 +41,7 @@
 
 // Guards against a rate that falls because the agents that answer are farther away than those before.
 func TestAnswersOfAnotherDomainKeepTheRate(t *testing.T) {
-	w := &world{link: NewLink(linkRate), now: start, origin: "near"}
+	w := &linkSim{link: NewLink(linkRate), now: start, origin: "near"}
 	w.run(5*time.Second, linkRate, true)
 	w.origin, w.slow, w.least = "far", 20*time.Millisecond, linkRate
 	w.run(10*time.Second, linkRate, true)
@@ -52,7 +52,7 @@
 
 // Guards against a narrowed link that isn't noticed because agents of another domain begin to answer meanwhile.
 func TestAnswersOfAnotherDomainKeepTheDelay(t *testing.T) {
-	w := &world{link: NewLink(linkRate), now: start, origin: "near"}
+	w := &linkSim{link: NewLink(linkRate), now: start, origin: "near"}
 	w.run(5*time.Second, linkRate, true)
 	w.run(500*time.Millisecond, 0.3*linkRate, true)
 	w.origin = "far"
@@ -63,7 +63,7 @@
 // Guards against a rate that stays low because all servers have become slow to accept.
 func TestDelayThatIsNotTheLinksKeepsTheRate(t *testing.T) {
 	for _, slow := range []time.Duration{15 * time.Millisecond, 20 * time.Millisecond, 200 * time.Millisecond} {
-		w := &world{link: NewLink(linkRate), now: start}
+		w := &linkSim{link: NewLink(linkRate), now: start}
 		w.run(5*time.Second, linkRate, true)
 		w.slow = slow
 		w.run(4*time.Second, linkRate, true)
@@ -79,7 +79,7 @@
 // against a rate that stays low afterwards.
 func TestRateFollowsASqueezedLink(t *testing.T) {
 	for _, part := range []float64{0.8, 0.5, 0.3} {
-		w := &world{link: NewLink(linkRate), now: start}
+		w := &linkSim{link: NewLink(linkRate), now: start}
 		w.run(5*time.Second, linkRate, true)
 		assert.Equal(t, w.link.Rate(), linkRate)
 		w.run(3*time.Second, part*linkRate, true)
@@ -94,7 +94,7 @@
 
 // Guards against a rate that falls because agents answer late while the entry sends no long flows.
 func TestDelayWithoutLongFlowsKeepsTheRate(t *testing.T) {
-	w := &world{link: NewLink(linkRate), now: start}
+	w := &linkSim{link: NewLink(linkRate), now: start}
 	w.run(time.Second, linkRate, false)
 	for range 100 {
 		w.link.Answered(w.now, w.origin, w.now.Add(-time.Second))
@@ -106,7 +106,7 @@
 
 // Guards against a rate that stays low for as long as uploads run, because too few flows are opened beside them.
 func TestRateReturnsWithoutAnswers(t *testing.T) {
-	w := &world{link: NewLink(linkRate), now: start}
+	w := &linkSim{link: NewLink(linkRate), now: start}
 	w.run(time.Second, linkRate, true)
 	w.run(5*time.Second, 0.3*linkRate, true)
 	assert.Assert(t, w.link.Rate() < 0.5*linkRate)
--- a/internal/load/parts/parts.go
+++ b/internal/load/parts/parts.go
@@ -33,7 +33,7 @@
 	Breaker  bool // no new flows for a server that aborts requests, and notification of its callers (package trip)
 	Quick    bool // few new flows for a server that answers too fast (package quick)
 	Bulk     bool // queueing of flows that occupy the entry's link for a long time (package bulk)
-	Pace     bool // packets of such flows go out at the rate of the link, after everything else (package pace)
+	Pace     bool // packets of these flows are sent at the rate of the link, after everything else (package pace)
 	Rates    bool // placement by the measured service time of each server (packages speed and steer)
 	Shares   bool // flows of callers that use less come first (package usage)
 	Level    bool // refusal at the entry while a service is overloaded (package level)
--- a/internal/load/room/meter.go
+++ b/internal/load/room/meter.go
@@ -13,8 +13,10 @@
 	// averageTime is the time over which flows are counted. Operators compare figures of processes that they
 	// ask within seconds.
 	averageTime = 5 * time.Second
-	// maxKeys and maxAgents bound the memory used for services with their priorities, and for agents.
-	maxKeys   = 1024
+	// minCount is the number of flows below which a decayed count is forgotten.
+	minCount = 0.01
+	// maxRates and maxAgents bound the memory used for rates, one for each priority of a service, and for agents.
+	maxRates  = 1024
 	maxAgents = 8192
 )
 
@@ -83,7 +85,7 @@
 // forget removes rates that have become nearly zero.
 func (m *Meter) forget(now time.Time) {
 	for k, r := range m.rates {
-		if r.decay(now); r.asked+r.opened < 0.01 {
+		if r.decay(now); r.asked+r.opened < minCount {
 			delete(m.rates, k)
 		}
 	}
@@ -128,7 +130,7 @@
 	k := key{service, priority}
 	r := m.rates[k]
 	if r == nil {
-		if len(m.rates) >= maxKeys {
+		if len(m.rates) >= maxRates {
 			return nil
 		}
 		r = &rate{at: now}
--- a/internal/load/room/room_test.go
+++ b/internal/load/room/room_test.go
@@ -147,7 +147,7 @@
 		m.Arrived(now, fmt.Sprint(i), 0)
 	}
 	assert.Equal(t, len(m.reports), maxAgents)
-	assert.Equal(t, len(m.rates), maxKeys)
+	assert.Equal(t, len(m.rates), maxRates)
 	first := netip.AddrFrom4([4]byte{10, 0, 0, 0})
 	m.Retain(now.Add(time.Minute), []netip.Addr{first})
 	assert.Equal(t, len(m.reports), 1)
--- a/internal/load/steer/rate.go
+++ b/internal/load/steer/rate.go
@@ -36,8 +36,8 @@
 	Probe  Reason = "probe" // passed over for a while because it is slow
 )
 
-// rate is what an agent has reported about the speed of its server.
-type rate struct {
+// serviceReport is what an agent has last reported about the service time of its server.
+type serviceReport struct {
 	service    time.Duration // time of a request; 0: unknown
 	reportedAt time.Time
 	probedAt   time.Time
@@ -51,18 +51,18 @@
 // nothing.
 func (c *Chooser) Expect(now time.Time, agent netip.Addr, e msgs.Estimate) {
 	if e != (msgs.Estimate{}) {
-		c.state(agent).rate.record(now, e)
+		c.state(agent).report.record(now, e)
 	}
 }
 
-func (r *rate) record(now time.Time, e msgs.Estimate) {
+func (r *serviceReport) record(now time.Time, e msgs.Estimate) {
 	r.service, r.reportedAt = e.ServiceTime(), now
 }
 
 // Service returns the time of a request that an agent last reported for its server, or 0.
 func (c *Chooser) Service(agent netip.Addr) time.Duration {
 	if s := c.states[agent]; s != nil && !c.off.Rates {
-		return s.rate.service
+		return s.report.service
 	}
 	return 0
 }
@@ -75,10 +75,10 @@
 		if s == nil {
 			continue
 		}
-		if k.Cold && !s.rate.cold {
-			s.rate.service = 0
+		if k.Cold && !s.report.cold {
+			s.report.service = 0
 		}
-		s.rate.cold = k.Cold
+		s.report.cold = k.Cold
 	}
 }
 
@@ -86,7 +86,7 @@
 func (c *Chooser) meanService(now time.Time, candidates []Candidate) time.Duration {
 	sum, known := time.Duration(0), time.Duration(0)
 	for _, k := range candidates {
-		if service := c.Service(k.Agent); service > 0 && now.Sub(c.states[k.Agent].rate.reportedAt) < estimateLifetime {
+		if service := c.Service(k.Agent); service > 0 && now.Sub(c.states[k.Agent].report.reportedAt) < estimateLifetime {
 			sum += service
 			known++
 		}
@@ -104,7 +104,7 @@
 	if service == 0 || mean == 0 {
 		return 1
 	}
-	weight := 1 - min(1, float64(now.Sub(c.states[k.Agent].rate.reportedAt))/float64(estimateLifetime))
+	weight := 1 - min(1, float64(now.Sub(c.states[k.Agent].report.reportedAt))/float64(estimateLifetime))
 	return 1 + weight*(max(minRatio, float64(service)/float64(mean))-1)
 }
 
@@ -130,7 +130,7 @@
 	}
 	if due {
 		c.sinceProbe, c.reason = 0, Probe
-		c.state(agent).rate.probedAt = now
+		c.state(agent).report.probedAt = now
 	}
 	return agent, due
 }
@@ -140,12 +140,12 @@
 // one that is avoided for other reasons.
 func (c *Chooser) reportAge(now time.Time, k Candidate, best score) time.Duration {
 	s := c.states[k.Agent]
-	if s == nil || s.rate.service == 0 || c.penalty(now, k) > 0 {
+	if s == nil || s.report.service == 0 || c.penalty(now, k) > 0 {
 		return 0
 	}
-	age := now.Sub(s.rate.reportedAt)
-	if s.rate.service <= best.service && age < estimateLifetime {
+	age := now.Sub(s.report.reportedAt)
+	if s.report.service <= best.service && age < estimateLifetime {
 		return 0
 	}
-	return min(age, now.Sub(s.rate.probedAt))
+	return min(age, now.Sub(s.report.probedAt))
 }
--- a/internal/load/steer/steer.go
+++ b/internal/load/steer/steer.go
@@ -80,7 +80,7 @@
 	avgBusy      float64 // moving average of the requests in progress
 	reportedAt   time.Time
 	placed       float64 // flows placed since the last report
-	rate         rate
+	report       serviceReport
 	noReplyUntil time.Time
 	refusedUntil time.Time
 }
@@ -217,7 +217,7 @@
 // Report records the load and the estimate that an agent reports for its server. Without an estimate the server's
 // speed is unknown: its agent has measured nothing since a restart, or measures nothing.
 func (c *Chooser) Report(now time.Time, agent netip.Addr, l msgs.Load, e msgs.Estimate) {
-	c.state(agent).rate.record(now, e)
+	c.state(agent).report.record(now, e)
 	c.ReportLoad(now, agent, l)
 }
 
--- a/internal/load/usage/share_test.go
+++ b/internal/load/usage/share_test.go
@@ -33,8 +33,8 @@
 	entries     = 4
 )
 
-// asker is a caller that opens flows at a rate, and again some time after a refusal or after it gave up.
-type asker struct {
+// simCaller is a caller that opens flows at a rate, and again some time after a refusal or after it gave up.
+type simCaller struct {
 	caller  queue.Caller
 	rate    float64 // per second
 	weight  float64
@@ -44,23 +44,23 @@
 	served  int // in time
 }
 
-// world is the callers and processes of a test of shares. Without levels, all flows have level 0.
-type world struct {
-	askers   []*asker
+// scenario is the callers and processes of a test of shares. Without levels, all flows have level 0.
+type scenario struct {
+	callers  []*simCaller
 	levels   bool
 	restarts time.Duration // between restarts of all entries; 0: none
 	domains  int           // each with entries
 }
 
-// waitingFlow is a flow with the entry and asker that it belongs to.
+// waitingFlow is a flow with the entry and simCaller that it belongs to.
 type waitingFlow struct {
-	asker   *asker
-	counter *Counter
+	simCaller *simCaller
+	counter   *Counter
 }
 
-// game is the state of a world that is played.
-type game struct {
-	*world
+// simulation is the state of a scenario that is played.
+type simulation struct {
+	*scenario
 	rnd      *rand.Rand
 	now      time.Time
 	counters [][]*Counter
@@ -68,13 +68,13 @@
 	done     [servers][]time.Time // when the requests at each server end
 	flows    map[segs.Flow]waitingFlow
 	port     uint32
-	again    map[time.Time][]*asker
+	again    map[time.Time][]*simCaller
 }
 
-// run plays the world.
-func (w *world) run() {
-	g := &game{world: w, rnd: rand.New(rand.NewPCG(1, 2)), now: start, counters: w.start(),
-		flows: map[segs.Flow]waitingFlow{}, again: map[time.Time][]*asker{}}
+// run plays the scenario.
+func (w *scenario) run() {
+	g := &simulation{scenario: w, rnd: rand.New(rand.NewPCG(1, 2)), now: start, counters: w.start(),
+		flows: map[segs.Flow]waitingFlow{}, again: map[time.Time][]*simCaller{}}
 	for i := range g.queues {
 		g.queues[i] = hold.New(callerTiming, parts.Off{})
 	}
@@ -90,12 +90,12 @@
 	}
 }
 
-// counting reports whether the askers' results count.
-func (g *game) counting() bool { return g.now.After(start.Add(settling)) }
+// counting reports whether the callers' results count.
+func (g *simulation) counting() bool { return g.now.After(start.Add(settling)) }
 
 // ask opens the flows of a step.
-func (g *game) ask() {
-	for _, a := range g.askers {
+func (g *simulation) ask() {
+	for _, a := range g.callers {
 		for x := a.rate * step.Seconds(); x > 0; x-- {
 			if g.rnd.Float64() < x {
 				if g.counting() {
@@ -112,7 +112,7 @@
 }
 
 // open opens a flow at a random entry and server.
-func (g *game) open(a *asker) {
+func (g *simulation) open(a *simCaller) {
 	g.port++
 	f := segs.Flow{CallerPort: uint16(g.port), Port: uint16(g.port >> 16)}
 	c := g.counters[a.domain][g.rnd.IntN(entries)]
@@ -125,7 +125,7 @@
 	if last == nil {
 		return
 	}
-	if o := g.flows[last.Flow].asker; o.retries {
+	if o := g.flows[last.Flow].simCaller; o.retries {
 		at := g.now.Add(10 * step)
 		g.again[at] = append(g.again[at], o)
 	}
@@ -133,27 +133,27 @@
 }
 
 // serve gives waiting flows to a server with free slots.
-func (g *game) serve(s int) {
+func (g *simulation) serve(s int) {
 	for len(g.done[s]) > 0 && !g.done[s][0].After(g.now) {
 		g.done[s] = g.done[s][1:]
 	}
 	for n := g.next(s); n != nil; n = g.next(s) {
 		o := g.flows[n.Flow]
 		g.done[s] = append(g.done[s], g.now.Add(serviceTime))
-		o.counter.Add(g.now, o.asker.caller, 1)
+		o.counter.Add(g.now, o.simCaller.caller, 1)
 		if g.counting() && g.now.Sub(n.FirstSent)+serviceTime <= target {
-			o.asker.served++
+			o.simCaller.served++
 		}
 		delete(g.flows, n.Flow)
 	}
 }
 
-func (g *game) next(s int) *hold.QueuedFlow {
+func (g *simulation) next(s int) *hold.QueuedFlow {
 	return g.queues[s].Next(g.now, hold.Server{Expected: len(g.done[s]) + 1, Slots: slots})
 }
 
 // start returns the counters of all entries, by failure domain.
-func (w *world) start() (counters [][]*Counter) {
+func (w *scenario) start() (counters [][]*Counter) {
 	for range max(w.domains, 1) {
 		var list []*Counter
 		for range entries {
@@ -164,15 +164,15 @@
 	return counters
 }
 
-// group returns n askers that ask for part of the capacity together.
-func group(first, n int, part float64) (list []*asker) {
+// group returns n callers that ask for part of the capacity together.
+func group(first, n int, part float64) (list []*simCaller) {
 	for i := range n {
-		list = append(list, &asker{caller: site(first + i), rate: part * capacity / float64(n), weight: 1})
+		list = append(list, &simCaller{caller: site(first + i), rate: part * capacity / float64(n), weight: 1})
 	}
 	return list
 }
 
-func sum(list []*asker) (asked, served int) {
+func sum(list []*simCaller) (asked, served int) {
 	for _, a := range list {
 		asked += a.asked
 		served += a.served
@@ -180,15 +180,15 @@
 	return asked, served
 }
 
-// partOf returns the part of their requests that askers get in time.
-func partOf(list []*asker) float64 {
+// partOf returns the part of their requests that callers get in time.
+func partOf(list []*simCaller) float64 {
 	asked, served := sum(list)
 	return float64(served) / float64(max(asked, 1))
 }
 
-// play runs a world of the modest askers and rivals, and returns the part that the modest ones get.
-func play(w world, modest, rivals []*asker) float64 {
-	w.askers = append(append(w.askers, modest...), rivals...)
+// play runs a scenario of the modest callers and rivals, and returns the part that the modest ones get.
+func play(w scenario, modest, rivals []*simCaller) float64 {
+	w.callers = append(append(w.callers, modest...), rivals...)
 	w.run()
 	return partOf(modest)
 }
@@ -202,9 +202,9 @@
 func TestModestCallerKeepsItsPart(t *testing.T) {
 	for _, load := range []float64{1.2, 2, 4, 9} {
 		ask := min(load/11, maxModest)
-		alone := play(world{levels: true}, group(0, 10, ask), nil)
-		beside := play(world{levels: true}, group(0, 10, ask), group(100, 10, load-ask))
-		without := play(world{}, group(0, 10, ask), group(100, 10, load-ask))
+		alone := play(scenario{levels: true}, group(0, 10, ask), nil)
+		beside := play(scenario{levels: true}, group(0, 10, ask), group(100, 10, load-ask))
+		without := play(scenario{}, group(0, 10, ask), group(100, 10, load-ask))
 		t.Logf("load %.1f: alone %.3f, beside heavy callers %.3f, without levels %.3f", load, alone, beside, without)
 		assert.Assert(t, beside >= 0.95*alone && beside > without, "load %v", load)
 	}
@@ -217,20 +217,20 @@
 // Guards against a caller that gets more because it opens ten times the flows, opens them from more addresses of
 // its site, or comes again after each refusal. All ask for more than their share, so the share is what the rivals get.
 func TestGreedyCallerGetsNoMoreThanItsShare(t *testing.T) {
-	greedy := map[string]func(list []*asker){
-		"flows": func(list []*asker) { list[0].rate *= 10 },
-		"addresses": func(list []*asker) {
+	greedy := map[string]func(list []*simCaller){
+		"flows": func(list []*simCaller) { list[0].rate *= 10 },
+		"addresses": func(list []*simCaller) {
 			for _, a := range list[1:10] {
 				a.caller = list[0].caller
 			}
 		},
-		"retries": func(list []*asker) { list[0].rate *= 3; list[0].retries = true },
+		"retries": func(list []*simCaller) { list[0].rate *= 3; list[0].retries = true },
 	}
 	for name, makeGreedy := range greedy {
 		gain := func(levels bool) float64 {
 			list := group(0, 20, 4)
 			makeGreedy(list)
-			play(world{levels: levels}, list, nil)
+			play(scenario{levels: levels}, list, nil)
 			own, rivals := 0, 0
 			for _, a := range list {
 				if a.caller == list[0].caller {
@@ -255,7 +255,7 @@
 func TestWeightGivesMore(t *testing.T) {
 	list := group(0, 10, 2)
 	list[0].weight, list[0].rate = 4, 4*list[0].rate
-	play(world{levels: true}, list, nil)
+	play(scenario{levels: true}, list, nil)
 	_, rivals := sum(list[1:])
 	gain := float64(list[0].served) / (float64(rivals) / 9)
 	assert.Assert(t, gain > 2.5 && gain < 5.5, gain)
@@ -265,8 +265,8 @@
 // without levels.
 func TestRestartsAreNotUnfair(t *testing.T) {
 	for _, between := range []time.Duration{100 * time.Millisecond, time.Second, 3 * time.Second} {
-		with := play(world{levels: true, restarts: between}, group(0, 10, 0.3), group(100, 10, 3))
-		without := play(world{restarts: between}, group(0, 10, 0.3), group(100, 10, 3))
+		with := play(scenario{levels: true, restarts: between}, group(0, 10, 0.3), group(100, 10, 3))
+		without := play(scenario{restarts: between}, group(0, 10, 0.3), group(100, 10, 3))
 		t.Logf("restarts after %v: %.3f, without levels %.3f", between, with, without)
 		assert.Assert(t, with > without-0.02, between)
 	}
@@ -279,7 +279,7 @@
 		for _, a := range burst {
 			a.domain = 1
 		}
-		return play(world{levels: levels, domains: 2}, group(0, 10, maxModest), burst)
+		return play(scenario{levels: levels, domains: 2}, group(0, 10, maxModest), burst)
 	}
 	with, without := both(true), both(false)
 	t.Logf("others get %.3f, without levels %.3f", with, without)
@@ -290,7 +290,7 @@
 // than its share beside callers that ask for a little more than theirs: its level falls until it has its share.
 func TestHeavyCallerIsNotStarved(t *testing.T) {
 	heavy := group(100, 1, 9)
-	play(world{levels: true}, group(0, 20, 1.5), heavy)
+	play(scenario{levels: true}, group(0, 20, 1.5), heavy)
 	share := (duration - settling).Seconds() * capacity / 21
 	t.Logf("served %d of a share of %.0f", heavy[0].served, share)
 	assert.Assert(t, float64(heavy[0].served) > share/maxGain && float64(heavy[0].served) < share*maxGain)
