--- a/internal/flow/owner/entry.go
+++ b/internal/flow/owner/entry.go
@@ -71,7 +71,7 @@
 	}
 	end := s.Seq + uint32(s.Len)
 	again := end == p.dataEnd
-	if p.Requests == 0 || int32(s.Ack-p.dataAck) > 0 {
+	if p.Requests == 0 || int32(s.Ack-p.dataAck) > 0 { // a new acknowledgement; sequence numbers wrap around
 		if !again {
 			p.Requests++
 		}
--- a/internal/load/level/level.go
+++ b/internal/load/level/level.go
@@ -27,8 +27,8 @@
 // The condition on waits is that of DAGOR (Zhou et al., SoCC 2018), which detects overload by queueing time
 // and not by utilization. Its fixed steps, and other additive increase and multiplicative decrease, go on
 // falling for as long as reports are old; so the level is bounded by what is opened, as in client-side
-// throttling (Beyer et al., Site Reliability Engineering, 2016, chapter 21). Credits as in Breakwater (Cho et al., OSDI 2020)
-// need messages in both directions and state of the callers at the servers.
+// throttling (Beyer et al., Site Reliability Engineering, 2016, chapter 21). Credits as in Breakwater (Cho et
+// al., OSDI 2020) need messages in both directions and state of the callers at the servers.
 //
 // Package level does not measure waits and does not choose servers. It performs no I/O: the caller passes in
 // the time and the source of randomness. A Gate is not safe for concurrent use.
--- a/internal/load/level/sim_test.go
+++ b/internal/load/level/sim_test.go
@@ -124,7 +124,7 @@
 	return p
 }
 
-// attempt plays one attempt and reports whether it was taken.
+// attempt simulates one attempt and reports whether a server has taken it.
 func (p *simulation) attempt(now time.Time, r request) bool {
 	left := r.first.Add(timeout).Sub(now)
 	if !p.without && !p.gates[r.entry].Admit(now, "svc", r.priority, left, numServers) {
--- a/internal/load/steer/sim_test.go
+++ b/internal/load/steer/sim_test.go
@@ -13,7 +13,7 @@
 	"mangowinch/internal/load/speed"
 )
 
-// fleet plays servers with agents behind entries in virtual time. Each flow is one request. A server runs as many
+// fleet simulates servers with agents behind entries in virtual time. Each flow is one request. A server runs as many
 // requests as it has slots and queues the rest, first come, first served.
 type fleet struct {
 	now      time.Time
@@ -97,7 +97,7 @@
 	return part * sum * simSlots / mean
 }
 
-// run plays for a time with flows at the given rate per second.
+// run simulates d with flows at the given rate per second.
 func (f *fleet) run(d time.Duration, rate float64) {
 	end := f.now.Add(d)
 	var next func()
--- a/internal/load/steer/steer_test.go
+++ b/internal/load/steer/steer_test.go
@@ -142,10 +142,10 @@
 	assert.Equal(t, choose(t, c, now, list), agent(1))
 }
 
-// playFullServers plays twenty entries before ten servers with short queues, of which each reports to an entry
+// simulateFullServers simulates twenty entries before ten servers with short queues, of which each reports to an entry
 // only with that entry's flows, and returns the flows opened as a part of what the servers can open. Loads do not
 // count flows in queues. The given function is called for each flow that a server returns as busy.
-func playFullServers(seed uint64, demand float64, busy func(c *Chooser, at time.Time, a netip.Addr, l msgs.Load)) (part float64) {
+func simulateFullServers(seed uint64, demand float64, busy func(c *Chooser, at time.Time, a netip.Addr, l msgs.Load)) (part float64) {
 	const entries, servers, maxQueue, took, duration = 20, 10, 3, 20, 60_000 // took, duration in ms
 	random := rand.New(rand.NewPCG(seed, 1))
 	list := candidates(servers)
@@ -191,8 +191,8 @@
 // whose own flows they open would learn that they have room again. Their load says as much as is needed.
 func TestFullServersAreUsedAgainAtOnce(t *testing.T) {
 	for _, demand := range []float64{1.1, 1.5, 2} {
-		reported := playFullServers(1, demand, func(c *Chooser, at time.Time, a netip.Addr, l msgs.Load) { c.ReportLoad(at, a, l) })
-		avoided := playFullServers(1, demand, func(c *Chooser, at time.Time, a netip.Addr, _ msgs.Load) { c.Refused(at, a) })
+		reported := simulateFullServers(1, demand, func(c *Chooser, at time.Time, a netip.Addr, l msgs.Load) { c.ReportLoad(at, a, l) })
+		avoided := simulateFullServers(1, demand, func(c *Chooser, at time.Time, a netip.Addr, _ msgs.Load) { c.Refused(at, a) })
 		t.Logf("demand %.1f: opened %.3f, with avoidance %.3f", demand, reported, avoided)
 		assert.Assert(t, reported > avoided)
 	}
--- a/internal/load/usage/share_test.go
+++ b/internal/load/usage/share_test.go
@@ -16,7 +16,7 @@
 
 func exp(d time.Duration) float64 { return math.Exp(float64(d) / float64(decayTime)) }
 
-// callerTiming says how long callers wait for their flows to open.
+// callerTiming bounds how long callers wait for their flows to open.
 var callerTiming = segs.CallerTiming{GiveUp: giveUp}
 
 // Times of the servers and callers below.
@@ -58,7 +58,7 @@
 	counter   *Counter
 }
 
-// simulation is the state of a scenario that is played.
+// simulation is the state of a simulated scenario.
 type simulation struct {
 	*scenario
 	rnd      *rand.Rand
@@ -71,7 +71,7 @@
 	again    map[time.Time][]*simCaller
 }
 
-// run plays the scenario.
+// run simulates the scenario.
 func (w *scenario) run() {
 	g := &simulation{scenario: w, rnd: rand.New(rand.NewPCG(1, 2)), now: start, counters: w.start(),
 		flows: map[segs.Flow]waitingFlow{}, again: map[time.Time][]*simCaller{}}
@@ -186,8 +186,8 @@
 	return float64(served) / float64(max(asked, 1))
 }
 
-// play runs a scenario of the modest callers and rivals, and returns the part that the modest ones get.
-func play(w scenario, modest, rivals []*simCaller) float64 {
+// simulate runs a scenario of the modest callers and rivals, and returns the part that the modest ones get.
+func simulate(w scenario, modest, rivals []*simCaller) float64 {
 	w.callers = append(append(w.callers, modest...), rivals...)
 	w.run()
 	return partOf(modest)
@@ -202,9 +202,9 @@
 func TestModestCallerKeepsItsPart(t *testing.T) {
 	for _, load := range []float64{1.2, 2, 4, 9} {
 		ask := min(load/11, maxModest)
-		alone := play(scenario{levels: true}, group(0, 10, ask), nil)
-		beside := play(scenario{levels: true}, group(0, 10, ask), group(100, 10, load-ask))
-		without := play(scenario{}, group(0, 10, ask), group(100, 10, load-ask))
+		alone := simulate(scenario{levels: true}, group(0, 10, ask), nil)
+		beside := simulate(scenario{levels: true}, group(0, 10, ask), group(100, 10, load-ask))
+		without := simulate(scenario{}, group(0, 10, ask), group(100, 10, load-ask))
 		t.Logf("load %.1f: alone %.3f, beside heavy callers %.3f, without levels %.3f", load, alone, beside, without)
 		assert.Assert(t, beside >= 0.95*alone && beside > without, "load %v", load)
 	}
@@ -230,7 +230,7 @@
 		gain := func(levels bool) float64 {
 			list := group(0, 20, 4)
 			makeGreedy(list)
-			play(scenario{levels: levels}, list, nil)
+			simulate(scenario{levels: levels}, list, nil)
 			own, rivals := 0, 0
 			for _, a := range list {
 				if a.caller == list[0].caller {
@@ -251,11 +251,11 @@
 	}
 }
 
-// Guards against weights that count for nothing.
+// Guards against weights without effect.
 func TestWeightGivesMore(t *testing.T) {
 	list := group(0, 10, 2)
 	list[0].weight, list[0].rate = 4, 4*list[0].rate
-	play(scenario{levels: true}, list, nil)
+	simulate(scenario{levels: true}, list, nil)
 	_, rivals := sum(list[1:])
 	gain := float64(list[0].served) / (float64(rivals) / 9)
 	assert.Assert(t, gain > 2.5 && gain < 5.5, gain)
@@ -265,8 +265,8 @@
 // without levels.
 func TestRestartsAreNotUnfair(t *testing.T) {
 	for _, between := range []time.Duration{100 * time.Millisecond, time.Second, 3 * time.Second} {
-		with := play(scenario{levels: true, restarts: between}, group(0, 10, 0.3), group(100, 10, 3))
-		without := play(scenario{restarts: between}, group(0, 10, 0.3), group(100, 10, 3))
+		with := simulate(scenario{levels: true, restarts: between}, group(0, 10, 0.3), group(100, 10, 3))
+		without := simulate(scenario{restarts: between}, group(0, 10, 0.3), group(100, 10, 3))
 		t.Logf("restarts after %v: %.3f, without levels %.3f", between, with, without)
 		assert.Assert(t, with > without-0.02, between)
 	}
@@ -279,7 +279,7 @@
 		for _, a := range burst {
 			a.domain = 1
 		}
-		return play(scenario{levels: levels, domains: 2}, group(0, 10, maxModest), burst)
+		return simulate(scenario{levels: levels, domains: 2}, group(0, 10, maxModest), burst)
 	}
 	with, without := both(true), both(false)
 	t.Logf("others get %.3f, without levels %.3f", with, without)
@@ -290,7 +290,7 @@
 // than its share beside callers that ask for a little more than theirs: its level falls until it has its share.
 func TestHeavyCallerIsNotStarved(t *testing.T) {
 	heavy := group(100, 1, 9)
-	play(scenario{levels: true}, group(0, 20, 1.5), heavy)
+	simulate(scenario{levels: true}, group(0, 20, 1.5), heavy)
 	share := (duration - settling).Seconds() * capacity / 21
 	t.Logf("served %d of a share of %.0f", heavy[0].served, share)
 	assert.Assert(t, float64(heavy[0].served) > share/maxGain && float64(heavy[0].served) < share*maxGain)
--- a/internal/load/usage/usage.go
+++ b/internal/load/usage/usage.go
@@ -2,9 +2,10 @@
 // served first.
 //
 // If callers ask for more than the servers can do, a caller that opens more flows gets more, and a caller with few
-// flows waits behind one with many. The order of waiting flows (package hold) prevents this if it knows what their callers
-// use. An entry sees an equal part of what each caller of its failure domain sends, because routers distribute
-// flows by their hash. Its counts therefore rank the callers of the domain without an exchange between entries.
+// flows waits behind one with many. The order of waiting flows (package hold) prevents this if it knows what their
+// callers use. An entry sees an equal part of what each caller of its failure domain sends, because routers
+// distribute flows by their hash. Its counts therefore rank the callers of the domain without an exchange between
+// entries.
 //
 // A level is the logarithm of a caller's use per weight. Only what a caller gets is counted: flows that a server has
 // opened, and requests on them. Flows that wait, or that were refused or given up, are not: a caller that is not
@@ -12,9 +13,9 @@
 //
 // Counts are a sample, and small where a failure domain has many entries. The estimate of a caller's use therefore
 // combines its count with the mean of the callers at the entry: the expectation of a rate of which n events were
-// seen, if rates are exponentially distributed with that mean. Callers of a failure domain in a burst thus get
-// higher estimates than those of others before their own counts differ; within an entry, the order is that of the counts.
-// Levels are a factor of up to two apart, and an estimate below minUse is level 0. Entries of a failure domain with
+// seen, if rates are exponentially distributed with that mean. Callers of a failure domain in a burst thus get higher
+// estimates than those of others before their own counts differ; within an entry, the order is that of the counts.
+// Levels are at most a factor of two apart, and an estimate below minUse is level 0. Entries of a failure domain with
 // fewer entries see a larger part of each caller, so they scale their counts down (Counter.SetScale): one level means
 // the same use at all entries.
 //
@@ -23,8 +24,8 @@
 // can't tell a caller's use from that of a caller it has replaced, the lower bound of the use counts.
 // An entry that has restarted, or does not know other entries, assigns levels by its own counts alone.
 //
-// Package usage does not decide who is served, and does not limit callers without competitors. The
-// calling code passes in the time. A Counter is not safe for concurrent use.
+// Package usage does not decide who is served, and does not limit callers without competitors. The calling code
+// passes in the time. A Counter is not safe for concurrent use.
 //
 // # Usage
 //
