--- a/internal/load/hold/hold.go
+++ b/internal/load/hold/hold.go
@@ -178,7 +178,7 @@
 
 // Next removes and returns the flow that is served next, or nil if the server has no room for it. Flows above
 // the lowest priority are admitted to a busier server (see limit), and so is the first flow of a priority that
-// has had less than its floor.
+// has had less than its floor. Next drops flows whose callers have given up; Expire, called before, returns them.
 func (q *Queue) Next(now time.Time, s Server) (next *QueuedFlow) {
 	q.Expire(now)
 	q.advance(now)
--- a/internal/load/pace/link_test.go
+++ b/internal/load/pace/link_test.go
@@ -47,7 +47,7 @@
 	w.run(10*time.Second, linkRate, true)
 	assert.Equal(t, w.least, linkRate)
 	w.run(3*time.Second, 0.3*linkRate, true)
-	assert.Assert(t, w.link.Rate() <= 1.3*0.3*linkRate, "a squeezed link is still found: %.2f", w.link.Rate()/linkRate)
+	assert.Assert(t, w.link.Rate() <= 1.3*0.3*linkRate, "a narrowed link is still found: %.2f", w.link.Rate()/linkRate)
 }
 
 // Guards against a narrowed link that isn't noticed because agents of another domain begin to answer meanwhile.
@@ -71,13 +71,13 @@
 		w.run(time.Minute, linkRate, true)
 		assert.Equal(t, w.least, linkRate, "%v", slow)
 		w.run(3*time.Second, 0.3*linkRate, true)
-		assert.Assert(t, w.link.Rate() <= 1.3*0.3*linkRate, "%v: a squeezed link is still found: %.2f", slow, w.link.Rate()/linkRate)
+		assert.Assert(t, w.link.Rate() <= 1.3*0.3*linkRate, "%v: a narrowed link is still found: %.2f", slow, w.link.Rate()/linkRate)
 	}
 }
 
 // Guards against a link that is narrower than stated, in front of which uploads queue for as long as it is, and
 // against a rate that stays low afterwards.
-func TestRateFollowsASqueezedLink(t *testing.T) {
+func TestRateFollowsANarrowedLink(t *testing.T) {
 	for _, part := range []float64{0.8, 0.5, 0.3} {
 		w := &linkSim{link: NewLink(linkRate), now: start}
 		w.run(5*time.Second, linkRate, true)
--- a/internal/load/pace/pace.go
+++ b/internal/load/pace/pace.go
@@ -161,13 +161,13 @@
 		q.byAddr[f.Caller] = c
 		q.callers = append(q.callers, c)
 	}
-	l := q.flows[f]
-	if l == nil {
-		l = &flow{credit: quantum}
-		q.flows[f] = l
-		c.flows = append(c.flows, l)
+	fl := q.flows[f]
+	if fl == nil {
+		fl = &flow{credit: quantum}
+		q.flows[f] = fl
+		c.flows = append(c.flows, fl)
 	}
-	l.packets = append(l.packets, Packet{Flow: f, Data: slices.Clone(data), QueuedAt: now})
+	fl.packets = append(fl.packets, Packet{Flow: f, Data: slices.Clone(data), QueuedAt: now})
 	q.add(c, 1, len(data)+overhead)
 }
 
@@ -209,10 +209,10 @@
 // dropLast drops the last packet of the flow of a caller whose turn is last.
 func (q *Queue) dropLast(c *caller) {
 	at := len(c.flows) - 1
-	l := c.flows[at]
-	last := len(l.packets) - 1
-	p := l.packets[last]
-	l.packets = l.packets[:last]
+	fl := c.flows[at]
+	last := len(fl.packets) - 1
+	p := fl.packets[last]
+	fl.packets = fl.packets[:last]
 	q.add(c, -1, -p.size())
 	q.drops.Full++
 	q.removeEmpty(c, at, p.Flow)
@@ -220,17 +220,17 @@
 
 // Discard drops the queued packets of a flow that its caller has reset.
 func (q *Queue) Discard(f segs.Flow) {
-	l := q.flows[f]
-	if l == nil {
+	fl := q.flows[f]
+	if fl == nil {
 		return
 	}
 	c := q.byAddr[f.Caller]
-	for _, p := range l.packets {
+	for _, p := range fl.packets {
 		q.add(c, -1, -p.size())
 	}
-	q.drops.Aborted += len(l.packets)
-	l.packets = nil
-	q.removeEmpty(c, slices.Index(c.flows, l), f)
+	q.drops.Aborted += len(fl.packets)
+	fl.packets = nil
+	q.removeEmpty(c, slices.Index(c.flows, fl), f)
 }
 
 // removeEmpty removes a flow and its caller if they have no packets left.
@@ -266,21 +266,21 @@
 // pop removes the first packet of the flow and the caller whose turn it is, and ends turns that are used up.
 func (q *Queue) pop() Packet {
 	c := q.callers[0]
-	l := c.flows[0]
-	p := l.packets[0]
-	l.packets = l.packets[1:]
+	fl := c.flows[0]
+	p := fl.packets[0]
+	fl.packets = fl.packets[1:]
 	q.add(c, -1, -p.size())
-	l.credit -= p.size()
+	fl.credit -= p.size()
 	c.credit -= p.size()
-	if l.credit <= 0 {
-		l.credit += quantum
-		c.flows = append(c.flows[1:], l)
+	if fl.credit <= 0 {
+		fl.credit += quantum
+		c.flows = append(c.flows[1:], fl)
 	}
 	if c.credit <= 0 {
 		c.credit += quantum
 		q.callers = append(q.callers[1:], c)
 	}
-	q.removeEmpty(c, slices.Index(c.flows, l), p.Flow)
+	q.removeEmpty(c, slices.Index(c.flows, fl), p.Flow)
 	return p
 }
 
--- a/internal/load/pace/sim_test.go
+++ b/internal/load/pace/sim_test.go
@@ -327,7 +327,7 @@
 
 // Guards against a link that carries less than stated, in front of which short packets wait behind uploads
 // although these are queued in the entry.
-func TestShortPacketsPassUploadsOnASqueezedLink(t *testing.T) {
+func TestShortPacketsPassUploadsOnANarrowedLink(t *testing.T) {
 	const carried = 0.3 * linkRate
 	for _, stated := range []float64{linkRate, 20 * carried} { // without and with flows that aren't long on the stated link
 		for seed := range uint64(3) {
