--- a/internal/load/steer/steer.go
+++ b/internal/load/steer/steer.go
@@ -7,7 +7,7 @@
 // looks idle, and a server that has just started is slow. Servers of one service differ in speed.
 //
 // Among the servers that may take flows, the chooser picks the one that is expected to answer first: by its
-// expected work per slot and the service time that its agent reports, over the mean of the candidates.
+// expected work per slot and the service time that its agent reports, relative to the mean of the candidates.
 // Expected work is the load last reported by the server's agent, the flows the server holds, and the flows
 // this entry has placed there since that report. A server in another failure domain is charged a fixed
 // extra amount, so that equally loaded servers are used locally. Servers that refused an opening packet,
@@ -80,7 +80,7 @@
 	avgBusy      float64 // moving average of the requests in progress
 	reportedAt   time.Time
 	placed       float64 // flows placed since the last report
-	rate         rate
+	report       serviceReport
 	noReplyUntil time.Time
 	refusedUntil time.Time
 }
@@ -217,7 +217,7 @@
 // Report records the load and the estimate that an agent reports for its server. Without an estimate the server's
 // speed is unknown: its agent has measured nothing since a restart, or measures nothing.
 func (c *Chooser) Report(now time.Time, agent netip.Addr, l msgs.Load, e msgs.Estimate) {
-	c.state(agent).rate.record(now, e)
+	c.state(agent).report.record(now, e)
 	c.ReportLoad(now, agent, l)
 }
 
