--- a/review/standin/consumer.go
+++ b/review/standin/consumer.go
@@ -19,6 +19,7 @@
 	rec     *record
 	conn    *net.UDPConn
 	entries []*process
+	out     *line // between consumers and entries; nil: no delay
 
 	mu     sync.Mutex
 	misses map[*process]int
@@ -96,7 +97,7 @@
 	fmt.Fprint(h, k.caller, k.callerPort, k.called, k.calledPort)
 	list := r.rotation()
 	e := list[int(h.Sum32())%len(list)]
-	_, _ = r.conn.WriteToUDPAddrPort(b, e.data) // lost if no process is there
+	r.out.pass(func() { _, _ = r.conn.WriteToUDPAddrPort(b, e.data) }) // lost if no process is there
 	return e.name
 }
 
@@ -104,11 +105,16 @@
 type consumers struct {
 	rec    *record
 	router *router
+	in     *line // between agents and consumers; nil: no delay
 	conns  []*net.UDPConn
 	addrs  []netip.Addr
 
 	mu       sync.Mutex
 	flows    map[flowKey]*request
+	sessions map[flowKey]*session
+	uploads  map[flowKey]*upload
+	outcomes map[string]int // of uploads
+	broken   []flowKey      // sessions that were reset while open
 	nextPort uint16
 	count    int
 	done     []*request
@@ -166,7 +172,8 @@
 		if err != nil {
 			return
 		}
-		c.receive(bytes.Clone(b[:n]))
+		datagram := bytes.Clone(b[:n])
+		c.in.pass(func() { c.receive(datagram) })
 	}
 }
 
@@ -250,7 +257,20 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	q := c.flows[flowKey{p.dst, p.dport, p.src, p.sport}]
+	key := flowKey{p.dst, p.dport, p.src, p.sport}
+	if !intact && !p.has(flagRST) {
+		c.damaged++
+		return
+	}
+	if f := c.sessions[key]; f != nil {
+		c.receiveSession(f, &p)
+		return
+	}
+	if f := c.uploads[key]; f != nil {
+		c.receiveUpload(f, &p)
+		return
+	}
+	q := c.flows[key]
 	if q == nil {
 		return
 	}
@@ -258,10 +278,6 @@
 		c.receiveReset(q, &p)
 		return
 	}
-	if !intact {
-		c.damaged++
-		return
-	}
 	switch {
 	case p.has(flagSYN):
 		if q.open || q.outcome != "" {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -50,6 +50,11 @@
 	stop      chan struct{}
 	trouble   bool
 	version   int
+	turn      int // of sessions
+	// clientDelay is the time that a packet takes between a consumer and the system, one way.
+	clientDelay time.Duration
+	// priorities holds the priorities of routes by name; others have 1.
+	priorities map[string]int
 }
 
 // scenario is a case: it plays it and reports whether the rule was broken.
@@ -58,6 +63,7 @@
 var scenarios = map[string]scenario{
 	"foreign-entries":   foreignEntries,
 	"cold-agent-killed": coldAgentKilled,
+	"full-server":       fullServer,
 }
 
 func main() {
@@ -93,6 +99,7 @@
 		w.keepLogs()
 		return violated
 	default:
+		w.keepLogs()
 		rec.say("the rule held")
 		return held
 	}
@@ -207,12 +214,16 @@
 	if err != nil {
 		return err
 	}
-	w.router = &router{rec: w.rec, conn: conn, entries: w.entries, misses: map[*process]int{}}
+	var out, in *line
+	if w.clientDelay > 0 {
+		out, in = newLine(w.clientDelay), newLine(w.clientDelay)
+	}
+	w.router = &router{rec: w.rec, conn: conn, entries: w.entries, misses: map[*process]int{}, out: out}
 	for _, e := range w.entries {
 		w.router.misses[e] = missesUntilOut
 	}
 	go w.router.watch(w.stop)
-	w.consumers = &consumers{rec: w.rec, router: w.router, flows: map[flowKey]*request{}}
+	w.consumers = &consumers{rec: w.rec, router: w.router, in: in, flows: map[flowKey]*request{}, sessions: map[flowKey]*session{}, uploads: map[flowKey]*upload{}, outcomes: map[string]int{}}
 	var addrs []netip.Addr
 	for i := range 8 {
 		addrs = append(addrs, w.addr(100, i+1))
@@ -240,9 +251,13 @@
 	w.version += 1 + rand.IntN(3)
 	var list []map[string]any
 	for _, r := range routes {
+		priority, ok := w.priorities[r.name]
+		if !ok {
+			priority = 1
+		}
 		list = append(list, map[string]any{
 			"name": r.name, "host": r.host.String(), "prefix": fmt.Sprintf("/%d/", r.port), "kind": "unsafe", "service": r.service,
-			"timeout_ms": r.budget.Milliseconds(), "target_latency_ms": r.target.Milliseconds(), "priority": 1, "max_attempts": 2,
+			"timeout_ms": r.budget.Milliseconds(), "target_latency_ms": r.target.Milliseconds(), "priority": priority, "max_attempts": 2,
 		})
 	}
 	w.store.put("op/config", map[string]any{
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -28,22 +28,26 @@
 	app      netip.AddrPort
 	outbound netip.AddrPort
 	slots    int
+	queued   int // requests that it queues beside those in its slots; 0: any number
 	work     time.Duration
+	spread   float64       // of the work, as a part of it, either way
 	coldFor  time.Duration // 0: it starts warm
 	rec      *record
 	store    *store
 
-	mu      sync.Mutex
-	conn    *net.UDPConn
-	born    time.Time
-	seq     int
-	state   string
-	flows   map[flowKey]*serverFlow
-	running int
-	queue   []*serverFlow
-	closed  bool
-	taken   []opening // opening packets that the server has taken
-	damaged int
+	mu       sync.Mutex
+	conn     *net.UDPConn
+	born     time.Time
+	seq      int
+	state    string
+	flows    map[flowKey]*serverFlow
+	running  int
+	queue    []*serverFlow
+	closed   bool
+	taken    []opening // opening packets that the server has taken
+	rejected int       // requests
+	resets   int       // that it has sent
+	damaged  int
 }
 
 // opening is an opening packet that a server has taken.
@@ -67,8 +71,10 @@
 	open     bool
 	ended    bool
 	attempt  string
-	response []byte
-	acked    bool
+	missing  int    // bytes of the present request that have not arrived
+	sent     uint32 // sequence number of the last response
+	response []byte // the last response
+	acked    uint32 // the consumer's last acknowledgement
 	copy     opening
 }
 
@@ -171,6 +177,7 @@
 	case p.has(flagSYN):
 		if f == nil {
 			f = &serverFlow{key: key, isn: rand.Uint32(), next: p.seq + 1, copy: opening{s.rec.sentAt(key, p.ack), now, s.coldLeft() > 0}}
+			f.sent = f.isn + 1
 			s.flows[key] = f
 			s.taken = append(s.taken, f.copy)
 		}
@@ -188,29 +195,75 @@
 
 // receiveOpen handles a packet of a flow that the server holds.
 func (s *server) receiveOpen(f *serverFlow, p *packet) {
+	f.acked = p.ack
 	if !f.open {
 		f.open = true
 		s.rec.opened(f.key, s.id)
 	}
 	switch {
 	case p.has(flagFIN):
-		f.ended, f.acked = true, true
+		f.ended = true
 		f.next = p.seq + uint32(len(p.data)) + 1
 		s.reply(f, flagFIN|flagACK, f.after(), nil)
 	case f.ended && len(p.data) > 0:
+		s.resets++
 		s.reply(f, flagRST, f.after(), nil)
 	case len(p.data) > 0 && p.seq == f.next:
 		f.next += uint32(len(p.data))
-		f.attempt = header(p.data, "X-Attempt-Id")
-		s.queue = append(s.queue, f)
-		s.runQueued()
-	case len(p.data) > 0 && f.response != nil:
-		s.reply(f, flagACK, f.isn+1, f.response)
+		s.receiveData(f, p.data)
+	case len(p.data) > 0 && p.ack != f.after():
+		s.reply(f, flagACK, f.sent, f.response)
+	case len(p.data) > 0:
+		s.reply(f, flagACK, f.after(), nil)
 	}
 }
 
+// receiveData handles new data of a request. A server that is full rejects a request when it has its head. If the rest
+// of the request is still to come, it ends the flow.
+func (s *server) receiveData(f *serverFlow, data []byte) {
+	if f.missing > 0 {
+		f.missing -= len(data)
+	} else {
+		f.attempt = header(data, "X-Attempt-Id")
+		length, _ := strconv.Atoi(header(data, "Content-Length"))
+		_, body, _ := bytes.Cut(data, []byte("\r\n\r\n"))
+		f.missing = length - len(body)
+		if s.queued > 0 && s.running+len(s.queue) >= s.slots+s.queued {
+			s.reject(f)
+			return
+		}
+	}
+	if f.missing > 0 {
+		s.reply(f, flagACK, f.after(), nil)
+		return
+	}
+	s.queue = append(s.queue, f)
+	s.runQueued()
+}
+
+// reject answers that a request has not been run.
+func (s *server) reject(f *serverFlow) {
+	s.rejected++
+	s.rec.line("attempt %s: server %s is full and rejects it, %d bytes of it are still to come", f.attempt, s.id, f.missing)
+	f.sent = f.after()
+	f.response = fmt.Appendf(nil, "HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: %s\r\nX-Not-Executed: true\r\nContent-Length: 0\r\n\r\n", f.attempt)
+	s.reply(f, flagACK, f.sent, f.response)
+	if f.missing > 0 {
+		f.missing, f.ended = 0, true
+		s.reply(f, flagFIN|flagACK, f.after(), nil)
+	}
+}
+
+// holds reports whether the server has a flow open.
+func (s *server) holds(k flowKey) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f := s.flows[k]
+	return f != nil && f.open && !f.ended && !s.closed
+}
+
 // after is the sequence number after what the server has sent.
-func (f *serverFlow) after() uint32 { return f.isn + 1 + uint32(len(f.response)) }
+func (f *serverFlow) after() uint32 { return f.sent + uint32(len(f.response)) }
 
 // runQueued begins with queued requests while slots are free.
 func (s *server) runQueued() {
@@ -219,7 +272,7 @@
 		s.queue = s.queue[1:]
 		s.running++
 		s.rec.ran(f.attempt, s.id, s.service)
-		work := s.work
+		work := time.Duration(float64(s.work) * (1 + s.spread*(2*rand.Float64()-1)))
 		if s.coldLeft() > 0 {
 			work = work * 16 / 10
 		}
@@ -235,22 +288,24 @@
 		return
 	}
 	body := bytes.Repeat([]byte("x"), 300)
+	f.sent = f.after()
 	f.response = fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Signature: %s\r\nContent-Length: %d\r\n\r\n%s", f.attempt, sign(f.attempt), len(body), body)
-	s.reply(f, flagACK, f.isn+1, f.response)
-	s.repeat(f, 200*time.Millisecond, 8)
+	s.reply(f, flagACK, f.sent, f.response)
+	s.repeat(f, f.sent, 200*time.Millisecond, 8)
 	s.runQueued()
 }
 
-// repeat sends a response again until the consumer has acknowledged it.
-func (s *server) repeat(f *serverFlow, after time.Duration, left int) {
+// repeat sends a response again until the consumer has sent something after it.
+func (s *server) repeat(f *serverFlow, sent uint32, after time.Duration, left int) {
+	next := f.next
 	time.AfterFunc(after, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		if f.acked || s.closed || left == 0 || f.ended {
+		if f.next != next || f.sent != sent || s.closed || left == 0 || f.ended || f.acked == f.after() {
 			return
 		}
-		s.reply(f, flagACK, f.isn+1, f.response)
-		s.repeat(f, min(2*after, 1600*time.Millisecond), left-1)
+		s.reply(f, flagACK, f.sent, f.response)
+		s.repeat(f, sent, min(2*after, 1600*time.Millisecond), left-1)
 	})
 }
 
