--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -201,6 +201,8 @@
 		s.rec.opened(f.key, s.id)
 	}
 	switch {
+	case p.has(flagFIN) && f.ended:
+		s.reply(f, flagACK, f.after(), nil)
 	case p.has(flagFIN):
 		f.ended = true
 		f.next = p.seq + uint32(len(p.data)) + 1
--- a/review/standin/session.go
+++ b/review/standin/session.go
@@ -254,6 +254,8 @@
 		}
 		c.sendPacket(f.key, flagFIN|flagACK, f.isn+1+f.sent, f.ack, nil)
 		c.endUpload(f, outcome)
+	case p.has(flagFIN):
+		c.sendPacket(f.key, flagACK, f.isn+2+f.sent, p.seq+1, nil)
 	case f.outcome == "" && p.ack-f.isn-1 <= f.sent:
 		f.acked = max(f.acked, p.ack-f.isn-1)
 		c.sendWindow(f)
