settings-changed says what has changed, and comes only if something has

Entries logged settings-changed every 2 s: sameSettings compared the pointer to the section about callers, which each reading allocates anew. The sections are compared by value now, and the line names those that differ.

--- a/internal/node/opaque/reload.go
+++ b/internal/node/opaque/reload.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"net/netip"
 	"os"
 	"os/signal"
+	"reflect"
 	"syscall"
 	"time"
 
@@ -40,31 +42,44 @@
 			continue
 		}
 		lastErr = ""
-		if sameSettings(p.settings, s) {
+		changed := changedSections(p.settings, s)
+		if len(changed) == 0 {
 			continue
 		}
-		p.events.State("settings-changed").Send()
+		p.events.State("settings-changed").Strs("changed", changed).Send()
 		p.settings = s
 		p.follow.SetSeeds(addrsOf(s.Seeds))
 		apply(s)
 	}
 }
 
-// sameSettings reports whether two settings are equal.
-func sameSettings(a, b *carry.Settings) bool {
-	if a.Process != b.Process || a.Platform != b.Platform || a.Link != b.Link || a.LinkBind != b.LinkBind || a.Bounds != b.Bounds || len(a.Seeds) != len(b.Seeds) {
-		return false
+// changedSections returns the names of the settings that differ. Those that take effect at the next start only count
+// too.
+func changedSections(a, b *carry.Settings) (changed []string) {
+	sections := []struct {
+		name   string
+		before any
+		after  any
+	}{
+		{"process", a.Process, b.Process},
+		{"platform", a.Platform, b.Platform},
+		{"link", link{a.Link, a.LinkBind, a.Rate}, link{b.Link, b.LinkBind, b.Rate}},
+		{"peers", a.Seeds, b.Seeds},
+		{"bounds", a.Bounds, b.Bounds},
+		{"entry", a.Entry, b.Entry},
+		{"agent", a.Agent, b.Agent},
+		{"without", a.Without, b.Without},
 	}
-	for i := range a.Seeds {
-		if a.Seeds[i] != b.Seeds[i] {
-			return false
+	for _, s := range sections {
+		if !reflect.DeepEqual(s.before, s.after) {
+			changed = append(changed, s.name)
 		}
 	}
-	if a.Entry != nil && b.Entry != nil {
-		return *a.Entry == *b.Entry
-	}
-	if a.Agent != nil && b.Agent != nil {
-		return *a.Agent == *b.Agent
-	}
-	return a.Entry == b.Entry && a.Agent == b.Agent
+	return changed
+}
+
+// link holds the settings of the section about the link.
+type link struct {
+	address, bind netip.AddrPort
+	rate          float64
 }
