Lines that tell the incident's hypotheses apart

placed and opened name the service that the flow is for and the one that the agent's settings state, opened its revision too; copied says where a copy of an opening packet went and which service the message named; server-other says that the platform's entry at an agent's address is of another service than its settings. No decision changes.

--- a/internal/node/edge/place.go
+++ b/internal/node/edge/place.go
@@ -38,7 +38,7 @@
 		if p.Requests > 0 { // the caller uses the port again, for a new flow
 			p.Usage = e.shares.level(now, s.Flow)
 		}
-		e.forwardOpening(v, last.Agent, p, datagram)
+		e.forwardOpening(v, last.Agent, p, s, datagram)
 		return
 	}
 	p.LastUsed = now
@@ -85,7 +85,7 @@
 	if p.Attempts > 1 {
 		class = event.Failure
 	}
-	e.Events.Flow(class, "placed", s.Flow).Stringer("agent", agent).Int("try", p.Attempts).
+	e.Events.Flow(class, "placed", s.Flow).Stringer("agent", agent).Str("to", pickService(route.Shares, s.Flow)).Int("try", p.Attempts).
 		Str("by", string(e.chooser.Reason())).Dur("service", e.chooser.Service(agent)).Uint8("usage", p.Usage).
 		Int64("version", v.Version()).Stringer("revision", v.Revision).Send()
 	e.send(v, agent, msgs.Forward{LastResort: p.Returned, Hops: p.Usage, Packet: datagram})
@@ -93,7 +93,10 @@
 
 // forwardOpening forwards a copy of an opening packet to the agent that the flow was offered to, with the level of
 // its caller in Hops.
-func (e *Entry) forwardOpening(v *belief.View, agent netip.Addr, p *owner.EntryFlow, datagram []byte) {
+func (e *Entry) forwardOpening(v *belief.View, agent netip.Addr, p *owner.EntryFlow, s *segs.Segment, datagram []byte) {
+	server, _ := v.Server(agent)
+	e.Events.Flow(event.Failure, "copied", s.Flow).Stringer("agent", agent).Str("to", server.Service).Uint32("copy", s.Ack).
+		Int64("version", v.Version()).Stringer("revision", v.Revision).Send()
 	e.send(v, agent, msgs.Forward{Hops: p.Usage, Packet: datagram})
 }
 
@@ -101,7 +104,7 @@
 // the caller's retransmission is sent to that agent again. Otherwise the flow is refused.
 func (e *Entry) unplaceable(now time.Time, v *belief.View, route *belief.Route, p *owner.EntryFlow, s *segs.Segment, datagram []byte, servers int) {
 	if last := p.Last(); last != nil {
-		e.forwardOpening(v, last.Agent, p, datagram)
+		e.forwardOpening(v, last.Agent, p, s, datagram)
 		return
 	}
 	if servers == 0 {
--- a/internal/node/local/local.go
+++ b/internal/node/local/local.go
@@ -118,6 +118,7 @@
 	warmUp           warm.Limiter
 	pendingResets    []segs.Flow // idle flows to reset while the breaker is open
 	server           serverState
+	otherID          string    // ID of the last server that server-other was logged for
 	lastDown         time.Time // when the server's address last refused a packet
 	wasEvacuated     bool      // the failure domain was evacuated at some time since the agent's start
 	unansweredSince  time.Time // when the first opening packet was sent since the server's last packet; zero if none
@@ -215,6 +216,7 @@
 	defer a.mu.Unlock()
 	v := a.Log.View()
 	a.evacuate(now, v)
+	a.reportOtherService(v)
 	if self, ok := a.self(v); ok {
 		a.updateServer(v, self)
 		a.flows.SetSlots(self.Slots)
@@ -271,6 +273,18 @@
 		Bool("whole", a.server.newer).Send()
 }
 
+// reportOtherService logs that the platform's record of the server at this agent's address names another service than
+// the settings.
+func (a *Agent) reportOtherService(v *belief.View) {
+	s, ok := v.Server(a.Self)
+	if !ok || s.Service == a.Service || s.ID == a.otherID {
+		return
+	}
+	a.otherID = s.ID
+	a.Events.State("server-other").Str("id", s.ID).Str("service", s.Service).Str("own", a.Service).
+		Stringer("created", s.Created).Stringer("revision", v.Revision).Send()
+}
+
 // register sends a home the locations of flows that this agent owns and that the home is responsible for.
 func (a *Agent) register(now time.Time, home netip.Addr, locations []msgs.Location) {
 	if home == a.Self {
--- a/internal/node/local/server.go
+++ b/internal/node/local/server.go
@@ -89,8 +89,8 @@
 	m := msgs.Opened{Header: a.head(), Flow: s.Flow, Seq: o.Seq, Load: a.flows.Load(now), Estimate: a.estimate(now)}
 	a.buf = m.AppendTo(a.buf[:0])
 	a.Wire.ToPeer(o.Origin, a.buf)
-	a.Events.Flow(event.Ordinary, "opened", s.Flow).Stringer("entry", o.Origin).Uint16("busy", m.Load.Busy).
-		Uint16("flows", m.Load.Flows).Dur("took", now.Sub(o.Created)).Send()
+	a.Events.Flow(event.Ordinary, "opened", s.Flow).Stringer("entry", o.Origin).Str("to", a.Service).Uint16("busy", m.Load.Busy).
+		Uint16("flows", m.Load.Flows).Dur("took", now.Sub(o.Created)).Stringer("revision", m.Revision).Send()
 }
 
 // handleReturned processes a caller's packet that the server returned. The datagram has been restored to what
--- a/internal/oper/story/story.go
+++ b/internal/oper/story/story.go
@@ -153,6 +153,7 @@
 	"told":        "its packets are forwarded to the agent that owns it",
 	"learned":     "held by a server whose agent has restarted",
 	"waits":       "waiting at an agent for a slot of its server; whether it got one is not in these lines",
+	"copied":      "a copy of its opening packet was sent to the same agent; whether its server accepted is not in these lines",
 	"link-late":   "unanswered because the entry's own link is late; its opening packet was sent to the same agent again",
 	"link-waits":  "waiting at an entry for its turn at the entry's link; whether it got one is not in these lines",
 	"offered":     "offered to another agent, whose lines are not among those read",
