An opening packet names the service of its route, not the one that is now at an address

What callers saw: a request ran at a service that its route doesn't name. Cause, the second hypothesis: an entry put into the message the service of the server that its view has at the agent's address. For a first packet that is the service of the route; for a copy, or for a port that the caller uses again, the address may have gone to another service since, or to nobody, and the message then named that service, or none, and the agent of the new server took the flow.

The tests failed before: one server, a copy after the view has the new server (1 flow opened there); a port used again, after the server was replaced and after it was removed (1 flow opened there each); an opening packet that names no service (1 opened).

The name comes from the route now, for each packet anew, so it doesn't depend on what the view has at an address; an agent returns packets that name no service. A flow whose last agent has no server of the service any more is placed anew, not sent there again: its server has ended. Messages keep their form; data packets name no service any more, which agents never read.

--- a/internal/node/edge/edge.go
+++ b/internal/node/edge/edge.go
@@ -348,9 +348,6 @@
 func (e *Entry) send(v *belief.View, agent netip.Addr, m msgs.Forward) {
 	m.Origin, m.Domain = e.Self, belief.DomainHash(e.Domain)
 	m.Revision = v.Revision
-	if server, ok := v.Server(agent); ok {
-		m.Service = belief.ServiceHash(server.Service)
-	}
 	e.buf = m.AppendTo(e.buf[:0])
 	e.Wire.ToPeer(agent, e.buf)
 	forwarded.Inc()
--- a/internal/node/edge/place.go
+++ b/internal/node/edge/place.go
@@ -18,7 +18,8 @@
 		e.refuse(now, s, "cut-off")
 		return
 	}
-	p := e.flows.Get(s.Flow)
+	service := pickService(route.Shares, s.Flow)
+	p := e.placedFlow(v, s.Flow, service)
 	if p == nil {
 		if !e.bulk.Contains(s.Flow) {
 			e.countAsked(now, route, s)
@@ -38,13 +39,28 @@
 		if p.Requests > 0 { // the caller uses the port again, for a new flow
 			p.Usage = e.shares.level(now, s.Flow)
 		}
-		e.forwardOpening(v, last.Agent, p, s, datagram)
+		e.forwardOpening(v, last.Agent, service, p, s, datagram)
 		return
 	}
 	p.LastUsed = now
 	e.place(now, v, route, p, s, p.Tried(), datagram)
 }
 
+// placedFlow returns the state of a flow whose opening packet was sent to an agent before. It returns nil for a new flow,
+// and deletes the state of one that was sent to an agent at whose address the view has no server of the service any more:
+// that server has ended, and the flow with it.
+func (e *Entry) placedFlow(v *belief.View, f segs.Flow, service string) *owner.EntryFlow {
+	p := e.flows.Get(f)
+	if p == nil || p.Last() == nil {
+		return p
+	}
+	if server, ok := v.Server(p.Last().Agent); !ok || server.Service != service {
+		e.flows.Delete(f)
+		return nil
+	}
+	return p
+}
+
 // retryElsewhere reports whether a retransmitted opening packet goes to an agent other than the last one,
 // because the last one has not answered. The agent that did not answer is probed, and gets no new flows for
 // a while unless the entry's own link explains why its answer is missing.
@@ -64,10 +80,11 @@
 
 // place sends an opening packet to the best agent that has not been tried.
 func (e *Entry) place(now time.Time, v *belief.View, route *belief.Route, p *owner.EntryFlow, s *segs.Segment, tried []netip.Addr, datagram []byte) {
-	candidates := e.candidates(now, v, route, s.Flow)
+	service := pickService(route.Shares, s.Flow)
+	candidates := e.candidates(now, v, service)
 	agent, ok := e.chooser.Choose(now, candidates, tried)
 	if !ok || p.Attempts >= maxAttempts {
-		e.unplaceable(now, v, route, p, s, datagram, len(candidates))
+		e.unplaceable(now, v, service, p, s, datagram, len(candidates))
 		return
 	}
 	if p.Attempts == 0 {
@@ -85,39 +102,44 @@
 	if p.Attempts > 1 {
 		class = event.Failure
 	}
-	e.Events.Flow(class, "placed", s.Flow).Stringer("agent", agent).Str("to", pickService(route.Shares, s.Flow)).Int("try", p.Attempts).
+	e.Events.Flow(class, "placed", s.Flow).Stringer("agent", agent).Str("to", service).Int("try", p.Attempts).
 		Str("by", string(e.chooser.Reason())).Dur("service", e.chooser.Service(agent)).Uint8("usage", p.Usage).
 		Int64("version", v.Version()).Stringer("revision", v.Revision).Send()
-	e.send(v, agent, msgs.Forward{LastResort: p.Returned, Hops: p.Usage, Packet: datagram})
+	e.sendOpening(v, agent, service, msgs.Forward{LastResort: p.Returned, Hops: p.Usage, Packet: datagram})
 }
 
 // forwardOpening forwards a copy of an opening packet to the agent that the flow was offered to, with the level of
 // its caller in Hops.
-func (e *Entry) forwardOpening(v *belief.View, agent netip.Addr, p *owner.EntryFlow, s *segs.Segment, datagram []byte) {
-	server, _ := v.Server(agent)
-	e.Events.Flow(event.Failure, "copied", s.Flow).Stringer("agent", agent).Str("to", server.Service).Uint32("copy", s.Ack).
+func (e *Entry) forwardOpening(v *belief.View, agent netip.Addr, service string, p *owner.EntryFlow, s *segs.Segment, datagram []byte) {
+	e.Events.Flow(event.Failure, "copied", s.Flow).Stringer("agent", agent).Str("to", service).Uint32("copy", s.Ack).
 		Int64("version", v.Version()).Stringer("revision", v.Revision).Send()
-	e.send(v, agent, msgs.Forward{Hops: p.Usage, Packet: datagram})
+	e.sendOpening(v, agent, service, msgs.Forward{Hops: p.Usage, Packet: datagram})
+}
+
+// sendOpening sends an opening packet with the service that its route selects. The agent compares it with its server's
+// service, which may be another one than the view has at that address, or than it had when the flow was placed there.
+func (e *Entry) sendOpening(v *belief.View, agent netip.Addr, service string, m msgs.Forward) {
+	m.Service = belief.ServiceHash(service)
+	e.send(v, agent, m)
 }
 
 // unplaceable handles a new flow for which no further server is available. While an agent may still answer,
 // the caller's retransmission is sent to that agent again. Otherwise the flow is refused.
-func (e *Entry) unplaceable(now time.Time, v *belief.View, route *belief.Route, p *owner.EntryFlow, s *segs.Segment, datagram []byte, servers int) {
+func (e *Entry) unplaceable(now time.Time, v *belief.View, service string, p *owner.EntryFlow, s *segs.Segment, datagram []byte, servers int) {
 	if last := p.Last(); last != nil {
-		e.forwardOpening(v, last.Agent, p, s, datagram)
+		e.forwardOpening(v, last.Agent, service, p, s, datagram)
 		return
 	}
 	if servers == 0 {
-		e.refuse(now, s, e.unservedReason(v, pickService(route.Shares, s.Flow)))
+		e.refuse(now, s, e.unservedReason(v, service))
 		return
 	}
 	e.refuse(now, s, "untaken")
 }
 
-// candidates returns the servers to which the route sends this flow. If the route has several services, the
-// flow's hash selects one, so that retransmissions that arrive by other entries go to the same service.
-func (e *Entry) candidates(now time.Time, v *belief.View, route *belief.Route, f segs.Flow) (list []steer.Candidate) {
-	for _, s := range v.Servers(pickService(route.Shares, f)) {
+// candidates returns the servers of a service that may get a new flow.
+func (e *Entry) candidates(now time.Time, v *belief.View, service string) (list []steer.Candidate) {
+	for _, s := range v.Servers(service) {
 		if s.State == belief.Unknown || e.evacuated(v, s.Domain) {
 			continue
 		}
@@ -133,7 +155,8 @@
 	return list
 }
 
-// pickService selects one of the shares in proportion to their weights.
+// pickService selects one of the shares in proportion to their weights, by the flow's hash, so that copies of an opening
+// packet that arrive by other entries go to the same service.
 func pickService(shares []belief.Share, f segs.Flow) (service string) {
 	total := 0
 	for _, s := range shares {
--- a/internal/node/local/caller.go
+++ b/internal/node/local/caller.go
@@ -206,7 +206,7 @@
 func (a *Agent) refusalReason(now time.Time, m msgs.Offer, s *segs.Segment) msgs.Reason {
 	v := a.Log.View()
 	switch {
-	case m.Service != 0 && m.Service != a.hash:
+	case m.Service != a.hash:
 		// The address belonged to a server of another service until a moment ago, and the entry has not
 		// received the update yet. Without this check the flow would run on a server of the wrong service.
 		return msgs.ReasonService
