Flows for an agent's former service don't reach its next server

What callers saw: a request ran at a service that its route doesn't name, several in the same millisecond. Cause, the third hypothesis: the name in an opening packet was compared with the agent's service when the packet came, not when the server got it. Flows that waited for a slot stayed in the queue when the agent's service changed, and went to the next server together; a copy of an opening packet that the former server had been given went to the next one unchecked.

--- a/internal/node/local/caller.go
+++ b/internal/node/local/caller.go
@@ -55,6 +55,10 @@
 // placeOpening gives an opening packet to the local server, offers it to a less busy one, or returns it to the
 // entry.
 func (a *Agent) placeOpening(now time.Time, m msgs.Offer, s *segs.Segment) {
+	if m.Service != a.hash {
+		a.returnOpening(now, m.Origin, s, m.Packet, msgs.ReasonService)
+		return
+	}
 	if o := a.flows.Get(s.Flow); o != nil {
 		o.LastUsed = now
 		a.Wire.ToServer(m.Packet) // a retransmission: the server's answer was lost or is on its way
@@ -206,10 +210,6 @@
 func (a *Agent) refusalReason(now time.Time, m msgs.Offer, s *segs.Segment) msgs.Reason {
 	v := a.Log.View()
 	switch {
-	case m.Service != a.hash:
-		// The address belonged to a server of another service until a moment ago, and the entry has not
-		// received the update yet. Without this check the flow would run on a server of the wrong service.
-		return msgs.ReasonService
 	case v.Evacuated(a.Domain):
 		return msgs.ReasonEvacuated
 	case a.leaving:
--- a/internal/node/local/local.go
+++ b/internal/node/local/local.go
@@ -151,14 +151,6 @@
 	return a.flows.Load(now)
 }
 
-// SetService sets the service that the server belongs to from now on. New flows of any other service are
-// returned.
-func (a *Agent) SetService(service string) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.Service, a.hash = service, belief.ServiceHash(service)
-}
-
 // Waiting returns the number of flows that wait for the server.
 func (a *Agent) Waiting() int {
 	a.mu.Lock()
--- a/internal/node/opaque/agent.go
+++ b/internal/node/opaque/agent.go
@@ -39,7 +39,7 @@
 	return p.serve(ctx, g.Tick,
 		func(s *carry.Settings) {
 			if s.Agent != nil { // a changed role takes effect at the next start
-				g.SetService(s.Agent.Service)
+				g.SetService(time.Now(), s.Agent.Service)
 			}
 		},
 		func() {
