An agent confirms its server's service before the next server at the address gets a flow

What callers saw: a request ran at a service that its route doesn't name. Cause, the first hypothesis: the server at an agent's address was replaced by one of another service, and the agent read the change of its settings up to 2 s later. Until then it took flows for the former service, which entries send until they have the new server's entry, and gave them to the new server.

Ruled out: entries' names, which were those of the route.

An address is used again after 2 s at the earliest. If the server has been silent for a second, or has sent its first packet after such a silence, the agent reads its settings (50 us) before an opening packet, copy or flow from its queue goes to it, and returns the flow if it is for another service. It also does if the platform's entry of exactly its server's address names another service, as settings may change later than the server. Settings that can't be read may be about to be replaced: for 2 s they count as not confirmed, then the former ones are in force again.

--- a/internal/node/local/caller.go
+++ b/internal/node/local/caller.go
@@ -55,11 +55,11 @@
 // placeOpening gives an opening packet to the local server, offers it to a less busy one, or returns it to the
 // entry.
 func (a *Agent) placeOpening(now time.Time, m msgs.Offer, s *segs.Segment) {
-	if m.Service != a.hash {
-		a.returnOpening(now, m.Origin, s, m.Packet, msgs.ReasonService)
-		return
-	}
 	if o := a.flows.Get(s.Flow); o != nil {
+		if !a.servesOpening(now, m.Service) {
+			a.returnOpening(now, m.Origin, s, m.Packet, msgs.ReasonService)
+			return
+		}
 		o.LastUsed = now
 		a.Wire.ToServer(m.Packet) // a retransmission: the server's answer was lost or is on its way
 		return
@@ -133,6 +133,9 @@
 // admit gives waiting flows to the server while it has free slots.
 func (a *Agent) admit(now time.Time) {
 	a.expireWaiting(now)
+	if a.waiting.Len() > 0 && !a.confirmService(now) {
+		a.returnAllWaiting(now, msgs.ReasonService)
+	}
 	for a.waiting.Len() > 0 && a.mayOpen(now) {
 		w := a.waiting.Next(now, a.serverState(now))
 		if w == nil {
@@ -210,6 +213,8 @@
 func (a *Agent) refusalReason(now time.Time, m msgs.Offer, s *segs.Segment) msgs.Reason {
 	v := a.Log.View()
 	switch {
+	case m.Service != a.hash:
+		return msgs.ReasonService
 	case v.Evacuated(a.Domain):
 		return msgs.ReasonEvacuated
 	case a.leaving:
@@ -228,6 +233,9 @@
 	if self, ok := a.self(v); ok && self.State == belief.Draining {
 		return msgs.ReasonDraining
 	}
+	if !a.servesOpening(now, m.Service) { // last, because it may read the settings
+		return msgs.ReasonService
+	}
 	return 0
 }
 
--- a/internal/node/local/local.go
+++ b/internal/node/local/local.go
@@ -56,9 +56,12 @@
 
 // Config holds the settings and dependencies of an Agent.
 type Config struct {
-	Self             netip.Addr
-	Domain           string // failure domain
-	Service          string
+	Self    netip.Addr
+	Domain  string // failure domain
+	Service string
+	// ReadService reads the service of the server from the settings again; nil if it can't change. It is called with the
+	// agent's lock held.
+	ReadService      func() (service string, err error)
 	Backend          netip.AddrPort
 	Log              *belief.Log
 	Control          Control
@@ -118,6 +121,7 @@
 	warmUp           warm.Limiter
 	pendingResets    []segs.Flow // idle flows to reset while the breaker is open
 	server           serverState
+	confirmed        confirmation
 	otherID          string    // ID of the last server that server-other was logged for
 	lastDown         time.Time // when the server's address last refused a packet
 	wasEvacuated     bool      // the failure domain was evacuated at some time since the agent's start
--- a/internal/node/local/warmup.go
+++ b/internal/node/local/warmup.go
@@ -29,6 +29,7 @@
 
 // serverResponded notes that the server has sent a packet.
 func (a *Agent) serverResponded(now time.Time) {
+	a.confirmed.serverSent(now)
 	wasUnavailable := !a.lastDown.IsZero() || !a.unansweredSince.IsZero() && now.Sub(a.unansweredSince) >= unresponsiveAfter
 	if wasUnavailable {
 		a.warmUp.ExtendCold(now, a.Log.View().WarmUp(a.Service).Time)
--- a/internal/node/opaque/agent.go
+++ b/internal/node/opaque/agent.go
@@ -62,6 +62,7 @@
 		Self:             s.Link.Addr(),
 		Domain:           s.Process.Domain,
 		Service:          s.Agent.Service,
+		ReadService:      func() (string, error) { return readService(a.Reload) },
 		Backend:          s.Agent.Backend,
 		Log:              p.log,
 		Control:          p.follow,
@@ -78,6 +79,19 @@
 	}
 }
 
+// readService reads the service of the server from the settings.
+func readService(load func() (*carry.Settings, error)) (service string, err error) {
+	defer func() { err = errors.Wrap(err, "read the service") }()
+	s, err := load()
+	if err != nil {
+		return "", err
+	}
+	if s.Agent == nil {
+		return "", errors.New("the settings have no section agent")
+	}
+	return s.Agent.Service, nil
+}
+
 // waitNoRequests returns when no request is in progress, or after limit.
 func waitNoRequests(g *local.Agent, limit time.Duration) {
 	began := time.Now()
