A returned opening packet doesn't go round between an entry and agents

What callers saw: refused flows that a server had opened, and slow answers.

Cause: the agent of a full server offers an opening packet to another agent, whose server is down or doesn't answer and which returns it to the entry. With no further agent left, the entry sent the packet to the first agent again, which offered it again: without end, at the speed of the network, until the server had a free slot or the caller had given up. Copies that went round were queued, evicted and returned as busy while another one was opened, and so the caller was refused.

An agent that has returned the packet isn't asked again before the caller's next copy, and when no further one is left, an agent that has offered it to others is asked once to take the flow itself (the bit that says so means nothing in opening packets to older agents, which offer it on as before). If all have returned it, the flow is refused at once.

--- a/internal/flow/msgs/packet.go
+++ b/internal/flow/msgs/packet.go
@@ -13,9 +13,11 @@
 	Domain uint8      // of Origin: belief.DomainHash of its failure domain
 	// Hops is the number of agents that have forwarded the packet. In an opening packet, which agents pass on by
 	// Offer instead, it is the level of what the caller uses already (package usage), at most maxUsage.
-	Hops       uint8
-	Probe      bool
-	ToOwner    bool // the sender knows that the receiver owns the flow
+	Hops  uint8
+	Probe bool
+	// ToOwner is set if the sender knows that the receiver owns the flow. In an opening packet it asks the receiver to take
+	// the flow, or to return it, and not to offer it to others.
+	ToOwner    bool
 	LastResort bool // other agents have returned the packet: a server that fails intermittently is better than none
 	AsHome     bool // the receiver is to act as the flow's home, because the home has failed
 	Packet     []byte
--- a/internal/flow/owner/entry.go
+++ b/internal/flow/owner/entry.go
@@ -28,6 +28,7 @@
 	Agent    netip.Addr
 	Seq      uint32    // first sequence number of its server, if Accepted
 	Accepted bool      // its server has accepted the flow
+	Final    bool      // it was sent the opening packet with the request to take the flow itself
 	SentAt   time.Time // when the entry first sent the opening packet to it; zero if another process did
 }
 
@@ -36,11 +37,12 @@
 // acknowledgement then shows which server it chose.
 type EntryFlow struct {
 	Candidates []Candidate
-	LastUsed   time.Time // last packet
-	Attempts   int       // opening packets sent to agents, including refused ones
-	Claimed    bool      // an agent has announced that it owns the flow
-	Returned   bool      // an agent has returned the opening packet
-	Ack        uint32    // the caller's last acknowledgement; 0 before its first packet after the opening ones
+	LastUsed   time.Time    // last packet
+	Attempts   int          // opening packets sent to agents, including refused ones
+	Claimed    bool         // an agent has announced that it owns the flow
+	Returned   bool         // an agent has returned the opening packet
+	Refusers   []netip.Addr // agents that have returned the opening packet since the caller sent it
+	Ack        uint32       // the caller's last acknowledgement; 0 before its first packet after the opening ones
 	// Owner is the agent whose server is known to hold the open flow: the agent has announced it, or the
 	// caller has acknowledged the sequence number with which the server accepted the flow. Candidates alone
 	// do not show the owner, because not every server that accepts is the one that the caller chooses. The
@@ -151,6 +153,32 @@
 	}
 }
 
+// EndAttempt records that an agent has returned the opening packet. It is no candidate if another agent offered it the
+// packet.
+func (p *EntryFlow) EndAttempt(agent netip.Addr) {
+	p.Refusers = append(p.Refusers, agent)
+	p.Remove(agent)
+}
+
+// LastToTake returns the candidate that was added last of those that were not asked to take the flow themselves, or nil
+// if there is none.
+func (p *EntryFlow) LastToTake() *Candidate {
+	for i := len(p.Candidates) - 1; i >= 0; i-- {
+		if c := &p.Candidates[i]; !c.Final {
+			return c
+		}
+	}
+	return nil
+}
+
+// Repeated records that the caller has sent the opening packet again: agents may be asked again.
+func (p *EntryFlow) Repeated() {
+	p.Refusers = nil
+	for i := range p.Candidates {
+		p.Candidates[i].Final = false
+	}
+}
+
 // Remove removes an agent that does not hold the flow.
 func (p *EntryFlow) Remove(agent netip.Addr) {
 	for i := range p.Candidates {
--- a/internal/node/edge/bulk.go
+++ b/internal/node/edge/bulk.go
@@ -87,5 +87,7 @@
 		e.refuse(now, &s, "full")
 		return
 	}
-	e.place(now, v, route, p, &s, p.Tried(), w.Packet)
+	if servers, ok := e.place(now, v, route, p, &s, w.Packet); !ok {
+		e.unplaceable(now, v, pickService(route.Shares, w.Flow), p, &s, w.Packet, servers)
+	}
 }
--- a/internal/node/edge/peer.go
+++ b/internal/node/edge/peer.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"mangowinch/internal/ctrl/belief"
 	"mangowinch/internal/flow/msgs"
 	"mangowinch/internal/flow/owner"
 	"mangowinch/internal/flow/segs"
@@ -83,9 +84,26 @@
 		return
 	}
 	p.Returned = true
-	tried := append(p.Tried(), from)
-	p.Remove(from)
-	e.place(now, v, route, p, &s, tried, m.Packet)
+	p.EndAttempt(from)
+	if servers, ok := e.place(now, v, route, p, &s, m.Packet); !ok {
+		e.placeFinally(now, v, pickService(route.Shares, s.Flow), p, &s, m.Packet, servers)
+	}
+}
+
+// placeFinally handles a returned opening packet for which no further server is available. An agent that has offered the
+// packet to others, because its server is full, is asked to take the flow, each agent once for each packet that the caller
+// sends. Sent on as before, the packet would be offered and returned without end. If all have been asked, the flow
+// is refused, unless one of them may still take it.
+func (e *Entry) placeFinally(now time.Time, v *belief.View, service string, p *owner.EntryFlow, s *segs.Segment, datagram []byte, servers int) {
+	if c := p.LastToTake(); c != nil {
+		c.Final = true
+		e.Events.Flow(event.Failure, "final", s.Flow).Stringer("agent", c.Agent).Str("to", service).Stringer("revision", v.Revision).Send()
+		e.sendOpening(v, c.Agent, service, msgs.Forward{ToOwner: true, LastResort: true, Hops: p.Usage, Packet: datagram})
+		return
+	}
+	if len(p.Candidates) == 0 {
+		e.refuseUnplaced(now, v, service, s, servers)
+	}
 }
 
 // returnedBusy handles an opening packet that was offered to several agents, none of which can serve it in time.
--- a/internal/node/edge/place.go
+++ b/internal/node/edge/place.go
@@ -36,6 +36,7 @@
 		}
 	} else if last := p.Last(); last != nil && !e.retryElsewhere(now, p, last, s) {
 		p.LastUsed = now
+		p.Repeated()
 		if p.Requests > 0 { // the caller uses the port again, for a new flow
 			p.Usage = e.shares.level(now, s.Flow)
 		}
@@ -43,7 +44,10 @@
 		return
 	}
 	p.LastUsed = now
-	e.place(now, v, route, p, s, p.Tried(), datagram)
+	p.Repeated()
+	if servers, ok := e.place(now, v, route, p, s, datagram); !ok {
+		e.unplaceable(now, v, service, p, s, datagram, servers)
+	}
 }
 
 // placedFlow returns the state of a flow whose opening packet was sent to an agent before. It returns nil for a new flow,
@@ -78,14 +82,14 @@
 	return p.Attempts < maxAttempts
 }
 
-// place sends an opening packet to the best agent that has not been tried.
-func (e *Entry) place(now time.Time, v *belief.View, route *belief.Route, p *owner.EntryFlow, s *segs.Segment, tried []netip.Addr, datagram []byte) {
+// place sends an opening packet to the best agent that has neither been tried nor returned it. If there is none, it
+// returns false with the number of servers that may get new flows.
+func (e *Entry) place(now time.Time, v *belief.View, route *belief.Route, p *owner.EntryFlow, s *segs.Segment, datagram []byte) (servers int, ok bool) {
 	service := pickService(route.Shares, s.Flow)
 	candidates := e.candidates(now, v, service)
-	agent, ok := e.chooser.Choose(now, candidates, tried)
+	agent, ok := e.chooser.Choose(now, candidates, append(p.Tried(), p.Refusers...))
 	if !ok || p.Attempts >= maxAttempts {
-		e.unplaceable(now, v, service, p, s, datagram, len(candidates))
-		return
+		return len(candidates), false
 	}
 	if p.Attempts == 0 {
 		p.Usage = e.shares.open(now, s.Flow)
@@ -106,6 +110,7 @@
 		Str("by", string(e.chooser.Reason())).Dur("service", e.chooser.Service(agent)).Uint8("usage", p.Usage).
 		Int64("version", v.Version()).Stringer("revision", v.Revision).Send()
 	e.sendOpening(v, agent, service, msgs.Forward{LastResort: p.Returned, Hops: p.Usage, Packet: datagram})
+	return len(candidates), true
 }
 
 // forwardOpening forwards a copy of an opening packet to the agent that the flow was offered to, with the level of
@@ -123,13 +128,18 @@
 	e.send(v, agent, m)
 }
 
-// unplaceable handles a new flow for which no further server is available. While an agent may still answer,
-// the caller's retransmission is sent to that agent again. Otherwise the flow is refused.
+// unplaceable handles a caller's opening packet for which no further server is available. While an agent may still
+// answer, the caller's retransmission is sent to that agent again. Otherwise the flow is refused.
 func (e *Entry) unplaceable(now time.Time, v *belief.View, service string, p *owner.EntryFlow, s *segs.Segment, datagram []byte, servers int) {
 	if last := p.Last(); last != nil {
 		e.forwardOpening(v, last.Agent, service, p, s, datagram)
 		return
 	}
+	e.refuseUnplaced(now, v, service, s, servers)
+}
+
+// refuseUnplaced refuses a flow that none of a number of servers has taken.
+func (e *Entry) refuseUnplaced(now time.Time, v *belief.View, service string, s *segs.Segment, servers int) {
 	if servers == 0 {
 		e.refuse(now, s, e.unservedReason(v, service))
 		return
--- a/internal/node/local/caller.go
+++ b/internal/node/local/caller.go
@@ -49,7 +49,7 @@
 
 // handleOpening processes an opening packet that an entry has placed at this agent.
 func (a *Agent) handleOpening(now time.Time, m msgs.Forward, s *segs.Segment) {
-	a.placeOpening(now, msgs.Offer{Header: m.Header, Origin: m.Origin, LastResort: m.LastResort, Packet: m.Packet, Usage: m.Hops}, s)
+	a.placeOpening(now, msgs.Offer{Header: m.Header, Origin: m.Origin, Final: m.ToOwner, LastResort: m.LastResort, Packet: m.Packet, Usage: m.Hops}, s)
 }
 
 // placeOpening gives an opening packet to the local server, offers it to a less busy one, or returns it to the
--- a/internal/oper/story/story.go
+++ b/internal/oper/story/story.go
@@ -154,6 +154,7 @@
 	"learned":     "held by a server whose agent has restarted",
 	"waits":       "waiting at an agent for a slot of its server; whether it got one is not in these lines",
 	"copied":      "a copy of its opening packet was sent to the same agent; whether its server accepted is not in these lines",
+	"final":       "an agent was asked to take the flow itself, as no further agent is left; whether it did is not in these lines",
 	"link-late":   "unanswered because the entry's own link is late; its opening packet was sent to the same agent again",
 	"link-waits":  "waiting at an entry for its turn at the entry's link; whether it got one is not in these lines",
 	"offered":     "offered to another agent, whose lines are not among those read",
