A pause without flows ends an entry's overload

What callers saw: the first flows after a pause of 4 s were refused as overload, with all servers idle.

Cause: a level was kept for 5 s without flows, and steps only when flows come, so the first ones after a pause met the level of before it. A flow waits at most as long as its caller does; after a longer pause nothing that was reported can be true any more. The level starts anew then.

TestPauseEndsAnOverload failed before: the first flow after 1.4 s was refused.

--- a/internal/load/level/level.go
+++ b/internal/load/level/level.go
@@ -17,6 +17,7 @@
 //     busy whatever has changed since the reports.
 //   - The level rises by steps when a good part of the servers has room, or agents return hardly any flow. It
 //     holds in between.
+//   - After a pause without flows that is longer than any flow waits, the level starts anew.
 //   - A few flows are admitted at any level, so that the end of an overload is noticed. A lower priority is
 //     never admitted in a greater part than a higher one.
 //
@@ -56,7 +57,7 @@
 
 const (
 	// forgetAfter is the age at which a report is discarded, so that an entry which no longer hears from agents
-	// stops refusing flows on outdated reports. A priority without flows for that long loses its level.
+	// stops refusing flows on outdated reports.
 	forgetAfter = 5 * time.Second
 	// stepInterval is the shortest time between two steps of a level. In this time every agent has opened
 	// several flows, whose reports show the effect of the last step.
@@ -196,6 +197,7 @@
 	if s == nil || left <= 0 || servers <= 0 {
 		return true
 	}
+	s.endPauses(now)
 	p := class(priority)
 	l := &s.levels[p]
 	l.nextMaxLeft = max(l.nextMaxLeft, left)
@@ -371,6 +373,16 @@
 	}
 }
 
+// endPauses removes the levels of priorities without flows for longer than any flow waits: all that waited then has been
+// served or given up, whatever was reported.
+func (s *service) endPauses(now time.Time) {
+	for p := range s.levels {
+		if l := &s.levels[p]; now.Sub(l.arrivedAt) > max(l.maxLeft, l.nextMaxLeft) {
+			*l = level{}
+		}
+	}
+}
+
 // expire removes reports that are too old, and levels without flows.
 func (s *service) expire(now time.Time) {
 	for a, r := range s.reports {
@@ -378,11 +390,7 @@
 			delete(s.reports, a)
 		}
 	}
-	for p := range s.levels {
-		if l := &s.levels[p]; now.Sub(l.arrivedAt) > forgetAfter {
-			*l = level{}
-		}
-	}
+	s.endPauses(now)
 }
 
 // idle reports whether the service has had no flows for long.
--- a/internal/load/level/level_test.go
+++ b/internal/load/level/level_test.go
@@ -70,6 +70,16 @@
 	}
 }
 
+// Guards against flows refused by reports of queues that have ended: no flow came for longer than any flow waits.
+func TestPauseEndsAnOverload(t *testing.T) {
+	g := newGate()
+	now := overload(g, begin).Add(timeout + time.Millisecond)
+	for range 20 {
+		assert.Assert(t, g.Admit(now, "svc", 1, timeout, 10))
+		now = now.Add(time.Millisecond)
+	}
+}
+
 // Guards against a refusal for overload where the last servers of a service drain.
 func TestServiceWithoutServersIsLeftToPlacement(t *testing.T) {
 	g := newGate()
