A new flow on a port of an earlier one is placed anew, and refused as any new flow

An opening packet from a port that the caller had used before, while entry and agent still knew the earlier flow, went to the earlier flow's agent and server unchecked, also to a server that drains or is evacuated, which DRAIN and EVAC forbid.

The entry compares the sequence number with that of the earlier opening packet and places the flow anew. The agent, which has no such number, checks an opening packet of a flow that its caller has used as it checks a new one; a copy that is late by that much is returned at worst, and the entry drops it, as the flow is open.

--- a/internal/flow/owner/entry.go
+++ b/internal/flow/owner/entry.go
@@ -42,6 +42,7 @@
 	Claimed    bool         // an agent has announced that it owns the flow
 	Returned   bool         // an agent has returned the opening packet
 	Refusers   []netip.Addr // agents that have returned the opening packet since the caller sent it
+	OpeningSeq uint32       // sequence number of the caller's opening packet; 0: not seen
 	Ack        uint32       // the caller's last acknowledgement; 0 before its first packet after the opening ones
 	// Owner is the agent whose server is known to hold the open flow: the agent has announced it, or the
 	// caller has acknowledged the sequence number with which the server accepted the flow. Candidates alone
--- a/internal/node/edge/place.go
+++ b/internal/node/edge/place.go
@@ -19,7 +19,7 @@
 		return
 	}
 	service := pickService(route.Shares, s.Flow)
-	p := e.placedFlow(v, s.Flow, service)
+	p := e.placedFlow(v, s, service)
 	if p == nil {
 		if !e.bulk.Contains(s.Flow) {
 			e.countAsked(now, route, s)
@@ -37,9 +37,6 @@
 	} else if last := p.Last(); last != nil && !e.retryElsewhere(now, p, last, s) {
 		p.LastUsed = now
 		p.Repeated()
-		if p.Requests > 0 { // the caller uses the port again, for a new flow
-			p.Usage = e.shares.level(now, s.Flow)
-		}
 		e.forwardOpening(v, last.Agent, service, p, s, datagram)
 		return
 	}
@@ -50,16 +47,17 @@
 	}
 }
 
-// placedFlow returns the state of a flow whose opening packet was sent to an agent before. It returns nil for a new flow,
-// and deletes the state of one that was sent to an agent at whose address the view has no server of the service any more:
-// that server has ended, and the flow with it.
-func (e *Entry) placedFlow(v *belief.View, f segs.Flow, service string) *owner.EntryFlow {
-	p := e.flows.Get(f)
+// placedFlow returns the state of a flow whose opening packet was sent to an agent before, or nil for a new flow. It
+// deletes the state of an earlier flow from the same port, and that of a flow that was sent to an agent at whose address
+// the view has no server of the service any more: that server has ended, and the flow with it.
+func (e *Entry) placedFlow(v *belief.View, s *segs.Segment, service string) *owner.EntryFlow {
+	p := e.flows.Get(s.Flow)
 	if p == nil || p.Last() == nil {
 		return p
 	}
-	if server, ok := v.Server(p.Last().Agent); !ok || server.Service != service {
-		e.flows.Delete(f)
+	portUsedAgain := p.Ack != 0 && s.Seq != p.OpeningSeq
+	if server, ok := v.Server(p.Last().Agent); portUsedAgain || !ok || server.Service != service {
+		e.flows.Delete(s.Flow)
 		return nil
 	}
 	return p
@@ -92,6 +90,7 @@
 		return len(candidates), false
 	}
 	if p.Attempts == 0 {
+		p.OpeningSeq = s.Seq
 		p.Usage = e.shares.open(now, s.Flow)
 	}
 	p.Candidates = append(p.Candidates, owner.Candidate{Agent: agent, SentAt: now})
--- a/internal/node/local/caller.go
+++ b/internal/node/local/caller.go
@@ -7,6 +7,7 @@
 
 	"mangowinch/internal/ctrl/belief"
 	"mangowinch/internal/flow/msgs"
+	"mangowinch/internal/flow/owner"
 	"mangowinch/internal/flow/segs"
 	"mangowinch/internal/load/hold"
 	"mangowinch/internal/load/share"
@@ -56,12 +57,7 @@
 // entry.
 func (a *Agent) placeOpening(now time.Time, m msgs.Offer, s *segs.Segment) {
 	if o := a.flows.Get(s.Flow); o != nil {
-		if !a.servesOpening(now, m.Service) {
-			a.returnOpening(now, m.Origin, s, m.Packet, msgs.ReasonService)
-			return
-		}
-		o.LastUsed = now
-		a.Wire.ToServer(m.Packet) // a retransmission: the server's answer was lost or is on its way
+		a.placeKnown(now, o, m, s)
 		return
 	}
 	if a.waiting.Heard(now, s.Flow, int(s.Ack)) {
@@ -83,6 +79,24 @@
 	a.enqueue(now, m, s)
 }
 
+// placeKnown gives the server an opening packet of a flow that the agent knows. It is a copy, as the server's answer was
+// lost or is on its way, or it opens a new flow on a port that the caller uses again.
+func (a *Agent) placeKnown(now time.Time, o *owner.Flow, m msgs.Offer, s *segs.Segment) {
+	reason := msgs.Reason(0)
+	switch {
+	case o.Ack != 0: // the caller has used the flow, so this is hardly a copy
+		reason = a.refusalReason(now, m, s)
+	case !a.servesOpening(now, m.Service):
+		reason = msgs.ReasonService
+	}
+	if reason != 0 {
+		a.returnOpening(now, m.Origin, s, m.Packet, reason)
+		return
+	}
+	o.LastUsed = now
+	a.Wire.ToServer(m.Packet)
+}
+
 // enqueue adds a flow that this server is to serve to the waiting queue, and admits it at once if a slot is
 // free.
 func (a *Agent) enqueue(now time.Time, m msgs.Offer, s *segs.Segment) {
