An agent whose settings have changed serves the next service at once

Opening packets for the service that has taken over an address were returned until the agent read its settings by itself, up to 2 s. It reads them when a packet names another service than its own and the server may have been replaced. TestNextServiceIsServedAtOnce failed before (1 flow opened, 2 expected).

--- a/internal/node/local/caller.go
+++ b/internal/node/local/caller.go
@@ -227,7 +227,7 @@
 func (a *Agent) refusalReason(now time.Time, m msgs.Offer, s *segs.Segment) msgs.Reason {
 	v := a.Log.View()
 	switch {
-	case m.Service != a.hash:
+	case m.Service != a.hash && !a.servesOpening(now, m.Service):
 		return msgs.ReasonService
 	case v.Evacuated(a.Domain):
 		return msgs.ReasonEvacuated
