A counter of the readings that confirm a server's service

By outcome: same, changed, unreadable. While settings can't be read, the platform's entry of the server's address counts all the same.

--- a/internal/node/local/counts.go
+++ b/internal/node/local/counts.go
@@ -37,6 +37,11 @@
 	metrics.GetOrCreateCounter(`mangowinch_flows_reset_total{reason="` + reason + `"}`).Inc()
 }
 
+// countConfirmed counts a reading of the settings that confirms the server's service, by its outcome.
+func countConfirmed(outcome string) {
+	metrics.GetOrCreateCounter(`mangowinch_service_confirmed_total{outcome="` + outcome + `"}`).Inc()
+}
+
 // countUnserved counts a waiting flow that the server never received.
 func countUnserved(reason string) {
 	metrics.GetOrCreateCounter(`mangowinch_flows_unserved_total{reason="` + reason + `"}`).Inc()
--- a/internal/node/local/service.go
+++ b/internal/node/local/service.go
@@ -68,18 +68,30 @@
 // confirmService reports whether the server is known to belong to the agent's service. It reads the settings if the
 // server may have been replaced, which can change the agent's service.
 func (a *Agent) confirmService(now time.Time) bool {
-	if a.ReadService != nil && a.confirmed.needed(now) {
-		service, err := a.ReadService()
-		if err != nil {
-			return a.confirmed.fail(now)
-		}
-		a.confirmed.confirm()
-		a.setService(now, service)
+	if a.ReadService != nil && a.confirmed.needed(now) && !a.rereadService(now) {
+		return false
 	}
 	s, ok := a.Log.View().Server(a.Self)
 	return !ok || s.Addr != a.Backend || s.Service == a.Service
 }
 
+// rereadService reads the service from the settings again. It reports whether the agent's service counts as confirmed.
+func (a *Agent) rereadService(now time.Time) bool {
+	service, err := a.ReadService()
+	switch {
+	case err != nil:
+		countConfirmed("unreadable")
+		return a.confirmed.fail(now)
+	case service == a.Service:
+		countConfirmed("same")
+	default:
+		countConfirmed("changed")
+		a.setService(now, service)
+	}
+	a.confirmed.confirm()
+	return true
+}
+
 // SetService sets the service that the server belongs to from now on. If it changes, the address has another server:
 // flows that wait for the former one are returned, and what was learned of it is dropped.
 func (a *Agent) SetService(now time.Time, service string) {
