--- a/internal/node/edge/peer.go
+++ b/internal/node/edge/peer.go
@@ -92,8 +92,8 @@
 
 // placeFinally handles a returned opening packet for which no further server is available. An agent that has offered the
 // packet to others, because its server is full, is asked to take the flow, each agent once for each packet that the caller
-// sends. Sent on as before, the packet would be offered and returned without end. If all have been asked, the flow
-// is refused, unless one of them may still take it.
+// sends. Without this request it would offer the packet again, which would be returned again, without end. If all have
+// been asked, the flow is refused, unless one of them may still take it.
 func (e *Entry) placeFinally(now time.Time, p *owner.EntryFlow, o *opening, servers int) {
 	if c := p.LastToTake(); c != nil {
 		c.Final = true
