--- a/review/standin2/cases.go
+++ b/review/standin2/cases.go
@@ -4,12 +4,14 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"time"
 )
 
 var cases = map[string]play{
 	"large-entries": largeEntries,
 	"unnamed-state": unnamedState,
+	"other-service": otherService,
 }
 
 const (
@@ -139,3 +141,94 @@
 	}
 	return fmt.Sprintf("FLOW: %d flows were open at %s; %d flows at live servers were reset by the system", open, target.id, reset), nil
 }
+
+// otherService: other software on the servers' machines has entries too, of a service that no configuration names. All
+// machines lose power and come back, and the other software registers after the servers.
+func otherService(w *world, trouble bool) (string, error) {
+	others := func(run string, machine netip.Addr, i int) {
+		if !trouble {
+			return
+		}
+		id := fmt.Sprintf("servers/watch-%d-%s", i, run)
+		w.store.put(id, encode(map[string]any{
+			"service": "disk-watch", "addr": netip.AddrPortFrom(machine, w.ports.app+50).String(), "zone": zones[i%len(zones)], "version": "v7",
+			"slots": 1, "state": "ready", "warmup_left_ms": 0, "seq": 1, "born": time.Now().UnixMilli(),
+		}))
+		w.note("the entry", id, "of service disk-watch is written")
+	}
+	for i := range 6 {
+		others("a", w.addr(2, byte(i+1)), i) // the servers start after it
+	}
+	if err := start(w, 3, []string{core, core, core, intake, intake, intake}); err != nil {
+		return "", err
+	}
+	var before, after []*caller
+	w.locked(func() {
+		w.every(50*time.Millisecond, func() bool {
+			c := w.call(addrPort([]string{firstRoute, secondRoute}[len(w.all)%2]), 2500*time.Millisecond, false)
+			before = append(before, c)
+			return len(before) < 80
+		})
+	})
+	time.Sleep(5 * time.Second)
+	w.locked(func() {
+		w.note("all machines lose power")
+		for _, p := range append(append([]*process{}, w.entries...), w.agents...) {
+			p.kill()
+		}
+		for _, s := range w.servers {
+			s.crash()
+		}
+	})
+	time.Sleep(time.Second)
+	var back time.Time
+	w.locked(func() {
+		for i, s := range w.servers {
+			w.servers[i] = w.newServer(fmt.Sprintf("s%d-b", i), s.service, s.zone, s.machine)
+			if err := w.servers[i].start(); err != nil {
+				w.note("cannot start", err)
+			}
+		}
+		for _, p := range append(append([]*process{}, w.entries...), w.agents...) {
+			if err := p.start(); err != nil {
+				w.note("cannot start", err)
+			}
+		}
+		back = time.Now()
+		w.note("all machines are back")
+		w.after(3*heartbeat, func() {
+			for i, a := range w.agents {
+				w.store.remove(fmt.Sprintf("servers/watch-%d-a", i))
+				others("b", a.machine, i)
+			}
+		})
+	})
+	time.Sleep(recoverBound)
+	w.locked(func() {
+		w.every(50*time.Millisecond, func() bool {
+			c := w.call(addrPort([]string{firstRoute, secondRoute}[len(w.all)%2]), 2500*time.Millisecond, false)
+			after = append(after, c)
+			return len(after) < 120
+		})
+	})
+	time.Sleep(9 * time.Second)
+	text := ""
+	w.locked(func() {
+		servedBefore, servedAfter := countServed(before), countServed(after)
+		text = fmt.Sprintf("RECOVER: before the fault %d of %d requests were served; of those sent more than %s after all machines were back, %d of %d", servedBefore, len(before), recoverBound, servedAfter, len(after))
+		if 4*servedBefore >= len(before) && 4*servedAfter < len(after) && after[0].sentAt.Sub(back) > recoverBound {
+			w.violation("RECOVER", text)
+		}
+	})
+	return text, nil
+}
+
+// countServed returns how many of the callers got an answer.
+func countServed(list []*caller) (n int) {
+	for _, c := range list {
+		if c.answeredTotal > 0 {
+			n++
+		}
+	}
+	return n
+}
