--- a/review/standin2/caller.go
+++ b/review/standin2/caller.go
@@ -29,6 +29,7 @@
 	keep           bool   // the flow stays open after an answer
 	onAnswer       func()
 	lastUsed       time.Time
+	lastIdle       time.Time
 	holder         *server // that opened the flow
 	resets         int
 	ignoredResets  int
--- a/review/standin2/world.go
+++ b/review/standin2/world.go
@@ -37,27 +37,28 @@
 
 // world holds the stand-ins and the processes. Everything runs under mu.
 type world struct {
-	mu         sync.Mutex
-	net        byte // second byte of all addresses
-	ports      ports
-	began      time.Time
-	record     *bufio.Writer
-	folder     string
-	store      *store
-	entries    []*process
-	agents     []*process
-	servers    []*server
-	callers    map[netip.AddrPort]*caller
-	all        []*caller
-	toEntries  *net.UDPConn
-	violations []string
-	bounced    int
-	done       bool
-	routes     map[string]string // called address to service, as last confirmed
-	onTaken    func(s *server, p *packet)
-	onReset    func(c *caller)
-	requestsOf map[string]*caller
-	runs       map[string]int
+	mu          sync.Mutex
+	net         byte // second byte of all addresses
+	ports       ports
+	began       time.Time
+	record      *bufio.Writer
+	folder      string
+	store       *store
+	entries     []*process
+	agents      []*process
+	servers     []*server
+	callers     map[netip.AddrPort]*caller
+	all         []*caller
+	toEntries   *net.UDPConn
+	violations  []string
+	bounced     int
+	done        bool
+	routes      map[string]string // called address to service, as last confirmed
+	onTaken     func(s *server, p *packet)
+	onReset     func(c *caller)
+	requestsOf  map[string]*caller
+	runs        map[string]int
+	everAllowed map[string]map[string]bool
 }
 
 // zones are the zones of the deployment.
@@ -68,7 +69,7 @@
 func (w *world) callerAddr(i int) netip.Addr { return w.addr(3, byte(1+i%16)) }
 
 func newWorld(folder string, out *bufio.Writer) (w *world, err error) {
-	w = &world{folder: folder, record: out, began: time.Now(), callers: map[netip.AddrPort]*caller{}, routes: map[string]string{}, requestsOf: map[string]*caller{}, runs: map[string]int{}}
+	w = &world{folder: folder, record: out, began: time.Now(), callers: map[netip.AddrPort]*caller{}, routes: map[string]string{}, requestsOf: map[string]*caller{}, runs: map[string]int{}, everAllowed: map[string]map[string]bool{}}
 	for range 50 {
 		w.net = byte(20 + rand.IntN(200))
 		base := uint16(20000 + rand.IntN(400)*100)
@@ -215,6 +216,7 @@
 	misses   int
 	inUse    bool
 	ready    bool
+	taken    bool
 	stopping bool // an end is expected
 }
 
@@ -476,6 +478,12 @@
 		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	})
 	at := w.store.put("op/config", value)
+	for called, service := range routes {
+		if w.everAllowed[called] == nil {
+			w.everAllowed[called] = map[string]bool{}
+		}
+		w.everAllowed[called][service] = true
+	}
 	w.routes = routes
 	w.note("the store confirms version", version, "of the configuration:", routes)
 	return at
