--- a/review/standin2/cases.go
+++ b/review/standin2/cases.go
@@ -12,6 +12,7 @@
 	"large-entries": largeEntries,
 	"unnamed-state": unnamedState,
 	"other-service": otherService,
+	"roll-agents":   rollAgents,
 }
 
 const (
@@ -232,3 +233,54 @@
 	}
 	return n
 }
+
+// rollAgents: in a deployment of 72 machines the agents' machines are stopped and started in turn, while callers use
+// their open flows. Each is back two seconds after its process has ended.
+func rollAgents(w *world, trouble bool) (string, error) {
+	var services []string
+	for i := range 52 {
+		services = append(services, []string{core, core, core, core, intake}[i%5])
+	}
+	if err := start(w, 20, services); err != nil {
+		return "", err
+	}
+	time.Sleep(3 * time.Second)
+	reset, open := 0, 0
+	w.locked(func() {
+		w.onReset = func(c *caller) {
+			if c.holder.alive {
+				reset++
+				w.violation("FLOW", fmt.Sprintf("flow %s, open at the live server %s, is reset by the system", c.self, c.holder.id))
+			}
+		}
+		for i := range 600 {
+			w.after(time.Duration(i)*5*time.Millisecond, func() {
+				c := w.call(addrPort(firstRoute), 2500*time.Millisecond, true)
+				c.onAnswer = func() {
+					w.after(400*time.Millisecond, func() {
+						if !c.over && time.Since(c.sentAt) < 50*time.Second {
+							c.request()
+						}
+					})
+				}
+			})
+		}
+	})
+	time.Sleep(5 * time.Second)
+	w.locked(func() {
+		for _, c := range w.all {
+			if c.open && !c.over {
+				open++
+			}
+		}
+	})
+	for i := range 10 {
+		if trouble {
+			w.agents[i].stopAndRestartAfter(1200 * time.Millisecond)
+		} else {
+			time.Sleep(3 * time.Second)
+		}
+	}
+	time.Sleep(3 * time.Second)
+	return fmt.Sprintf("FLOW: of %d open flows, %d at live servers were reset by the system", open, reset), nil
+}
--- a/review/standin2/world.go
+++ b/review/standin2/world.go
@@ -323,7 +323,10 @@
 
 // stopAndRestart sends SIGTERM, waits for the end (SIGKILL after the grace time), and starts the process again after
 // restartDelay. It is called without mu.
-func (p *process) stopAndRestart() {
+func (p *process) stopAndRestart() { p.stopAndRestartAfter(restartDelay) }
+
+// stopAndRestartAfter is stopAndRestart with another delay.
+func (p *process) stopAndRestartAfter(delay time.Duration) {
 	p.w.locked(func() {
 		p.stopping = true
 		p.w.note("process", p.name, "gets SIGTERM")
@@ -335,7 +338,7 @@
 		p.signal(syscall.SIGKILL)
 		<-p.exited
 	}
-	time.Sleep(restartDelay)
+	time.Sleep(delay)
 	p.w.locked(func() {
 		if err := p.start(); err != nil {
 			p.w.note("cannot start", p.name, err)
