--- a/review/standin2/cases.go
+++ b/review/standin2/cases.go
@@ -235,7 +235,7 @@
 }
 
 // rollAgents: in a deployment of 72 machines the agents' machines are stopped and started in turn, while callers use
-// their open flows. Each is back two seconds after its process has ended.
+// their open flows. Each process starts again 1.5 s after its end.
 func rollAgents(w *world, trouble bool) (string, error) {
 	var services []string
 	for i := range 52 {
@@ -276,7 +276,7 @@
 	})
 	for i := range 10 {
 		if trouble {
-			w.agents[i].stopAndRestartAfter(1200 * time.Millisecond)
+			w.agents[i].stopAndRestartAfter(1500 * time.Millisecond)
 		} else {
 			time.Sleep(3 * time.Second)
 		}
