--- a/review/standin2/cases.go
+++ b/review/standin2/cases.go
@@ -182,11 +182,11 @@
 			}
 		}
 	})
-	for i := range 10 {
+	for i := range 20 {
 		if trouble {
 			w.agents[i].stopAndRestartAfter(1500 * time.Millisecond)
 		} else {
-			time.Sleep(3 * time.Second)
+			time.Sleep(1700 * time.Millisecond)
 		}
 	}
 	time.Sleep(3 * time.Second)
