--- a/review/standin2/cases.go
+++ b/review/standin2/cases.go
@@ -15,8 +15,8 @@
 }
 
 const (
-	firstRoute  = "198.18.0.1:8443"
-	secondRoute = "198.18.0.2:8443"
+	firstRoute  = "127.250.0.1:8443"
+	secondRoute = "127.250.0.2:8443"
 	core        = "tracing-core"
 	intake      = "doc-intake"
 )
@@ -263,4 +263,4 @@
 	})
 }
 
-func smallRoute(i int) string { return fmt.Sprintf("198.18.0.%d:8443", 10+i) }
+func smallRoute(i int) string { return fmt.Sprintf("127.250.0.%d:8443", 10+i) }
